--- /dev/null
+++ b/src/main/java/org/meadowhollow/bookkeeping/Cause.java
@@ -0,0 +1,6 @@
+package org.meadowhollow.bookkeeping;
+
+/** Why a task exited. */
+public enum Cause {
+    DONE, STOPPED, PEERS, ALONE, ERROR, NO_ROOM, BUSY, UNKNOWN
+}
--- /dev/null
+++ b/src/main/java/org/meadowhollow/bookkeeping/LeaseId.java
@@ -0,0 +1,5 @@
+package org.meadowhollow.bookkeeping;
+
+/** A lease of the state service. */
+public record LeaseId(long value) {
+}
--- /dev/null
+++ b/src/main/java/org/meadowhollow/bookkeeping/Ledger.java
@@ -0,0 +1,245 @@
+package org.meadowhollow.bookkeeping;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.meadowhollow.bookkeeping.StateStore.Urgency;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Writes a leader's records. Every transaction guards on the leader's key, so that a deposed leader's
+ * late one fails, and on the versions of what it changes.
+ */
+public final class Ledger {
+    /** What the leader must know of its writes. */
+    public interface Listener {
+        /** Something was committed, so that starts or forgets may go out. */
+        void committed();
+
+        /** The job is over and its end is in the state service. */
+        void ended(Job job);
+
+        /** The job's record was changed by somebody else. */
+        void changedElsewhere(JobId job);
+
+        /** The leader's key is not ours any more. */
+        void deposed();
+    }
+
+    private static final Logger LOG = LoggerFactory.getLogger(Ledger.class);
+    /** Bytes of a transaction's body: the protocol's 64 KiB less room for guards and framing. */
+    private static final int MOST_BYTES = 40 * 1024;
+    /** Transactions at a time: one being answered, one on its way. */
+    private static final int MOST_IN_FLIGHT = 2;
+    /** Short enough not to be felt, long enough to let a hiccup pass. */
+    private static final Duration RETRY = Duration.ofMillis(300);
+    private static final int ENTRY_BYTES = 48;
+
+    private final StateStore store;
+    private final EventLoop loop;
+    private final int mostWrites;
+    private final Version leaderVersion;
+    private final Listener listener;
+    private final Set<Chunk> dirty = new LinkedHashSet<>();
+    private final Set<Job> ending = new LinkedHashSet<>();
+    private final Set<JobId> endingInFlight = new LinkedHashSet<>();
+    private final List<String> leftovers = new ArrayList<>();
+    private int inFlight;
+    private boolean paused;
+    private boolean closed;
+
+    public Ledger(StateStore store, EventLoop loop, int mostWrites, Version leaderVersion, Listener listener) {
+        this.store = store;
+        this.loop = loop;
+        this.mostWrites = mostWrites;
+        this.leaderVersion = leaderVersion;
+        this.listener = listener;
+    }
+
+    /** Notes that a chunk has changes; they are written with the next {@link #flush}. */
+    public void changed(Chunk chunk) {
+        dirty.add(chunk);
+    }
+
+    /** Notes that nothing of the job is left to do, so that its final state can be written. */
+    public void ending(Job job) {
+        if (!job.ended()) {
+            ending.add(job);
+        }
+    }
+
+    /** Notes a record that belongs to no live job. */
+    public void leftover(String key) {
+        leftovers.add(key);
+    }
+
+    public void close() {
+        closed = true;
+    }
+
+    private record Saving(Chunk chunk, long change) {
+    }
+
+    /** Sends what is waiting, as far as transactions may be in flight. */
+    public void flush() {
+        while (!closed && !paused && inFlight < MOST_IN_FLIGHT && !(dirty.isEmpty() && ending.isEmpty()
+                && leftovers.isEmpty())) {
+            Transaction transaction = new Transaction().guard(Records.LEADER, leaderVersion);
+            List<Job> ends = new ArrayList<>();
+            List<Saving> saves = new ArrayList<>();
+            Map<String, Object> touched = new HashMap<>();
+            takeEnds(transaction, ends, touched);
+            takeChunks(transaction, saves, touched);
+            while (!leftovers.isEmpty() && transaction.writes().size() < mostWrites) {
+                transaction.delete(leftovers.remove(leftovers.size() - 1));
+            }
+            if (transaction.writes().isEmpty()) {
+                return;
+            }
+            inFlight++;
+            store.commit(transaction, Urgency.PLACEMENT).whenComplete((commit, failure) -> {
+                inFlight--;
+                settle(ends, saves, touched, commit, failure);
+            });
+        }
+    }
+
+    private void takeEnds(Transaction transaction, List<Job> ends, Map<String, Object> touched) {
+        for (Iterator<Job> jobs = ending.iterator(); jobs.hasNext();) {
+            Job job = jobs.next();
+            if (transaction.writes().size() + 3 > mostWrites && !transaction.writes().isEmpty()) {
+                return;
+            }
+            if (chunkInFlight(job)) {
+                continue;
+            }
+            jobs.remove();
+            endingInFlight.add(job.id());
+            ends.add(job);
+            touched.put(Records.job(job.id()), job);
+            transaction.guard(Records.job(job.id()), job.version())
+                    .put(Records.ended(job.id()), Records.ended(job)).delete(Records.job(job.id()));
+            for (int at = 0; at < job.chunkCount(); at++) {
+                if (job.hasChunk(at)) {
+                    String key = Records.chunk(job.chunk(at));
+                    if (transaction.writes().size() < mostWrites) {
+                        transaction.delete(key);
+                    } else {
+                        leftovers.add(key);
+                    }
+                }
+                dirty.remove(job.chunk(at));
+            }
+        }
+    }
+
+    private static boolean chunkInFlight(Job job) {
+        for (int at = 0; at < job.chunkCount(); at++) {
+            if (job.chunk(at).inFlight()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void takeChunks(Transaction transaction, List<Saving> saves, Map<String, Object> touched) {
+        int bytes = 0;
+        for (Iterator<Chunk> chunks = dirty.iterator(); chunks.hasNext();) {
+            Chunk chunk = chunks.next();
+            Job job = chunk.job();
+            if (job.ended() || !chunk.isDirty()) {
+                chunks.remove();
+                continue;
+            }
+            if (chunk.inFlight() || endingInFlight.contains(job.id()) || ending.contains(job)) {
+                continue;
+            }
+            bytes += ENTRY_BYTES * (chunk.endTask() - chunk.firstTask() + 2);
+            if (transaction.writes().size() >= mostWrites || bytes > MOST_BYTES && !saves.isEmpty()) {
+                return;
+            }
+            chunks.remove();
+            chunk.inFlight(true);
+            saves.add(new Saving(chunk, chunk.changed()));
+            String key = Records.chunk(chunk);
+            touched.put(key, chunk);
+            touched.put(Records.job(job.id()), job);
+            // A start must not be committed after the user was told of a cancellation.
+            transaction.guard(Records.job(job.id()), job.version()).guard(key, chunk.version())
+                    .put(key, Records.encode(chunk));
+        }
+    }
+
+    private void settle(List<Job> ends, List<Saving> saves, Map<String, Object> touched,
+            StateStore.Commit commit, Throwable failure) {
+        boolean applied = failure == null && commit.applied();
+        for (Saving saving : saves) {
+            saving.chunk().inFlight(false);
+            if (applied) {
+                saving.chunk().saved(saving.change(), commit.revision());
+            }
+            if (saving.chunk().isDirty()) {
+                dirty.add(saving.chunk());
+            }
+        }
+        for (Job job : ends) {
+            endingInFlight.remove(job.id());
+            if (applied) {
+                job.end();
+            } else {
+                ending.add(job);
+            }
+        }
+        if (applied) {
+            ends.forEach(listener::ended);
+            listener.committed();
+            flush();
+            return;
+        }
+        if (failure != null) {
+            LOG.info("a write failed and will be repeated: {}", failure.getMessage());
+            pause();
+            return;
+        }
+        if (commit.failed().contains(Records.LEADER)) {
+            closed = true;
+            listener.deposed();
+            return;
+        }
+        for (String key : commit.failed()) {
+            Object record = touched.get(key);
+            if (record instanceof Job job) {
+                listener.changedElsewhere(job.id());
+            } else if (record instanceof Chunk chunk) {
+                reread(key, chunk);
+            }
+        }
+        pause();
+    }
+
+    /** An unanswered transaction of ours was applied after all: go on from the version it left. */
+    private void reread(String key, Chunk chunk) {
+        chunk.inFlight(true);
+        store.get(key, Urgency.PLACEMENT).whenComplete((entry, failure) -> {
+            chunk.inFlight(false);
+            if (failure == null) {
+                chunk.adopt(entry.map(StateStore.Entry::version).orElse(Version.ABSENT));
+            }
+            flush();
+        });
+    }
+
+    private void pause() {
+        paused = true;
+        loop.after(RETRY, () -> {
+            paused = false;
+            flush();
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/meadowhollow/bookkeeping/Machine.java
@@ -0,0 +1,179 @@
+package org.meadowhollow.bookkeeping;
+
+import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** A rented machine as the leader knows it. */
+public final class Machine {
+    /** An exit whose record is not in the state service yet; only then may the worker forget it. */
+    public record Settling(Attempt attempt, Chunk chunk, long change) {
+        public boolean isSaved() {
+            return chunk.isSaved(change) || chunk.job().ended();
+        }
+    }
+
+    private final MachineId id;
+    private final MachineType type;
+    private final String zone;
+    private final boolean spot;
+    private String address;
+    private Session session;
+    private long seq = -1;
+    private Term shown = Term.NONE;
+    private Moment firstSeenAt;
+    private Moment heardAt;
+    private Moment noticeEndsAt;
+    private boolean draining;
+    private boolean releasing;
+    private Moment idleSince;
+    private final List<Placement> placements = new ArrayList<>();
+    private final Map<TaskId, Settling> settling = new Object2ObjectOpenHashMap<>();
+    private final Set<TaskId> strays = new HashSet<>();
+    private final Set<String> images = new HashSet<>();
+    private int lostSinceReport;
+
+    public Machine(MachineId id, MachineType type, String zone, boolean spot, Moment now) {
+        this.id = id;
+        this.type = type;
+        this.zone = zone;
+        this.spot = spot;
+        this.firstSeenAt = now;
+    }
+
+    public MachineId id() {
+        return id;
+    }
+
+    public MachineType type() {
+        return type;
+    }
+
+    public String zone() {
+        return zone;
+    }
+
+    public boolean spot() {
+        return spot;
+    }
+
+    public String address() {
+        return address;
+    }
+
+    public void address(String known) {
+        address = known;
+    }
+
+    public Moment firstSeenAt() {
+        return firstSeenAt;
+    }
+
+    /** The session last reported, or null before the first report. */
+    public Session session() {
+        return session;
+    }
+
+    public long seq() {
+        return seq;
+    }
+
+    public void reported(Report report) {
+        session = report.session();
+        seq = report.seq();
+        if (report.token().isAfter(shown)) {
+            shown = report.token();
+        }
+    }
+
+    /** The highest token that the worker has shown. */
+    public Term shown() {
+        return shown;
+    }
+
+    /** When the last report arrived that this leader answered, or null. */
+    public Moment heardAt() {
+        return heardAt;
+    }
+
+    public void heard(Moment now) {
+        heardAt = now;
+    }
+
+    public Moment noticeEndsAt() {
+        return noticeEndsAt;
+    }
+
+    public void noticeEndsAt(Moment end) {
+        noticeEndsAt = end;
+    }
+
+    /** Whether nothing more is placed here. */
+    public boolean draining() {
+        return draining || releasing;
+    }
+
+    public void drain() {
+        draining = true;
+    }
+
+    public boolean releasing() {
+        return releasing;
+    }
+
+    public void releasing(boolean now) {
+        releasing = now;
+    }
+
+    public Moment idleSince() {
+        return idleSince;
+    }
+
+    public void idleSince(Moment since) {
+        idleSince = since;
+    }
+
+    public List<Placement> placements() {
+        return placements;
+    }
+
+    public Map<TaskId, Settling> settling() {
+        return settling;
+    }
+
+    /** Tasks on the machine that no record knows of; they are being stopped and count until they are gone. */
+    public Set<TaskId> strays() {
+        return strays;
+    }
+
+    /** Images that were fetched here and are probably still cached. */
+    public Set<String> images() {
+        return images;
+    }
+
+    public void lost(int tasks) {
+        lostSinceReport += tasks;
+    }
+
+    /** The tasks lost since the last call. */
+    public int takeLost() {
+        int lost = lostSinceReport;
+        lostSinceReport = 0;
+        return lost;
+    }
+
+    public Resources booked() {
+        Resources sum = Resources.NONE;
+        for (Placement placement : placements) {
+            sum = sum.plus(placement.job().spec().perTask());
+        }
+        return sum;
+    }
+
+    public Resources free() {
+        return type.room().minus(booked());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/meadowhollow/bookkeeping/StateStore.java
@@ -0,0 +1,50 @@
+package org.meadowhollow.bookkeeping;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * The small consistent store in which everything that must last is kept. Calls fail with a
+ * {@link StateException}.
+ */
+public interface StateStore {
+    /** Who goes first when the request budget is short. */
+    enum Urgency { LEASE, USER, PLACEMENT, BACKGROUND }
+
+    record Entry(String key, Map<String, Object> value, Version version) {
+    }
+
+    record Page(List<Entry> entries, boolean more, Version revision) {
+    }
+
+    /** A change under a watched prefix; {@code value} is null when the key was removed. */
+    record Change(String key, Map<String, Object> value, Version version) {
+    }
+
+    record Changes(Version revision, List<Change> changes) {
+    }
+
+    /** The outcome of a transaction: applied, or the keys that did not have the version expected. */
+    record Commit(boolean applied, Version revision, List<String> failed) {
+    }
+
+    CompletableFuture<Optional<Entry>> get(String key, Urgency urgency);
+
+    CompletableFuture<Page> list(String prefix, String after, Urgency urgency);
+
+    CompletableFuture<Commit> commit(Transaction transaction, Urgency urgency);
+
+    CompletableFuture<LeaseId> grant(Duration ttl);
+
+    CompletableFuture<Void> renew(LeaseId lease);
+
+    CompletableFuture<Void> revoke(LeaseId lease);
+
+    CompletableFuture<Changes> watch(String prefix, Version after, Duration wait);
+
+    /** Whether the store has lately given no answer, or an answer of being out. */
+    boolean seemsOut();
+}
--- /dev/null
+++ b/src/main/java/org/meadowhollow/bookkeeping/Transaction.java
@@ -0,0 +1,42 @@
+package org.meadowhollow.bookkeeping;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** Changes that happen together, or not at all if a guarded key has another version than expected. */
+public final class Transaction {
+    /** A value to put under a key, attached to a lease or not; a null value removes the key. */
+    public record Write(Map<String, Object> value, LeaseId lease) {
+    }
+
+    private final Map<String, Version> guards = new LinkedHashMap<>();
+    private final Map<String, Write> writes = new LinkedHashMap<>();
+
+    public Transaction guard(String key, Version version) {
+        guards.put(key, version);
+        return this;
+    }
+
+    public Transaction put(String key, Map<String, Object> value) {
+        writes.put(key, new Write(value, null));
+        return this;
+    }
+
+    public Transaction put(String key, Map<String, Object> value, LeaseId lease) {
+        writes.put(key, new Write(value, lease));
+        return this;
+    }
+
+    public Transaction delete(String key) {
+        writes.put(key, new Write(null, null));
+        return this;
+    }
+
+    public Map<String, Version> guards() {
+        return guards;
+    }
+
+    public Map<String, Write> writes() {
+        return writes;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/meadowhollow/cli/Settings.java
@@ -0,0 +1,141 @@
+package org.meadowhollow.cli;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.meadowhollow.bookkeeping.Resources;
+import org.meadowhollow.coordination.Platform;
+import org.meadowhollow.protocol.Fields;
+import org.meadowhollow.protocol.Malformed;
+
+/** The platform's settings file, checked. */
+public record Settings(Endpoint listen, Endpoint back, List<String> peers, String cloud, String state,
+        Platform platform) {
+
+    /** An address of this machine. */
+    public record Endpoint(String host, int port) {
+    }
+
+    /** The settings cannot be used; the text says why. */
+    public static final class Unusable extends Exception {
+        Unusable(String why) {
+            super(why);
+        }
+    }
+
+    public static Settings read(Path file) throws Unusable {
+        byte[] bytes;
+        try {
+            bytes = Files.readAllBytes(file);
+        } catch (IOException unreadable) {
+            throw new Unusable("cannot read the settings file " + file);
+        }
+        Map<String, Object> map;
+        try {
+            map = JSON.std.mapFrom(bytes);
+        } catch (IOException broken) {
+            throw new Unusable(file + " is not a JSON object");
+        }
+        try {
+            return of(new Fields(widened(map)));
+        } catch (Malformed wrong) {
+            throw new Unusable(file + ": " + wrong.getMessage());
+        }
+    }
+
+    private static Settings of(Fields file) throws Malformed {
+        List<String> peers = new ArrayList<>();
+        for (Fields peer : file.list("known")) {
+            peers.add(address(peer.text("addr"), "known"));
+        }
+        Fields external = file.fields("external");
+        Endpoint listen = endpoint(file.text("listen"), "listen");
+        Endpoint back = endpoint(file.text("back"), "back");
+        return new Settings(listen, back, peers, address(external.text("cloud"), "cloud"),
+                address(external.text("state"), "state"), platform(file.text("member"), file.fields("settings")));
+    }
+
+    private static Platform platform(String member, Fields settings) throws Malformed {
+        Map<String, Platform.Team> teams = new LinkedHashMap<>();
+        for (Fields team : settings.list("teams")) {
+            teams.put(team.text("name"), new Platform.Team(team.text("name"),
+                    Resources.of(team.amountOr("cpus", 0), team.amountOr("gpus", 0), 0),
+                    Resources.of(team.amountOr("cpus_max", 0), team.amountOr("gpus_max", 0), 0)));
+        }
+        List<Platform.Objective> objectives = new ArrayList<>();
+        for (Fields objective : settings.list("objectives")) {
+            objectives.add(new Platform.Objective(objective.text("kind"), objective.textOrNull("class"),
+                    objective.amountOr("within_s", Double.NaN)));
+        }
+        List<String> zones = settings.textsOrNull("zones");
+        Fields workers = settings.fields("workers");
+        Fields state = settings.fields("state");
+        Fields cloud = settings.fields("cloud");
+        Duration lease = seconds(workers, "lease_s");
+        Duration cancel = seconds(workers, "cancel_s");
+        if (cancel.compareTo(lease) <= 0) {
+            throw new Malformed("cancel_s must be longer than lease_s");
+        }
+        return new Platform(member, (int) positive(settings, "size"), zones == null ? List.of() : zones, teams,
+                objectives, seconds(workers, "report_s"), lease, seconds(workers, "gang_peer_s"), cancel,
+                positive(state, "rps"), positive(state, "write_rps"), (int) (positive(state, "value_kb") * 1024),
+                (int) positive(state, "txn_ops"), positive(cloud, "rps"), seconds(cloud, "list_lag_s"));
+    }
+
+    private static Duration seconds(Fields fields, String key) throws Malformed {
+        return Duration.ofNanos((long) (positive(fields, key) * 1e9));
+    }
+
+    private static double positive(Fields fields, String key) throws Malformed {
+        double amount = fields.amount(key);
+        if (amount <= 0) {
+            throw new Malformed(key + " must be above 0");
+        }
+        return amount;
+    }
+
+    private static String address(String text, String key) throws Malformed {
+        endpoint(text, key);
+        return text;
+    }
+
+    private static Endpoint endpoint(String text, String key) throws Malformed {
+        int colon = text.lastIndexOf(':');
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (colon > 0 && port >= 0 && port < 65536) {
+                return new Endpoint(text.substring(0, colon), port);
+            }
+        } catch (NumberFormatException notANumber) {
+            // Falls through to the one message for every wrong address.
+        }
+        throw new Malformed(key + " is not an address of the form host:port");
+    }
+
+    /** JSON whole numbers come as int or long; the checks know one kind. */
+    private static Map<String, Object> widened(Map<String, Object> map) {
+        Map<String, Object> wide = new LinkedHashMap<>();
+        map.forEach((key, value) -> wide.put(key, widened(value)));
+        return wide;
+    }
+
+    @SuppressWarnings("unchecked")
+    private static Object widened(Object value) {
+        if (value instanceof Integer number) {
+            return number.longValue();
+        }
+        if (value instanceof Map<?, ?> map) {
+            return widened((Map<String, Object>) map);
+        }
+        if (value instanceof List<?> list) {
+            return list.stream().map(Settings::widened).toList();
+        }
+        return value;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/meadowhollow/coordination/Fleet.java
@@ -0,0 +1,344 @@
+package org.meadowhollow.coordination;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.meadowhollow.bookkeeping.Catalog;
+import org.meadowhollow.bookkeeping.EventLoop;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.Machine;
+import org.meadowhollow.bookkeeping.MachineId;
+import org.meadowhollow.bookkeeping.MachineType;
+import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.Resources;
+import org.meadowhollow.bookkeeping.Term;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Rents machines for the work that waits, and returns those that are idle, faulty or silent. */
+final class Fleet {
+    private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
+    /** The cloud's limit of machines in one request. */
+    private static final int MOST_RENTED = 50;
+    private static final int MOST_RELEASED = 100;
+    /** A machine that takes this many times its type's boot time is taken for one that never comes up. */
+    private static final double BOOT_PATIENCE = 4;
+    /** After a refusal the same kind is left alone for this long at first, and for twice that each time. */
+    private static final Duration FIRST_PAUSE = Duration.ofSeconds(4);
+    private static final Duration LONGEST_PAUSE = Duration.ofSeconds(30);
+    /** Idle machines are kept for this many boot times: the next job may be about to come. */
+    private static final double IDLE_BOOTS = 3;
+    /** A deleted machine costs a minute in any case. */
+    private static final double LEAST_PAID_S = 60;
+    /** A silent machine is given up after this share of its lease: most of those that hang go on sooner. */
+    private static final double GIVE_UP_LEASES = 1.5;
+
+    /** Waiting tasks of a job that found no machine. */
+    record Need(JobSpec spec, int tasks) {
+    }
+
+    private record Source(String type, String zone, boolean spot) {
+    }
+
+    private record Rental(MachineType type, String zone, boolean spot, Moment sentAt) {
+    }
+
+    private static final class Pause {
+        private Moment until;
+        private Duration length = FIRST_PAUSE;
+    }
+
+    private final Leader leader;
+    private final Cloud cloud;
+    private final Platform platform;
+    private final Catalog catalog;
+    private final EventLoop loop;
+    private final Term term;
+    private final Map<MachineId, Rental> booting = new LinkedHashMap<>();
+    private final Map<Source, Pause> pauses = new HashMap<>();
+    private final Set<MachineId> released = new HashSet<>();
+    private List<Need> needs = List.of();
+    private int counter;
+    private int renting;
+    private boolean releasing;
+    private boolean closed;
+
+    Fleet(Leader leader, Cloud cloud, Platform platform, Catalog catalog, EventLoop loop, Term term) {
+        this.leader = leader;
+        this.cloud = cloud;
+        this.platform = platform;
+        this.catalog = catalog;
+        this.loop = loop;
+        this.term = term;
+    }
+
+    void start() {
+        list();
+    }
+
+    synchronized void close() {
+        closed = true;
+    }
+
+    synchronized void needs(List<Need> now) {
+        needs = now;
+    }
+
+    /** Whether a machine was returned for certain, so that a late report of it means nothing. */
+    synchronized boolean isGone(MachineId id) {
+        return released.contains(id);
+    }
+
+    private void list() {
+        if (leader.isClosed()) {
+            return;
+        }
+        // A list is late anyway; asking at half that lag finds what there is to find.
+        Duration next = platform.listLag().dividedBy(2);
+        cloud.list().whenComplete((list, failure) -> {
+            if (failure == null) {
+                listed(list);
+            }
+            loop.after(next, this::list);
+        });
+    }
+
+    private void listed(List<Cloud.Listed> list) {
+        List<Cloud.Listed> live = new ArrayList<>();
+        synchronized (this) {
+            for (Cloud.Listed item : list) {
+                if (released.contains(item.id())) {
+                    continue;
+                }
+                live.add(item);
+                MachineType type = catalog.type(item.type());
+                if (type == null) {
+                    continue;
+                }
+                if (item.phase() == Cloud.Phase.BOOTING) {
+                    booting.computeIfAbsent(item.id(), unused -> new Rental(type, item.zone(), item.spot(),
+                            new Moment(loop.now().nanos() - (long) (item.ageS() * 1e9))));
+                } else if (item.phase() == Cloud.Phase.FAILED) {
+                    booting.remove(item.id());
+                }
+            }
+        }
+        leader.listed(live);
+        returnFailed(live);
+    }
+
+    private void returnFailed(List<Cloud.Listed> list) {
+        List<MachineId> failed = new ArrayList<>();
+        for (Cloud.Listed item : list) {
+            if (item.phase() == Cloud.Phase.FAILED) {
+                failed.add(item.id());
+            }
+        }
+        release(failed, "failed");
+    }
+
+    /** One round: rent for what waits, return what is of no more use. */
+    void act() {
+        List<Machine> machines = leader.machineList();
+        if (!leader.isLoaded() || catalog.isEmpty()) {
+            return;
+        }
+        Moment now = loop.now();
+        List<MachineId> unwanted = new ArrayList<>();
+        Map<Source, Integer> wanted;
+        synchronized (this) {
+            if (closed) {
+                return;
+            }
+            for (Machine machine : machines) {
+                if (machine.heardAt() != null) {
+                    booting.remove(machine.id());
+                }
+            }
+            booting.forEach((id, rental) -> {
+                if (now.secondsSince(rental.sentAt()) > rental.type().bootS() * BOOT_PATIENCE) {
+                    unwanted.add(id);
+                }
+            });
+            wanted = renting > 0 ? Map.of() : wanted(machines, now);
+        }
+        for (Machine machine : machines) {
+            if (unwanted(machine, now)) {
+                unwanted.add(machine.id());
+            }
+        }
+        wanted.forEach(this::rent);
+        release(unwanted, "idle, silent or faulty");
+    }
+
+    private boolean unwanted(Machine machine, Moment now) {
+        if (machine.releasing()) {
+            return false;
+        }
+        double leaseS = platform.lease().toNanos() / 1e9;
+        if (machine.heardAt() != null && now.secondsSince(machine.heardAt()) > leaseS * GIVE_UP_LEASES) {
+            return true;
+        }
+        if (machine.noticeEndsAt() != null) {
+            return machine.noticeEndsAt().isBefore(now) && machine.heardAt() != null
+                    && now.secondsSince(machine.heardAt()) > 1;
+        }
+        if (machine.idleSince() == null || machine.heardAt() == null) {
+            return false;
+        }
+        double keepS = Math.max(LEAST_PAID_S, machine.type().bootS() * IDLE_BOOTS);
+        return machine.draining() || now.secondsSince(machine.idleSince()) > keepS;
+    }
+
+    /** What to rent: the needs that neither the machines that are booting nor each other's new ones take. */
+    private Map<Source, Integer> wanted(List<Machine> machines, Moment now) {
+        record Bin(Source source, Resources[] free) {
+        }
+        List<Bin> bins = new ArrayList<>();
+        booting.values().forEach(rental -> bins.add(new Bin(
+                new Source(rental.type().name(), rental.zone(), rental.spot()),
+                new Resources[] {rental.type().room()})));
+        Map<String, Integer> perZone = new HashMap<>();
+        for (Machine machine : machines) {
+            perZone.merge(machine.zone(), 1, Integer::sum);
+        }
+        Map<Source, Integer> wanted = new LinkedHashMap<>();
+        for (Need need : needs) {
+            JobSpec spec = need.spec();
+            Map<String, Integer> inZone = new HashMap<>();
+            String only = spec.zone();
+            int left = need.tasks();
+            while (left > 0) {
+                Bin found = null;
+                for (Bin bin : bins) {
+                    if (fits(spec, bin.source(), only) && spec.perTask().fitsIn(bin.free()[0])
+                            && inZone.getOrDefault(bin.source().zone(), 0) < spec.mostPerZone()) {
+                        found = bin;
+                        break;
+                    }
+                }
+                if (found == null) {
+                    Source source = source(spec, only, inZone, perZone, now);
+                    if (source == null) {
+                        break;
+                    }
+                    found = new Bin(source, new Resources[] {catalog.type(source.type()).room()});
+                    bins.add(found);
+                    wanted.merge(source, 1, Integer::sum);
+                    perZone.merge(source.zone(), 1, Integer::sum);
+                }
+                found.free()[0] = found.free()[0].minus(spec.perTask());
+                inZone.merge(found.source().zone(), 1, Integer::sum);
+                if (spec.oneZone()) {
+                    only = found.source().zone();
+                }
+                left--;
+            }
+        }
+        return wanted;
+    }
+
+    private boolean fits(JobSpec spec, Source source, String zone) {
+        return spec.allowsType(source.type()) && (!source.spot() || spec.spot())
+                && (zone == null || zone.equals(source.zone()))
+                && spec.perTask().fitsIn(catalog.type(source.type()).room());
+    }
+
+    /** The cheapest place to rent for a task; among equals, the zone with the fewest machines. */
+    private Source source(JobSpec spec, String only, Map<String, Integer> inZone, Map<String, Integer> perZone,
+            Moment now) {
+        Source best = null;
+        double bestCost = 0;
+        for (MachineType type : catalog.types()) {
+            for (String zone : type.zones()) {
+                Source source = new Source(type.name(), zone, false);
+                Pause pause = pauses.get(source);
+                if (!fits(spec, source, only) || pause != null && now.isBefore(pause.until)
+                        || inZone.getOrDefault(zone, 0) >= spec.mostPerZone()) {
+                    continue;
+                }
+                int each = spec.kind() == Kind.GANG ? 1 : spec.perTask().countIn(type.room(), MOST_RENTED);
+                double cost = type.price() / Math.max(1, each) * 1000 + perZone.getOrDefault(zone, 0);
+                if (best == null || cost < bestCost) {
+                    best = source;
+                    bestCost = cost;
+                }
+            }
+        }
+        return best;
+    }
+
+    private void rent(Source source, int count) {
+        String request;
+        synchronized (this) {
+            // Term and counter together are never used again, by this node or any other.
+            request = "r-" + term + '-' + (++counter);
+            renting++;
+        }
+        Moment sentAt = loop.now();
+        int most = Math.min(MOST_RENTED, count);
+        LOG.info("renting {} of {} in {} as {}", most, source.type(), source.zone(), request);
+        cloud.rent(request, source.type(), source.zone(), source.spot(), most).whenComplete((rented, failure) -> {
+            synchronized (this) {
+                renting--;
+                if (failure != null || rented.isEmpty() || rented.get().size() < most) {
+                    pause(source, failure != null ? failure.getMessage() : "no capacity");
+                } else {
+                    pauses.remove(source);
+                }
+                if (failure == null && rented.isPresent()) {
+                    MachineType type = catalog.type(source.type());
+                    rented.get().forEach(id -> booting.put(id,
+                            new Rental(type, source.zone(), source.spot(), sentAt)));
+                }
+            }
+        });
+    }
+
+    private void pause(Source source, String why) {
+        Pause pause = pauses.computeIfAbsent(source, unused -> new Pause());
+        pause.until = loop.now().plus(pause.length);
+        LOG.info("no more {} in {} for {} s: {}", source.type(), source.zone(), pause.length.toSeconds(), why);
+        Duration twice = pause.length.multipliedBy(2);
+        pause.length = twice.compareTo(LONGEST_PAUSE) > 0 ? LONGEST_PAUSE : twice;
+    }
+
+    /** Returns machines that nothing is placed on any more, or that have given no sign for long. */
+    private void release(List<MachineId> ids, String why) {
+        List<MachineId> batch;
+        synchronized (this) {
+            if (releasing || ids.isEmpty() || closed) {
+                return;
+            }
+            releasing = true;
+            batch = ids.stream().sorted(Comparator.naturalOrder()).limit(MOST_RELEASED).toList();
+        }
+        Set<MachineId> set = new HashSet<>(batch);
+        List<Machine> machines = leader.machineList().stream().filter(one -> set.contains(one.id())).toList();
+        machines.forEach(machine -> machine.releasing(true));
+        LOG.info("returning {}: {}", batch, why);
+        cloud.release(batch).whenComplete((unused, failure) -> {
+            synchronized (this) {
+                releasing = false;
+                if (failure == null) {
+                    released.addAll(batch);
+                    batch.forEach(booting::remove);
+                }
+            }
+            if (failure == null) {
+                batch.forEach(id -> leader.gone(id, "its machine was returned", true));
+            } else {
+                // It may still be executed late, so nothing is placed there; the next round tries again.
+                machines.forEach(Machine::drain);
+                machines.forEach(machine -> machine.releasing(false));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -0,0 +1,882 @@
+package org.meadowhollow.coordination;
+
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.meadowhollow.bookkeeping.Attempt;
+import org.meadowhollow.bookkeeping.Catalog;
+import org.meadowhollow.bookkeeping.Cause;
+import org.meadowhollow.bookkeeping.EventLoop;
+import org.meadowhollow.bookkeeping.Job;
+import org.meadowhollow.bookkeeping.JobId;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.Ledger;
+import org.meadowhollow.bookkeeping.Machine;
+import org.meadowhollow.bookkeeping.MachineId;
+import org.meadowhollow.bookkeeping.MachineType;
+import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.Order;
+import org.meadowhollow.bookkeeping.Placement;
+import org.meadowhollow.bookkeeping.Records;
+import org.meadowhollow.bookkeeping.Report;
+import org.meadowhollow.bookkeeping.Resources;
+import org.meadowhollow.bookkeeping.Session;
+import org.meadowhollow.bookkeeping.StateException;
+import org.meadowhollow.bookkeeping.StateException.Outcome;
+import org.meadowhollow.bookkeeping.StateStore;
+import org.meadowhollow.bookkeeping.StateStore.Urgency;
+import org.meadowhollow.bookkeeping.TaskId;
+import org.meadowhollow.bookkeeping.TaskState;
+import org.meadowhollow.bookkeeping.Term;
+import org.meadowhollow.bookkeeping.Version;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One leadership: everything that the leader of one term knows and does. A new term begins with a new
+ * object, so nothing that an old term believed can leak into it.
+ */
+public final class Leader implements Ledger.Listener {
+    private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
+    /** The design's round. */
+    private static final Duration ROUND = Duration.ofSeconds(1);
+    private static final Duration RETRY = Duration.ofMillis(500);
+    private static final Duration WATCH = Duration.ofSeconds(20);
+    /** Starts in a round; what a round decides must be written before the next one. */
+    private static final int MOST_STARTS = 100;
+    /** A task without a machine that passes goes by room alone after this long (DESIGN's value). */
+    private static final Duration DESPERATE = Duration.ofSeconds(30);
+    /** Orders in one answer; keeps it below the protocol's 64 KiB. */
+    private static final int MOST_ORDERS = 400;
+    /** Clock drift and timer steps on top of a worker's lease. */
+    private static final double LEASE_SLACK = 1.001;
+    private static final Duration LEASE_MARGIN = Duration.ofMillis(500);
+    /** Reports missed in a row before a machine is asked directly. */
+    private static final double PROBE_AFTER_REPORTS = 2.0;
+    /** Failures of a job's tasks after which it has to wait before the next start. */
+    private static final int FAILURES_BEFORE_HOLD = 3;
+    private static final int MOST_HOLD_S = 60;
+    /** Failures of different tasks on a machine after which it counts as faulty. */
+    private static final int FAULTY_AFTER = 3;
+
+    private final EventLoop loop;
+    private final StateStore store;
+    private final Workers workers;
+    private final Platform platform;
+    private final Catalog catalog;
+    private final Leadership leadership;
+    private final Fleet fleet;
+    private final Ledger ledger;
+    private final Term term;
+    private final Moment begunAt;
+    private final Map<JobId, Job> jobs = new TreeMap<>();
+    private final Map<MachineId, Machine> machines = new TreeMap<>();
+    private final Map<MachineId, RiskTable> risks = new HashMap<>();
+    private final Map<MachineId, List<Placement>> unseenMachines = new HashMap<>();
+    private final Map<MachineId, Moment> probedAt = new HashMap<>();
+    private final Object2IntOpenHashMap<MachineId> faults = new Object2IntOpenHashMap<>();
+    private boolean loaded;
+    private boolean closed;
+    private long byTable;
+    private long byRoom;
+
+    public Leader(EventLoop loop, StateStore store, Workers workers, Cloud cloud, Platform platform,
+            Catalog catalog, Leadership leadership, Term term, Version leaderVersion) {
+        this.loop = loop;
+        this.store = store;
+        this.workers = workers;
+        this.platform = platform;
+        this.catalog = catalog;
+        this.leadership = leadership;
+        this.term = term;
+        this.begunAt = loop.now();
+        this.ledger = new Ledger(store, loop, platform.txnOps(), leaderVersion, this);
+        this.fleet = new Fleet(this, cloud, platform, catalog, loop, term);
+    }
+
+    /** Loads all live jobs, then begins its rounds. */
+    public void start() {
+        loadJobs(null, null);
+        fleet.start();
+        loop.after(ROUND, this::round);
+    }
+
+    public synchronized void close() {
+        closed = true;
+        ledger.close();
+        fleet.close();
+    }
+
+    synchronized boolean isClosed() {
+        return closed;
+    }
+
+    // ---- loading ----
+
+    private void loadJobs(String after, Version firstRevision) {
+        store.list(Records.JOBS, after, Urgency.PLACEMENT).whenComplete((page, failure) -> {
+            synchronized (this) {
+                if (closed) {
+                    return;
+                }
+                if (failure != null) {
+                    loop.after(RETRY, () -> loadJobs(after, firstRevision));
+                    return;
+                }
+                for (StateStore.Entry entry : page.entries()) {
+                    takeJob(entry.key(), entry.value(), entry.version());
+                }
+                Version from = firstRevision == null ? page.revision() : firstRevision;
+                if (page.more()) {
+                    loadJobs(page.entries().get(page.entries().size() - 1).key(), from);
+                } else if (loaded) {
+                    watch(from);
+                } else {
+                    loadTasks(null, from);
+                }
+            }
+        });
+    }
+
+    private void loadTasks(String after, Version watchFrom) {
+        store.list(Records.TASKS, after, Urgency.PLACEMENT).whenComplete((page, failure) -> {
+            synchronized (this) {
+                if (closed) {
+                    return;
+                }
+                if (failure != null) {
+                    loop.after(RETRY, () -> loadTasks(after, watchFrom));
+                    return;
+                }
+                for (StateStore.Entry entry : page.entries()) {
+                    if (!Records.load(entry, jobs, begunAt)) {
+                        ledger.leftover(entry.key());
+                    }
+                }
+                if (page.more()) {
+                    loadTasks(page.entries().get(page.entries().size() - 1).key(), watchFrom);
+                    return;
+                }
+                loaded(watchFrom);
+            }
+        });
+    }
+
+    private void loaded(Version watchFrom) {
+        int placed = 0;
+        for (Job job : jobs.values()) {
+            for (Placement placement : job.placements()) {
+                Machine machine = machines.get(placement.machine());
+                if (machine != null) {
+                    machine.placements().add(placement);
+                } else {
+                    unseenMachines.computeIfAbsent(placement.machine(), unused -> new ArrayList<>())
+                            .add(placement);
+                }
+                placed++;
+            }
+            if (job.cancelled()) {
+                stopAll(job, 0, "its user cancelled the job");
+            }
+        }
+        loaded = true;
+        LOG.info("term {} has loaded {} jobs with {} tasks that may be running", term, jobs.size(), placed);
+        watch(watchFrom);
+    }
+
+    private void watch(Version after) {
+        store.watch(Records.JOBS, after, WATCH).whenComplete((changes, failure) -> {
+            synchronized (this) {
+                if (closed) {
+                    return;
+                }
+                if (failure == null) {
+                    for (StateStore.Change change : changes.changes()) {
+                        if (change.value() != null) {
+                            takeJob(change.key(), change.value(), change.version());
+                        }
+                    }
+                    watch(changes.revision());
+                } else if (StateException.of(failure) == Outcome.TOO_OLD) {
+                    loadJobs(null, null);
+                } else {
+                    loop.after(RETRY, () -> watch(after));
+                }
+            }
+        });
+    }
+
+    private void takeJob(String key, Map<String, Object> record, Version version) {
+        JobId id = Records.jobOfKey(key);
+        Job job = jobs.get(id);
+        Moment now = loop.now();
+        if (job == null) {
+            job = Records.job(id, record, version, now);
+            job.waitingSince(now);
+            jobs.put(id, job);
+            LOG.info("job {}: {} of {} tasks for team {}, class {}", id, job.spec().kind(), job.spec().tasks(),
+                    job.spec().team(), job.spec().jobClass());
+            return;
+        }
+        if (!version.isAfter(job.version())) {
+            return;
+        }
+        job.version(version);
+        if (Records.isCancelled(record) && !job.cancelled()) {
+            job.cancel(now);
+            stopAll(job, 0, "its user cancelled the job");
+        }
+    }
+
+    // ---- what the ledger tells ----
+
+    @Override
+    public synchronized void committed() {
+        // The next report of each machine is answered with what may now go out.
+    }
+
+    @Override
+    public synchronized void ended(Job job) {
+        jobs.remove(job.id());
+        LOG.info("job {} is {}", job.id(), job.cancelled() ? "cancelled and gone" : "done");
+    }
+
+    @Override
+    public void changedElsewhere(JobId id) {
+        store.get(Records.job(id), Urgency.PLACEMENT).whenComplete((entry, failure) -> {
+            synchronized (this) {
+                Job job = jobs.get(id);
+                if (failure != null || closed || job == null) {
+                    return;
+                }
+                if (entry.isPresent()) {
+                    takeJob(entry.get().key(), entry.get().value(), entry.get().version());
+                } else {
+                    // Only our own unanswered transaction can have moved it to its final record.
+                    job.end();
+                    ended(job);
+                }
+                ledger.flush();
+            }
+        });
+    }
+
+    @Override
+    public void deposed() {
+        leadership.lost();
+    }
+
+    // ---- reports ----
+
+    /** Answers a worker's report, at once, so that its lease is kept. */
+    public synchronized Answer report(Report report) {
+        Moment now = loop.now();
+        if (report.token().isAfter(term)) {
+            leadership.heardOf(report.token(), null);
+            return new Answer.Elsewhere(leadership.leader());
+        }
+        Machine machine = machine(report, now);
+        if (machine == null || !take(machine, report, now)) {
+            return new Answer.Orders(term, List.of());
+        }
+        machine.heard(now);
+        List<Order> orders = loaded ? orders(machine, report, now) : List.of();
+        ledger.flush();
+        return new Answer.Orders(term, orders);
+    }
+
+    private Machine machine(Report report, Moment now) {
+        Machine machine = machines.get(report.machine());
+        if (machine == null) {
+            MachineType type = catalog.type(report.type());
+            if (type == null || fleet.isGone(report.machine())) {
+                return null;
+            }
+            machine = add(new Machine(report.machine(), type, report.zone(), report.spot(), now));
+        }
+        machine.address(report.address());
+        return machine;
+    }
+
+    private Machine add(Machine machine) {
+        machines.put(machine.id(), machine);
+        risks.put(machine.id(), new RiskTable());
+        List<Placement> known = unseenMachines.remove(machine.id());
+        if (known != null) {
+            machine.placements().addAll(known);
+        }
+        return machine;
+    }
+
+    /** Takes a report's news in; false if it is older than what is known. */
+    private boolean take(Machine machine, Report report, Moment now) {
+        if (machine.session() != null && !report.isNewerThan(machine.session(), machine.seq())) {
+            return false;
+        }
+        machine.reported(report);
+        if (!loaded) {
+            return true;
+        }
+        if (!Double.isNaN(report.noticeS()) && machine.noticeEndsAt() == null) {
+            machine.noticeEndsAt(now.plus(Duration.ofMillis((long) (report.noticeS() * 1000))));
+            LOG.info("machine {} will be taken back in {} s", machine.id(), report.noticeS());
+            machine.drain();
+        }
+        Map<TaskId, Report.Task> listed = new HashMap<>();
+        for (Report.Task task : report.tasks()) {
+            listed.put(task.id(), task);
+        }
+        for (Placement placement : List.copyOf(machine.placements())) {
+            Report.Task task = listed.get(placement.task());
+            if (report.session().isAfter(placement.session())) {
+                lost(machine, placement, "the worker's lease ran out", now);
+            } else if (task != null && task.attempt().equals(placement.attempt())) {
+                if (task.state() == TaskState.EXITED) {
+                    exited(machine, placement, task.cause(), now);
+                } else {
+                    placement.state(task.state(), now);
+                    if (task.state() != TaskState.FETCHING) {
+                        machine.images().add(placement.job().spec().image());
+                    }
+                }
+            }
+        }
+        machine.strays().clear();
+        for (Report.Task task : report.tasks()) {
+            if (task.state() != TaskState.EXITED && placementOf(machine, task) == null) {
+                machine.strays().add(task.id());
+            }
+        }
+        machine.settling().keySet().removeIf(task -> !listed.containsKey(task));
+        risks.get(machine.id()).add(machine.placements().size(),
+                machine.booked().shareOf(machine.type().room()), machine.takeLost(), now);
+        return true;
+    }
+
+    private static Placement placementOf(Machine machine, Report.Task task) {
+        for (Placement placement : machine.placements()) {
+            if (placement.task().equals(task.id()) && placement.attempt().equals(task.attempt())) {
+                return placement;
+            }
+        }
+        return null;
+    }
+
+    private List<Order> orders(Machine machine, Report report, Moment now) {
+        List<Order> orders = new ArrayList<>();
+        Map<TaskId, Report.Task> listed = new HashMap<>();
+        for (Report.Task task : report.tasks()) {
+            if (orders.size() >= MOST_ORDERS) {
+                break;
+            }
+            listed.put(task.id(), task);
+            Placement placement = placementOf(machine, task);
+            if (placement != null) {
+                if (placement.stopping() && (task.state() != TaskState.SAVING || placement.graceS() == 0)) {
+                    orders.add(Order.stop(task.id(), task.attempt(), placement.graceS()));
+                }
+            } else if (task.state() != TaskState.EXITED) {
+                // Nobody's record knows of it, so nobody would ever stop it or count it.
+                orders.add(Order.stop(task.id(), task.attempt(), 0));
+            } else {
+                Machine.Settling settling = machine.settling().get(task.id());
+                if (settling == null || !settling.attempt().equals(task.attempt()) || settling.isSaved()) {
+                    orders.add(Order.forget(task.id(), task.attempt()));
+                }
+            }
+        }
+        boolean mayStart = leadership.mayStart();
+        for (Placement placement : List.copyOf(machine.placements())) {
+            Report.Task task = listed.get(placement.task());
+            if (task != null && task.attempt().equals(placement.attempt())) {
+                continue;
+            }
+            if (placement.stopping() || placement.job().cancelled()) {
+                if (neverStarts(placement, machine, report)) {
+                    remove(machine, placement, now);
+                }
+            } else if (mayStart && placement.committed() && !machine.releasing()
+                    && wholeGangCommitted(placement) && orders.size() < MOST_ORDERS) {
+                placement.startSent(report.seq());
+                orders.add(Order.start(placement.task(), placement.attempt()));
+            }
+        }
+        return orders;
+    }
+
+    /**
+     * Whether a placement that a report does not list can never start any more. A start goes out only in
+     * the answer to a report, and a worker has one report in flight at a time; so a later report without
+     * the task proves that no answer with its start will be heeded, once the worker has shown our token,
+     * which shuts out the answers of earlier leaders.
+     */
+    private boolean neverStarts(Placement placement, Machine machine, Report report) {
+        return report.token().equals(term) && report.session().equals(placement.session())
+                && report.seq() > placement.startSentSeq() && machine.heardAt() != null;
+    }
+
+    private static boolean wholeGangCommitted(Placement placement) {
+        if (placement.job().spec().kind() != Kind.GANG) {
+            return true;
+        }
+        for (Placement other : placement.job().placements()) {
+            if (!other.committed()) {
+                return false;
+            }
+        }
+        return placement.job().placements().size() == placement.job().spec().tasks();
+    }
+
+    // ---- the end of placements ----
+
+    private void exited(Machine machine, Placement placement, Cause cause, Moment now) {
+        Job job = placement.job();
+        int task = placement.task().index();
+        if (cause == Cause.DONE) {
+            if (job.spec().kind() == Kind.GANG) {
+                // The tasks of a gang complete together, so one that is done speaks for all.
+                for (int other = 0; other < job.spec().tasks(); other++) {
+                    job.complete(other);
+                }
+            } else {
+                job.complete(task);
+            }
+        } else if (!placement.stopping() && !job.cancelled()) {
+            LOG.info("task {} attempt {} on {} exited: {}", placement.task(), placement.attempt(), machine.id(),
+                    cause);
+            if (cause == Cause.ERROR || cause == Cause.UNKNOWN || cause == Cause.NO_ROOM) {
+                failed(machine, job, cause, now);
+            }
+        }
+        long change = remove(machine, placement, now);
+        machine.settling().put(placement.task(),
+                new Machine.Settling(placement.attempt(), job.chunkOf(task), change));
+        if (job.allDone()) {
+            ledger.ending(job);
+        }
+    }
+
+    private void failed(Machine machine, Job job, Cause cause, Moment now) {
+        int failures = job.failed();
+        if (failures >= FAILURES_BEFORE_HOLD) {
+            int hold = Math.min(MOST_HOLD_S, 1 << Math.min(10, failures - FAILURES_BEFORE_HOLD));
+            job.holdUntil(now.plus(Duration.ofSeconds(hold)));
+        } else if (cause == Cause.ERROR && faults.addTo(machine.id(), 1) + 1 >= FAULTY_AFTER
+                && !machine.draining()) {
+            LOG.info("machine {} is taken out: {} tasks failed on it", machine.id(), FAULTY_AFTER);
+            machine.drain();
+        }
+    }
+
+    private void lost(Machine machine, Placement placement, String why, Moment now) {
+        LOG.info("task {} attempt {} on {} is lost: {}", placement.task(), placement.attempt(),
+                placement.machine(), why);
+        if (machine != null) {
+            machine.lost(1);
+        }
+        remove(machine, placement, now);
+    }
+
+    private long remove(Machine machine, Placement placement, Moment now) {
+        if (machine != null) {
+            machine.placements().remove(placement);
+        }
+        Job job = placement.job();
+        long change = job.remove(placement);
+        job.waitingSince(now);
+        ledger.changed(job.chunkOf(placement.task().index()));
+        if (job.spec().kind() == Kind.GANG && !job.allDone()) {
+            // An attempt that has lost a task is over; its other tasks must be gone before the next.
+            for (Placement other : List.copyOf(job.placements())) {
+                if (!other.stopping()) {
+                    stop(other, 0, "its gang lost task " + placement.task());
+                }
+            }
+        }
+        if (job.cancelled() && job.placements().isEmpty()) {
+            ledger.ending(job);
+        }
+        return change;
+    }
+
+    private void stopAll(Job job, double graceS, String why) {
+        for (Placement placement : List.copyOf(job.placements())) {
+            stop(placement, graceS, why);
+        }
+        if (job.placements().isEmpty()) {
+            ledger.ending(job);
+            ledger.flush();
+        }
+    }
+
+    private void stop(Placement placement, double graceS, String why) {
+        Moment now = loop.now();
+        if (!placement.stopping()) {
+            LOG.info("task {} attempt {} on {} is stopped: {}", placement.task(), placement.attempt(),
+                    placement.machine(), why);
+        }
+        placement.stop(graceS, now);
+        Machine machine = machines.get(placement.machine());
+        if (!placement.committed()) {
+            // Its start was never sent and cannot be: nothing to wait for.
+            remove(machine, placement, now);
+            return;
+        }
+        if (machine != null && machine.address() != null) {
+            send(machine, placement.session(),
+                    List.of(Order.stop(placement.task(), placement.attempt(), graceS)));
+        }
+    }
+
+    private void send(Machine machine, Session session, List<Order> orders) {
+        workers.send(machine.address(), term, session, orders).whenComplete((report, failure) -> {
+            if (failure == null) {
+                direct(report);
+            }
+        });
+    }
+
+    /** A report that answers a direct command: news as good as any, but it renews no lease. */
+    private synchronized void direct(Report report) {
+        if (closed) {
+            return;
+        }
+        if (report.token().isAfter(term)) {
+            leadership.heardOf(report.token(), null);
+            return;
+        }
+        Moment now = loop.now();
+        Machine machine = machine(report, now);
+        if (machine != null && take(machine, report, now)) {
+            machine.heard(now);
+            ledger.flush();
+        }
+    }
+
+    // ---- rounds ----
+
+    private void round() {
+        synchronized (this) {
+            if (closed) {
+                return;
+            }
+            loop.after(ROUND, this::round);
+            if (!loaded) {
+                return;
+            }
+            Moment now = loop.now();
+            for (Machine machine : List.copyOf(machines.values())) {
+                watchOver(machine, now);
+            }
+            expireUnseen(now);
+            if (leadership.mayStart()) {
+                place(now);
+            }
+            ledger.flush();
+        }
+        fleet.act();
+    }
+
+    /** Probes a silent machine, takes its tasks as gone once that is proven, and drains it on notice. */
+    private void watchOver(Machine machine, Moment now) {
+        Moment lastHeard = machine.heardAt() == null ? begunAt : machine.heardAt();
+        double silentS = now.secondsSince(lastHeard);
+        double reportS = platform.reportEvery().toNanos() / 1e9;
+        if (silentS > PROBE_AFTER_REPORTS * reportS && machine.address() != null
+                || machine.heardAt() == null && machine.address() != null) {
+            Moment probed = probedAt.get(machine.id());
+            if (probed == null || now.secondsSince(probed) > reportS) {
+                probedAt.put(machine.id(), now);
+                send(machine, machine.session() == null ? new Session(1) : machine.session(), List.of());
+            }
+        }
+        if (!machine.placements().isEmpty() && leaseCertainlyOver(machine, now)) {
+            for (Placement placement : List.copyOf(machine.placements())) {
+                lost(machine, placement, "the machine has been silent for longer than its lease", now);
+            }
+            machine.strays().clear();
+        }
+        if (machine.noticeEndsAt() != null) {
+            for (Placement placement : List.copyOf(machine.placements())) {
+                if (!placement.stopping() && (placement.job().spec().saves()
+                        || placement.job().spec().kind() == Kind.SERVICE)) {
+                    stopForDrain(placement);
+                }
+            }
+        }
+        if (machine.placements().isEmpty() && machine.strays().isEmpty()) {
+            if (machine.idleSince() == null) {
+                machine.idleSince(now);
+            }
+        } else {
+            machine.idleSince(null);
+        }
+    }
+
+    private void stopForDrain(Placement placement) {
+        Job job = placement.job();
+        String why = "machine " + placement.machine() + " is being taken back";
+        if (job.spec().kind() == Kind.GANG) {
+            // An orderly stop saves only if all tasks hear of it together.
+            for (Placement each : List.copyOf(job.placements())) {
+                stop(each, job.spec().saveS(), why);
+            }
+        } else {
+            stop(placement, job.spec().saveS(), why);
+        }
+    }
+
+    /**
+     * Whether the worker's lease must have run out. Only a worker that has shown our token renews by our
+     * answers alone; for any other an earlier leader may have gone on answering, though not for longer
+     * than its limit after its last renewal, which was before our term began.
+     */
+    private boolean leaseCertainlyOver(Machine machine, Moment now) {
+        if (machine.shown().equals(term) && machine.heardAt() != null) {
+            return now.since(machine.heardAt()).compareTo(slack(platform.lease())) > 0;
+        }
+        return now.since(begunAt).compareTo(slack(platform.cancelWithin())) > 0
+                && (machine.heardAt() == null
+                || now.since(machine.heardAt()).compareTo(slack(platform.lease())) > 0);
+    }
+
+    private static Duration slack(Duration span) {
+        return Duration.ofNanos((long) (span.toNanos() * LEASE_SLACK)).plus(LEASE_MARGIN);
+    }
+
+    /** Placements on machines that neither the cloud's list nor any report has shown. */
+    private void expireUnseen(Moment now) {
+        if (!unseenMachines.isEmpty() && now.since(begunAt).compareTo(slack(platform.cancelWithin())) > 0) {
+            for (List<Placement> placements : List.copyOf(unseenMachines.values())) {
+                for (Placement placement : List.copyOf(placements)) {
+                    lost(null, placement, "its machine has not been seen for longer than any lease", now);
+                }
+            }
+            unseenMachines.clear();
+        }
+    }
+
+    private void place(Moment now) {
+        Map<JobId, Object2IntOpenHashMap<String>> zones = new HashMap<>();
+        List<PlacementRound.Seat> seats = new ArrayList<>();
+        Map<TaskId, Boolean> strays = new HashMap<>();
+        for (Machine machine : machines.values()) {
+            for (TaskId stray : machine.strays()) {
+                strays.put(stray, true);
+            }
+            if (!usable(machine, now)) {
+                continue;
+            }
+            seats.add(new PlacementRound.Seat(machine.id(), machine.type().name(), machine.zone(),
+                    machine.spot(), machine.type().room(), machine.free(), machine.placements().size(),
+                    machine.images(), risks.get(machine.id())));
+        }
+        List<Job> order = new ArrayList<>();
+        for (Job job : jobs.values()) {
+            if (job.waitingCount() > 0 && !job.allDone()
+                    && (job.holdUntil() == null || job.holdUntil().isBefore(now))) {
+                order.add(job);
+            }
+        }
+        Map<JobId, Boolean> guaranteed = guaranteed();
+        order.sort(Comparator.<Job, Boolean>comparing(job -> !guaranteed.getOrDefault(job.id(), false))
+                .thenComparing(job -> job.spec().priority())
+                .thenComparingDouble(job -> dueAt(job))
+                .thenComparing(Job::acceptedAtMillis).thenComparing(Job::id));
+        List<PlacementRound.Waiting> waiting = new ArrayList<>();
+        for (Job job : order) {
+            int[] tasks = waitingTasks(job, strays);
+            if (tasks.length > 0) {
+                waiting.add(new PlacementRound.Waiting(job.spec(), tasks, zonesOf(job),
+                        now.since(job.waitingSince()).compareTo(DESPERATE) > 0));
+            }
+        }
+        PlacementRound.Outcome outcome = PlacementRound.run(seats, shares(), waiting, MOST_STARTS);
+        Map<JobId, Attempt> attempts = new HashMap<>();
+        for (PlacementRound.Decision decision : outcome.decisions()) {
+            Job job = jobs.get(decision.spec().id());
+            Machine machine = machines.get(decision.machine());
+            Attempt attempt = job.spec().kind() == Kind.GANG
+                    ? attempts.computeIfAbsent(job.id(), unused -> job.nextAttempt(decision.task()))
+                    : job.nextAttempt(decision.task());
+            Placement placement = job.place(decision.task(), attempt, machine.id(), machine.session(), now);
+            machine.placements().add(placement);
+            machine.idleSince(null);
+            ledger.changed(job.chunkOf(decision.task()));
+            if (decision.byTable()) {
+                byTable++;
+            } else {
+                byRoom++;
+            }
+            LOG.debug("task {} attempt {} goes to {} by {}", placement.task(), attempt, machine.id(),
+                    decision.byTable() ? "risk" : "room");
+        }
+        if (!outcome.decisions().isEmpty()) {
+            LOG.info("placed {} tasks; so far {} by risk, {} by room alone", outcome.decisions().size(), byTable,
+                    byRoom);
+        }
+        List<Fleet.Need> needs = new ArrayList<>();
+        for (PlacementRound.Waiting job : waiting) {
+            Integer count = outcome.unplaced().get(job.spec().id());
+            if (count != null) {
+                needs.add(new Fleet.Need(job.spec(), count));
+            }
+        }
+        fleet.needs(needs);
+    }
+
+    private int[] waitingTasks(Job job, Map<TaskId, Boolean> strays) {
+        if (job.spec().kind() == Kind.GANG && (!job.placements().isEmpty() || job.doneCount() > 0)) {
+            return new int[0];
+        }
+        int most = job.spec().kind() == Kind.GANG ? Integer.MAX_VALUE : MOST_STARTS;
+        int[] tasks = new int[Math.min(most, job.waitingCount())];
+        int count = 0;
+        for (int task = job.nextWaiting(0); task >= 0 && count < tasks.length; task = job.nextWaiting(task + 1)) {
+            if (!strays.containsKey(new TaskId(job.id(), task))) {
+                tasks[count++] = task;
+            } else if (job.spec().kind() == Kind.GANG) {
+                return new int[0];
+            }
+        }
+        return count == tasks.length ? tasks : java.util.Arrays.copyOf(tasks, count);
+    }
+
+    private Object2IntOpenHashMap<String> zonesOf(Job job) {
+        Object2IntOpenHashMap<String> zones = new Object2IntOpenHashMap<>();
+        for (Placement placement : job.placements()) {
+            Machine machine = machines.get(placement.machine());
+            // A machine not seen yet may be in any zone, so it counts in all of them.
+            if (machine != null) {
+                zones.addTo(machine.zone(), 1);
+            } else {
+                platform.zones().forEach(zone -> zones.addTo(zone, 1));
+            }
+        }
+        return zones;
+    }
+
+    private boolean usable(Machine machine, Moment now) {
+        return !machine.draining() && machine.heardAt() != null && machine.shown().equals(term)
+                && machine.session() != null
+                && now.secondsSince(machine.heardAt()) < PROBE_AFTER_REPORTS * platform.reportEvery().toNanos() / 1e9;
+    }
+
+    private static double dueAt(Job job) {
+        return Double.isNaN(job.spec().deadlineS()) ? Double.MAX_VALUE
+                : job.acceptedAtMillis() / 1000.0 + job.spec().deadlineS();
+    }
+
+    private Map<String, PlacementRound.Share> shares() {
+        Map<String, Resources> used = new HashMap<>();
+        for (Job job : jobs.values()) {
+            if (!job.placements().isEmpty()) {
+                used.merge(job.spec().team(), job.spec().perTask().times(job.placements().size()),
+                        Resources::plus);
+            }
+        }
+        Map<String, PlacementRound.Share> shares = new HashMap<>();
+        for (Platform.Team team : platform.teams().values()) {
+            shares.put(team.name(), new PlacementRound.Share(used.getOrDefault(team.name(), Resources.NONE),
+                    team.most()));
+        }
+        return shares;
+    }
+
+    /** The jobs that fit into their team's guarantee together with the team's earlier unfinished jobs. */
+    private Map<JobId, Boolean> guaranteed() {
+        List<Job> byAge = new ArrayList<>(jobs.values());
+        byAge.sort(Comparator.comparingLong(Job::acceptedAtMillis).thenComparing(Job::id));
+        Map<String, Resources> sums = new HashMap<>();
+        Map<JobId, Boolean> within = new HashMap<>();
+        for (Job job : byAge) {
+            if (job.cancelled()) {
+                continue;
+            }
+            Resources all = job.spec().perTask().times(job.spec().tasks() - job.doneCount());
+            Resources sum = sums.merge(job.spec().team(), all, Resources::plus);
+            Platform.Team team = platform.teams().get(job.spec().team());
+            Resources most = team.guaranteed();
+            within.put(job.id(), (most.cpu() > 0 || most.gpu() > 0)
+                    && (most.cpu() == 0 || sum.cpu() <= most.cpu())
+                    && (most.gpu() == 0 || sum.gpu() <= most.gpu()));
+        }
+        return within;
+    }
+
+    // ---- for the fleet ----
+
+    synchronized List<Machine> machineList() {
+        return List.copyOf(machines.values());
+    }
+
+    synchronized boolean isLoaded() {
+        return loaded;
+    }
+
+    /** Takes in what the cloud lists: machines not yet heard of, their addresses, and failed ones. */
+    synchronized void listed(List<Cloud.Listed> list) {
+        Moment now = loop.now();
+        for (Cloud.Listed item : list) {
+            Machine machine = machines.get(item.id());
+            if (machine == null && item.phase() == Cloud.Phase.RUNNING && catalog.type(item.type()) != null) {
+                machine = add(new Machine(item.id(), catalog.type(item.type()), item.zone(), item.spot(), now));
+            }
+            if (machine != null) {
+                if (machine.address() == null) {
+                    machine.address(item.address());
+                }
+                if (item.phase() == Cloud.Phase.FAILED) {
+                    machine.drain();
+                }
+            }
+            if (item.phase() == Cloud.Phase.FAILED) {
+                gone(item.id(), "the cloud lists its machine as failed", false);
+            }
+        }
+    }
+
+    /** Takes a machine, and all that was on it, as gone. */
+    synchronized void gone(MachineId id, String why, boolean forget) {
+        Moment now = loop.now();
+        Machine machine = machines.get(id);
+        List<Placement> placements = machine != null ? List.copyOf(machine.placements())
+                : unseenMachines.getOrDefault(id, List.of());
+        for (Placement placement : List.copyOf(placements)) {
+            lost(machine, placement, why, now);
+        }
+        unseenMachines.remove(id);
+        if (machine != null) {
+            machine.strays().clear();
+            if (forget) {
+                machines.remove(id);
+                risks.remove(id);
+                probedAt.remove(id);
+                faults.removeInt(id);
+            }
+        }
+        ledger.flush();
+    }
+
+    /** Counts of a live job for display; empty when it is not known here. */
+    public synchronized Optional<Admission.JobState> counts(JobId id) {
+        Job job = jobs.get(id);
+        if (job == null || !loaded) {
+            return Optional.empty();
+        }
+        int running = 0;
+        for (Placement placement : job.placements()) {
+            if (placement.state() == TaskState.RUNNING) {
+                running++;
+            }
+        }
+        return Optional.of(new Admission.JobState(id,
+                running > 0 ? Admission.Phase.RUNNING : Admission.Phase.QUEUED, job.doneCount(), running));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/meadowhollow/coordination/Node.java
@@ -0,0 +1,133 @@
+package org.meadowhollow.coordination;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.meadowhollow.bookkeeping.Catalog;
+import org.meadowhollow.bookkeeping.EventLoop;
+import org.meadowhollow.bookkeeping.JobId;
+import org.meadowhollow.bookkeeping.Records;
+import org.meadowhollow.bookkeeping.Report;
+import org.meadowhollow.bookkeeping.StateStore;
+import org.meadowhollow.bookkeeping.StateStore.Urgency;
+import org.meadowhollow.bookkeeping.Term;
+import org.meadowhollow.bookkeeping.Transaction;
+import org.meadowhollow.bookkeeping.Version;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A controller node: follows the leader, and leads when elected. */
+public final class Node implements Leadership.Listener {
+    private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+    private static final Duration RETRY = Duration.ofSeconds(1);
+
+    private final EventLoop loop;
+    private final StateStore store;
+    private final Workers workers;
+    private final Cloud cloud;
+    private final Platform platform;
+    private final Catalog catalog;
+    private final Leadership leadership;
+    private Leader leader;
+    private boolean closed;
+
+    public Node(EventLoop loop, StateStore store, Workers workers, Cloud cloud, Peers peers, Platform platform,
+            Catalog catalog, RandomGenerator random) {
+        this.loop = loop;
+        this.store = store;
+        this.workers = workers;
+        this.cloud = cloud;
+        this.platform = platform;
+        this.catalog = catalog;
+        this.leadership = new Leadership(store, loop, peers, platform, random, this);
+    }
+
+    public void start() {
+        leadership.start();
+        readTypes();
+    }
+
+    /** The types as an earlier node noted them, so that a node can start while the cloud is out. */
+    private void readTypes() {
+        store.get(Records.TYPES, Urgency.USER).whenComplete((entry, failure) -> {
+            if (isClosed() || !catalog.isEmpty()) {
+                return;
+            }
+            if (failure != null) {
+                loop.after(RETRY, this::readTypes);
+            } else if (entry.isPresent()) {
+                catalog.learn(Records.types(entry.get().value()));
+                LOG.info("the state service names {} machine types", Records.types(entry.get().value()).size());
+            } else {
+                askTypes();
+            }
+        });
+    }
+
+    private void askTypes() {
+        cloud.types().whenComplete((types, failure) -> {
+            if (isClosed()) {
+                return;
+            }
+            if (failure != null || types.isEmpty()) {
+                loop.after(RETRY, this::readTypes);
+                return;
+            }
+            catalog.learn(types);
+            LOG.info("the cloud offers {} machine types", types.size());
+            store.commit(new Transaction().guard(Records.TYPES, Version.ABSENT)
+                    .put(Records.TYPES, Records.types(types)), Urgency.BACKGROUND);
+        });
+    }
+
+    private synchronized boolean isClosed() {
+        return closed;
+    }
+
+    @Override
+    public synchronized void elected(Term term, Version leaderVersion) {
+        if (leader != null) {
+            leader.close();
+        }
+        leader = new Leader(loop, store, workers, cloud, platform, catalog, leadership, term, leaderVersion);
+        leader.start();
+    }
+
+    @Override
+    public synchronized void deposed(String why) {
+        if (leader != null) {
+            leader.close();
+            leader = null;
+        }
+    }
+
+    private synchronized Leader leader() {
+        return leader;
+    }
+
+    public Answer report(Report report) {
+        Leader now = leader();
+        if (now != null && leadership.mayAnswer()) {
+            return now.report(report);
+        }
+        leadership.heardOf(report.token(), null);
+        String other = leadership.leader();
+        return new Answer.Elsewhere(platform.member().equals(other) ? null : other);
+    }
+
+    public void heardOf(Term term, String member) {
+        leadership.heardOf(term, member);
+    }
+
+    public Optional<Admission.JobState> counts(JobId id) {
+        Leader now = leader();
+        return now == null ? Optional.empty() : now.counts(id);
+    }
+
+    public synchronized void close() {
+        closed = true;
+        if (leader != null) {
+            leader.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/meadowhollow/protocol/Http.java
@@ -0,0 +1,48 @@
+package org.meadowhollow.protocol;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/** What the protocols need of HTTP; the transport layer supplies it. */
+public interface Http {
+    /** An answer: a status, a body, and the headers that matter here. */
+    record Reply(int status, byte[] body, int retryAfterS) {
+        public static Reply of(int status, Map<String, ?> body) {
+            return new Reply(status, Wire.encode(body), 0);
+        }
+
+        /** An answer that tells the caller when to come back. */
+        public static Reply comeBack(int status, int afterS, String why) {
+            return new Reply(status, Wire.encode(Map.of("error", why)), afterS);
+        }
+
+        public static Reply error(int status, String why) {
+            return new Reply(status, Wire.encode(Map.of("error", why)), 0);
+        }
+    }
+
+    /** The request never reached the other side. */
+    final class NotSent extends RuntimeException {
+        public NotSent(String message) {
+            super(message, null, false, false);
+        }
+    }
+
+    /** The request went out but no answer came: it may have been executed, or may be yet. */
+    final class NoAnswer extends RuntimeException {
+        public NoAnswer(String message) {
+            super(message, null, false, false);
+        }
+    }
+
+    /** Sends a request to an address; fails with {@link NotSent} or {@link NoAnswer}. */
+    interface Client {
+        CompletableFuture<Reply> send(String address, String method, String path, byte[] body, Duration timeout);
+    }
+
+    /** Answers the requests that arrive at one listening address. */
+    interface Handler {
+        CompletableFuture<Reply> handle(String method, String path, byte[] body);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/meadowhollow/protocol/Wire.java
@@ -0,0 +1,127 @@
+package org.meadowhollow.protocol;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+import org.msgpack.value.ValueType;
+
+/** MessagePack bodies as maps keyed by text, lists, text, numbers, booleans and null. */
+public final class Wire {
+    /** Deeper nesting than any message of the protocol has; guards the stack against hostile bodies. */
+    private static final int MAX_DEPTH = 16;
+
+    private Wire() {
+    }
+
+    public static byte[] encode(Map<String, ?> body) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            pack(packer, body);
+            return packer.toByteArray();
+        } catch (IOException impossible) {
+            throw new IllegalStateException(impossible);
+        }
+    }
+
+    private static void pack(MessageBufferPacker packer, Object value) throws IOException {
+        if (value == null) {
+            packer.packNil();
+        } else if (value instanceof String text) {
+            packer.packString(text);
+        } else if (value instanceof Double number) {
+            packer.packDouble(number);
+        } else if (value instanceof Number number) {
+            packer.packLong(number.longValue());
+        } else if (value instanceof Boolean flag) {
+            packer.packBoolean(flag);
+        } else if (value instanceof List<?> list) {
+            packer.packArrayHeader(list.size());
+            for (Object item : list) {
+                pack(packer, item);
+            }
+        } else if (value instanceof Map<?, ?> map) {
+            packer.packMapHeader(map.size());
+            for (Map.Entry<?, ?> entry : map.entrySet()) {
+                packer.packString((String) entry.getKey());
+                pack(packer, entry.getValue());
+            }
+        } else {
+            throw new IllegalArgumentException("not a wire value: " + value.getClass());
+        }
+    }
+
+    /** Decodes a body that must be one map with nothing after it. */
+    public static Map<String, Object> decode(byte[] body) throws Malformed {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(body)) {
+            if (!unpacker.hasNext() || unpacker.getNextFormat().getValueType() != ValueType.MAP) {
+                throw new Malformed("the body is not a map");
+            }
+            Map<String, Object> map = map(unpacker, body.length, 1);
+            if (unpacker.hasNext()) {
+                throw new Malformed("the body goes on after its map");
+            }
+            return map;
+        } catch (IOException | MessagePackException broken) {
+            throw new Malformed("the body is not MessagePack");
+        }
+    }
+
+    private static Map<String, Object> map(MessageUnpacker unpacker, int most, int depth)
+            throws IOException, Malformed {
+        int size = unpacker.unpackMapHeader();
+        // A header may promise far more than the body holds; each entry takes two bytes at least.
+        if (size > most / 2 || depth > MAX_DEPTH) {
+            throw new Malformed(depth > MAX_DEPTH ? "the body is nested too deeply" : "the body is cut short");
+        }
+        Map<String, Object> map = new LinkedHashMap<>(size * 2);
+        for (int at = 0; at < size; at++) {
+            if (unpacker.getNextFormat().getValueType() != ValueType.STRING) {
+                throw new Malformed("a key is not text");
+            }
+            map.put(unpacker.unpackString(), value(unpacker, most, depth + 1));
+        }
+        return map;
+    }
+
+    private static Object value(MessageUnpacker unpacker, int most, int depth) throws IOException, Malformed {
+        switch (unpacker.getNextFormat().getValueType()) {
+            case NIL -> {
+                unpacker.unpackNil();
+                return null;
+            }
+            case BOOLEAN -> {
+                return unpacker.unpackBoolean();
+            }
+            case INTEGER -> {
+                return unpacker.unpackLong();
+            }
+            case FLOAT -> {
+                return unpacker.unpackDouble();
+            }
+            case STRING -> {
+                return unpacker.unpackString();
+            }
+            case ARRAY -> {
+                int size = unpacker.unpackArrayHeader();
+                if (size > most || depth > MAX_DEPTH) {
+                    throw new Malformed(depth > MAX_DEPTH ? "the body is nested too deeply"
+                            : "the body is cut short");
+                }
+                List<Object> list = new ArrayList<>(size);
+                for (int at = 0; at < size; at++) {
+                    list.add(value(unpacker, most, depth + 1));
+                }
+                return list;
+            }
+            case MAP -> {
+                return map(unpacker, most, depth);
+            }
+            default -> throw new Malformed("binary and extension values are not used");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/meadowhollow/protocol/state/StateClient.java
@@ -0,0 +1,279 @@
+package org.meadowhollow.protocol.state;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.meadowhollow.bookkeeping.EventLoop;
+import org.meadowhollow.bookkeeping.LeaseId;
+import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.StateException;
+import org.meadowhollow.bookkeeping.StateException.Outcome;
+import org.meadowhollow.bookkeeping.StateStore;
+import org.meadowhollow.bookkeeping.Transaction;
+import org.meadowhollow.bookkeeping.Version;
+import org.meadowhollow.protocol.Fields;
+import org.meadowhollow.protocol.Http;
+import org.meadowhollow.protocol.Malformed;
+import org.meadowhollow.protocol.RateBudget;
+import org.meadowhollow.protocol.Wire;
+
+/**
+ * The state service over HTTP: within a budget of requests and of changes, the most urgent first.
+ */
+public final class StateClient implements StateStore {
+    /** Most answers take a few milliseconds and a few take some hundred; past this the line is dead. */
+    private static final Duration ANSWER = Duration.ofMillis(1500);
+    /** Room for bursts of users' calls; past it a caller is better told at once to come back. */
+    private static final int MOST_WAITING = 256;
+    /** How long after a failure, with no success since, the store counts as out. */
+    private static final Duration OUT_FOR = Duration.ofSeconds(3);
+
+    private record Call(String method, String path, byte[] body, int changes,
+            CompletableFuture<Http.Reply> answer) {
+    }
+
+    private final Http.Client http;
+    private final String address;
+    private final EventLoop loop;
+    private final RateBudget requests;
+    private final RateBudget changes;
+    private final List<ArrayDeque<Call>> waiting = new ArrayList<>();
+    private int waitingCount;
+    private boolean wakeSet;
+    private Moment failedAt;
+
+    public StateClient(Http.Client http, String address, EventLoop loop, RateBudget requests, RateBudget changes) {
+        this.http = http;
+        this.address = address;
+        this.loop = loop;
+        this.requests = requests;
+        this.changes = changes;
+        for (int at = 0; at < Urgency.values().length; at++) {
+            waiting.add(new ArrayDeque<>());
+        }
+    }
+
+    @Override
+    public CompletableFuture<Optional<Entry>> get(String key, Urgency urgency) {
+        return call("GET", "/kv/" + key, null, 0, urgency).thenApply(reply -> {
+            if (reply.status() == 404) {
+                return Optional.<Entry>empty();
+            }
+            Fields body = body(reply);
+            return read(() -> Optional.of(entry(body)));
+        });
+    }
+
+    @Override
+    public CompletableFuture<Page> list(String prefix, String after, Urgency urgency) {
+        String path = "/kv?prefix=" + prefix + (after == null ? "" : "&after=" + after) + "&most=1000";
+        return call("GET", path, null, 0, urgency).thenApply(reply -> {
+            Fields body = body(reply);
+            return read(() -> {
+                List<Entry> entries = new ArrayList<>();
+                for (Fields item : body.list("items")) {
+                    entries.add(entry(item));
+                }
+                return new Page(entries, body.flagOr("truncated", false), new Version(body.count("ledgerRev")));
+            });
+        });
+    }
+
+    @Override
+    public CompletableFuture<Commit> commit(Transaction transaction, Urgency urgency) {
+        List<Map<String, Object>> guards = new ArrayList<>();
+        transaction.guards().forEach((key, version) ->
+                guards.add(Fields.of("key", key, "stamp", version.value())));
+        List<Map<String, Object>> writes = new ArrayList<>();
+        transaction.writes().forEach((key, write) -> {
+            if (write.value() == null) {
+                writes.add(Fields.of("remove", key));
+            } else if (write.lease() == null) {
+                writes.add(Fields.of("set", key, "v", write.value()));
+            } else {
+                writes.add(Fields.of("set", key, "v", write.value(), "tether", write.lease().value()));
+            }
+        });
+        byte[] bytes = Wire.encode(Fields.of("guards", guards, "writes", writes));
+        return call("POST", "/multi", bytes, writes.size(), urgency).thenApply(reply -> {
+            Fields body = body(reply);
+            return read(() -> new Commit(reply.status() == 200, new Version(body.count("ledgerRev")),
+                    reply.status() == 200 ? List.of() : body.textsOrNull("failed")));
+        });
+    }
+
+    @Override
+    public CompletableFuture<LeaseId> grant(Duration ttl) {
+        byte[] bytes = Wire.encode(Fields.of("ttlMs", ttl.toMillis()));
+        return call("POST", "/grants", bytes, 0, Urgency.LEASE).thenApply(reply -> {
+            Fields body = body(reply);
+            return read(() -> new LeaseId(body.count("tether")));
+        });
+    }
+
+    @Override
+    public CompletableFuture<Void> renew(LeaseId lease) {
+        return call("POST", "/grants/" + lease.value() + "/renew", Wire.encode(Map.of()), 0, Urgency.LEASE)
+                .thenAccept(StateClient::leaseStands);
+    }
+
+    @Override
+    public CompletableFuture<Void> revoke(LeaseId lease) {
+        return call("DELETE", "/grants/" + lease.value(), null, 0, Urgency.LEASE)
+                .thenAccept(StateClient::leaseStands);
+    }
+
+    private static void leaseStands(Http.Reply reply) {
+        if (reply.status() == 404) {
+            throw new StateException(Outcome.NO_SUCH_LEASE, "the lease has ended");
+        }
+    }
+
+    @Override
+    public CompletableFuture<Changes> watch(String prefix, Version after, Duration wait) {
+        String path = "/changes?prefix=" + prefix + "&after=" + after.value() + "&blockMs=" + wait.toMillis();
+        // A watch waits by design, so it has a time-out of its own and stays out of the queue.
+        requests.take(1, loop.now());
+        return http.send(address, "GET", path, null, wait.plus(ANSWER)).handle((reply, failure) -> {
+            if (failure != null) {
+                throw new StateException(Outcome.UNKNOWN, "no answer to the watch");
+            }
+            Fields body = body(check(reply));
+            return read(() -> {
+                List<Change> log = new ArrayList<>();
+                for (Fields item : body.list("log")) {
+                    Version version = new Version(item.count("stamp"));
+                    log.add(item.has("remove") ? new Change(item.text("remove"), null, version)
+                            : new Change(item.text("set"), item.fields("v").map(), version));
+                }
+                return new Changes(new Version(body.count("ledgerRev")), log);
+            });
+        });
+    }
+
+    @Override
+    public synchronized boolean seemsOut() {
+        return failedAt != null && loop.now().since(failedAt).compareTo(OUT_FOR) < 0;
+    }
+
+    private CompletableFuture<Http.Reply> call(String method, String path, byte[] body, int changeCount,
+            Urgency urgency) {
+        Call call = new Call(method, path, body, changeCount, new CompletableFuture<>());
+        synchronized (this) {
+            if (waitingCount >= MOST_WAITING && urgency != Urgency.LEASE) {
+                return CompletableFuture.failedFuture(
+                        new StateException(Outcome.REFUSED, "too many requests are waiting"));
+            }
+            waiting.get(urgency.ordinal()).add(call);
+            waitingCount++;
+        }
+        pump();
+        return call.answer();
+    }
+
+    /** Sends what the budgets allow, most urgent first, and sets a wake-up for the rest. */
+    private void pump() {
+        while (true) {
+            Call next = null;
+            synchronized (this) {
+                Moment now = loop.now();
+                Duration pause = Duration.ZERO;
+                for (ArrayDeque<Call> queue : waiting) {
+                    Call first = queue.peek();
+                    if (first == null) {
+                        continue;
+                    }
+                    pause = requests.untilFree(1, now);
+                    if (first.changes() > 0) {
+                        Duration more = changes.untilFree(first.changes(), now);
+                        pause = pause.compareTo(more) > 0 ? pause : more;
+                    }
+                    if (pause.isZero()) {
+                        next = queue.poll();
+                        waitingCount--;
+                        requests.take(1, now);
+                        changes.take(first.changes(), now);
+                    }
+                    break;
+                }
+                if (next == null) {
+                    if (!pause.isZero() && !wakeSet) {
+                        wakeSet = true;
+                        loop.after(pause, () -> {
+                            synchronized (this) {
+                                wakeSet = false;
+                            }
+                            pump();
+                        });
+                    }
+                    return;
+                }
+            }
+            send(next);
+        }
+    }
+
+    private void send(Call call) {
+        http.send(address, call.method(), call.path(), call.body(), ANSWER).whenComplete((reply, failure) -> {
+            if (failure != null) {
+                noteFailure();
+                Outcome outcome = failure instanceof Http.NotSent ? Outcome.REFUSED : Outcome.UNKNOWN;
+                call.answer().completeExceptionally(new StateException(outcome, failure.getMessage()));
+                return;
+            }
+            try {
+                Http.Reply checked = check(reply);
+                noteSuccess();
+                call.answer().complete(checked);
+            } catch (StateException refused) {
+                if (reply.status() == 503) {
+                    noteFailure();
+                }
+                call.answer().completeExceptionally(refused);
+            }
+        });
+    }
+
+    private synchronized void noteFailure() {
+        failedAt = loop.now();
+    }
+
+    private synchronized void noteSuccess() {
+        failedAt = null;
+    }
+
+    private static Http.Reply check(Http.Reply reply) {
+        return switch (reply.status()) {
+            case 200, 404, 409 -> reply;
+            case 429, 503 -> throw new StateException(Outcome.REFUSED, "answered " + reply.status());
+            case 410 -> throw new StateException(Outcome.TOO_OLD, "the watch began too long ago");
+            case 400 -> throw new StateException(new String(reply.body(), java.nio.charset.StandardCharsets.UTF_8)
+                    .contains("no such lease") ? Outcome.NO_SUCH_LEASE : Outcome.INVALID, "answered 400");
+            default -> throw new StateException(Outcome.UNKNOWN, "answered " + reply.status());
+        };
+    }
+
+    private static Entry entry(Fields item) throws Malformed {
+        return new Entry(item.text("key"), item.fields("v").map(), new Version(item.count("stamp")));
+    }
+
+    private static Fields body(Http.Reply reply) {
+        return read(() -> Fields.decode(reply.body()));
+    }
+
+    private interface Reading<T> {
+        T get() throws Malformed;
+    }
+
+    private static <T> T read(Reading<T> reading) {
+        try {
+            return reading.get();
+        } catch (Malformed broken) {
+            throw new StateException(Outcome.UNKNOWN, "the answer makes no sense: " + broken.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/meadowhollow/protocol/users/UserApi.java
@@ -0,0 +1,77 @@
+package org.meadowhollow.protocol.users;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.meadowhollow.bookkeeping.JobId;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.StateException;
+import org.meadowhollow.coordination.Admission;
+import org.meadowhollow.protocol.Fields;
+import org.meadowhollow.protocol.Http;
+import org.meadowhollow.protocol.Malformed;
+
+/** What users call: submit, poll and cancel. */
+public final class UserApi {
+    /** The protocol's shortest pause before a retry, in seconds. */
+    private static final int COME_BACK_S = 1;
+
+    private final Admission admission;
+
+    public UserApi(Admission admission) {
+        this.admission = admission;
+    }
+
+    public CompletableFuture<Http.Reply> submit(byte[] body) {
+        JobSpec spec;
+        try {
+            spec = SubmissionCodec.decode(Fields.decode(body));
+        } catch (Malformed broken) {
+            return CompletableFuture.completedFuture(Http.Reply.error(400, broken.getMessage()));
+        }
+        return answered(admission.submit(spec).thenApply(accepted ->
+                Http.Reply.of(accepted.isNew() ? 201 : 200, body(accepted.state()))));
+    }
+
+    public CompletableFuture<Http.Reply> poll(String ref) {
+        return JobId.wellFormed(ref) ? found(admission.poll(new JobId(ref))) : unknown();
+    }
+
+    public CompletableFuture<Http.Reply> cancel(String ref) {
+        return JobId.wellFormed(ref) ? found(admission.cancel(new JobId(ref))) : unknown();
+    }
+
+    private static CompletableFuture<Http.Reply> unknown() {
+        return CompletableFuture.completedFuture(Http.Reply.error(404, "no such job"));
+    }
+
+    private static CompletableFuture<Http.Reply> found(CompletableFuture<Optional<Admission.JobState>> state) {
+        return answered(state.thenApply(job -> job.map(known -> Http.Reply.of(200, body(known)))
+                .orElseGet(() -> Http.Reply.error(404, "no such job"))));
+    }
+
+    private static CompletableFuture<Http.Reply> answered(CompletableFuture<Http.Reply> reply) {
+        return reply.exceptionally(failure -> {
+            Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+            if (cause instanceof Admission.NeverRuns) {
+                return Http.Reply.error(422, cause.getMessage());
+            }
+            if (cause instanceof Admission.TryLater || cause instanceof StateException) {
+                return Http.Reply.comeBack(503, COME_BACK_S, cause.getMessage());
+            }
+            throw new CompletionException(cause);
+        });
+    }
+
+    private static Map<String, Object> body(Admission.JobState state) {
+        String phase = switch (state.phase()) {
+            case QUEUED -> "pending";
+            case RUNNING -> "running";
+            case DONE -> "done";
+            case CANCELLED -> "aborted";
+        };
+        return Fields.of("ref", state.id().value(), "phase", phase, "done", (long) state.done(),
+                "running", (long) state.running());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/meadowhollow/transport/HttpClient.java
@@ -0,0 +1,268 @@
+package org.meadowhollow.transport;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.meadowhollow.protocol.Http;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.XnioExecutor;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/**
+ * Requests to other parties: one at a time on a connection, idle connections kept for the next one.
+ * All work is done on the loop's thread.
+ */
+public final class HttpClient implements Http.Client {
+    /** Idle connections kept for an address; more than this were needed only by a burst. */
+    private static final int MOST_IDLE = 4;
+    /** Open and opening connections for an address; a dead one must not eat the process's sockets. */
+    private static final int MOST_OPEN = 24;
+    /** A list of the state service holds 512 KiB; a watch may answer with all that has changed. */
+    private static final int MOST_BODY = 8 * 1024 * 1024;
+
+    private final XnioLoop loop;
+    private final ByteBufferPool buffers;
+    private final Map<String, Target> targets = new HashMap<>();
+
+    public HttpClient(XnioLoop loop, ByteBufferPool buffers) {
+        this.loop = loop;
+        this.buffers = buffers;
+    }
+
+    private static final class Target {
+        private final ArrayDeque<ClientConnection> idle = new ArrayDeque<>();
+        private int open;
+    }
+
+    @Override
+    public CompletableFuture<Http.Reply> send(String address, String method, String path, byte[] body,
+            Duration timeout) {
+        Call call = new Call(address, method, path, body);
+        call.timer = loop.thread().executeAfter(() -> call.fail("no answer in time"),
+                timeout.toNanos(), TimeUnit.NANOSECONDS);
+        if (Thread.currentThread() == loop.thread()) {
+            call.start();
+        } else {
+            loop.thread().execute(call::start);
+        }
+        return call.answer;
+    }
+
+    /** One request; every method runs on the loop's thread. */
+    private final class Call {
+        private final String address;
+        private final String method;
+        private final String path;
+        private final byte[] body;
+        private final CompletableFuture<Http.Reply> answer = new CompletableFuture<>();
+        private XnioExecutor.Key timer;
+        private ClientConnection connection;
+        private boolean sent;
+
+        Call(String address, String method, String path, byte[] body) {
+            this.address = address;
+            this.method = method;
+            this.path = path;
+            this.body = body;
+        }
+
+        void start() {
+            Target target = targets.computeIfAbsent(address, unused -> new Target());
+            ClientConnection kept;
+            while ((kept = target.idle.poll()) != null) {
+                if (kept.isOpen()) {
+                    use(kept);
+                    return;
+                }
+            }
+            if (target.open >= MOST_OPEN) {
+                fail("too many open connections to " + address);
+                return;
+            }
+            target.open++;
+            UndertowClient.getInstance().connect(new ClientCallback<>() {
+                @Override
+                public void completed(ClientConnection made) {
+                    made.getCloseSetter().set(unused -> closed());
+                    if (answer.isDone()) {
+                        IoUtils.safeClose(made);
+                    } else {
+                        use(made);
+                    }
+                }
+
+                @Override
+                public void failed(IOException failure) {
+                    closed();
+                    fail("no connection to " + address);
+                }
+
+                private void closed() {
+                    target.open--;
+                    if (target.open == 0 && target.idle.isEmpty()) {
+                        targets.remove(address, target);
+                    }
+                }
+            }, URI.create("http://" + address), loop.thread(), buffers, OptionMap.EMPTY);
+        }
+
+        private void use(ClientConnection free) {
+            connection = free;
+            sent = true;
+            ClientRequest request = new ClientRequest().setMethod(new HttpString(method)).setPath(path);
+            request.getRequestHeaders().put(Headers.HOST, address);
+            if (body != null) {
+                request.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/msgpack");
+                request.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
+            }
+            connection.sendRequest(request, new ClientCallback<>() {
+                @Override
+                public void completed(ClientExchange exchange) {
+                    exchange.setResponseListener(new ClientCallback<>() {
+                        @Override
+                        public void completed(ClientExchange answered) {
+                            read(answered, new ByteArrayOutputStream());
+                        }
+
+                        @Override
+                        public void failed(IOException failure) {
+                            fail("connection lost");
+                        }
+                    });
+                    try {
+                        write(exchange.getRequestChannel());
+                    } catch (IOException failure) {
+                        fail("connection lost");
+                    }
+                }
+
+                @Override
+                public void failed(IOException failure) {
+                    fail("connection lost");
+                }
+            });
+        }
+
+        private void write(StreamSinkChannel channel) throws IOException {
+            if (body == null) {
+                channel.shutdownWrites();
+                finish(channel);
+                return;
+            }
+            ByteBuffer left = ByteBuffer.wrap(body);
+            while (left.hasRemaining()) {
+                if (channel.write(left) == 0) {
+                    channel.getWriteSetter().set(same -> {
+                        try {
+                            while (left.hasRemaining()) {
+                                if (channel.write(left) == 0) {
+                                    return;
+                                }
+                            }
+                            channel.shutdownWrites();
+                            finish(channel);
+                        } catch (IOException failure) {
+                            fail("connection lost");
+                        }
+                    });
+                    channel.resumeWrites();
+                    return;
+                }
+            }
+            channel.shutdownWrites();
+            finish(channel);
+        }
+
+        private void finish(StreamSinkChannel channel) throws IOException {
+            if (!channel.flush()) {
+                channel.getWriteSetter().set(same -> {
+                    try {
+                        if (channel.flush()) {
+                            channel.suspendWrites();
+                        }
+                    } catch (IOException failure) {
+                        fail("connection lost");
+                    }
+                });
+                channel.resumeWrites();
+            }
+        }
+
+        private void read(ClientExchange exchange, ByteArrayOutputStream read) {
+            StreamSourceChannel channel = exchange.getResponseChannel();
+            channel.getReadSetter().set(same -> drain(exchange, channel, read));
+            drain(exchange, channel, read);
+        }
+
+        private void drain(ClientExchange exchange, StreamSourceChannel channel, ByteArrayOutputStream read) {
+            try (PooledByteBuffer pooled = buffers.allocate()) {
+                ByteBuffer buffer = pooled.getBuffer();
+                while (true) {
+                    buffer.clear();
+                    int count = channel.read(buffer);
+                    if (count == 0) {
+                        channel.resumeReads();
+                        return;
+                    }
+                    if (count < 0) {
+                        succeed(exchange, read.toByteArray());
+                        return;
+                    }
+                    buffer.flip();
+                    byte[] part = new byte[count];
+                    buffer.get(part);
+                    read.write(part, 0, count);
+                    if (read.size() > MOST_BODY) {
+                        fail("the answer is too large");
+                        return;
+                    }
+                }
+            } catch (IOException failure) {
+                fail("connection lost");
+            }
+        }
+
+        private void succeed(ClientExchange exchange, byte[] bytes) {
+            if (answer.isDone()) {
+                return;
+            }
+            timer.remove();
+            Target target = targets.get(address);
+            String keep = exchange.getResponse().getResponseHeaders().getFirst(Headers.CONNECTION);
+            if (target != null && target.idle.size() < MOST_IDLE && connection.isOpen()
+                    && !"close".equalsIgnoreCase(keep)) {
+                target.idle.push(connection);
+            } else {
+                IoUtils.safeClose(connection);
+            }
+            answer.complete(new Http.Reply(exchange.getResponse().getResponseCode(), bytes, 0));
+        }
+
+        private void fail(String why) {
+            if (answer.isDone()) {
+                return;
+            }
+            timer.remove();
+            IoUtils.safeClose(connection);
+            answer.completeExceptionally(sent ? new Http.NoAnswer(why) : new Http.NotSent(why));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/meadowhollow/transport/HttpServer.java
@@ -0,0 +1,92 @@
+package org.meadowhollow.transport;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.io.Receiver;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.concurrent.CompletableFuture;
+import org.meadowhollow.protocol.Http;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Listens on one address and hands whole requests to a handler. */
+public final class HttpServer implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
+    /** The protocol's limit of a request's body, in bytes. */
+    private static final int MOST_BODY = 64 * 1024;
+    /** Longer than any caller keeps a connection without a word; then the socket is wanted elsewhere. */
+    private static final int IDLE_MS = 120_000;
+
+    private final Undertow server;
+
+    public HttpServer(XnioLoop loop, ByteBufferPool buffers, String host, int port, Http.Handler handler) {
+        server = Undertow.builder()
+                .setWorker(loop.worker())
+                .setByteBufferPool(buffers)
+                .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+                .setServerOption(UndertowOptions.ENABLE_HTTP2, false)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_MS)
+                .setServerOption(UndertowOptions.IDLE_TIMEOUT, IDLE_MS)
+                .addHttpListener(port, host, exchange -> receive(exchange, handler))
+                .build();
+        server.start();
+    }
+
+    /** The port listened on, chosen by the system if 0 was asked for. */
+    public int port() {
+        return ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
+    }
+
+    private static void receive(HttpServerExchange exchange, Http.Handler handler) {
+        if (exchange.getRequestContentLength() > MOST_BODY) {
+            refuse(exchange);
+            return;
+        }
+        Receiver receiver = exchange.getRequestReceiver();
+        receiver.setMaxBufferSize(MOST_BODY);
+        receiver.receiveFullBytes((same, body) -> exchange.dispatch(SameThreadExecutor.INSTANCE, () ->
+                handle(exchange, handler, body)), (same, failure) -> refuse(exchange));
+    }
+
+    private static void refuse(HttpServerExchange exchange) {
+        exchange.setPersistent(false);
+        send(exchange, Http.Reply.error(400, "the body is too large or was cut short"));
+    }
+
+    private static void handle(HttpServerExchange exchange, Http.Handler handler, byte[] body) {
+        CompletableFuture<Http.Reply> answer;
+        try {
+            answer = handler.handle(exchange.getRequestMethod().toString(), exchange.getRequestPath(), body);
+        } catch (RuntimeException mistake) {
+            answer = CompletableFuture.failedFuture(mistake);
+        }
+        answer.whenComplete((reply, failure) -> {
+            if (failure != null) {
+                LOG.error("a request failed: {} {}", exchange.getRequestMethod(), exchange.getRequestPath(),
+                        failure);
+                send(exchange, Http.Reply.comeBack(503, 1, "internal error"));
+            } else {
+                send(exchange, reply);
+            }
+        });
+    }
+
+    private static void send(HttpServerExchange exchange, Http.Reply reply) {
+        exchange.setStatusCode(reply.status());
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/msgpack");
+        if (reply.retryAfterS() > 0) {
+            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, reply.retryAfterS());
+        }
+        exchange.getResponseSender().send(ByteBuffer.wrap(reply.body()));
+    }
+
+    @Override
+    public void close() {
+        server.stop();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/meadowhollow/transport/XnioLoop.java
@@ -0,0 +1,74 @@
+package org.meadowhollow.transport;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.meadowhollow.bookkeeping.EventLoop;
+import org.meadowhollow.bookkeeping.Moment;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+
+/**
+ * One XNIO thread for all connections and timers. With a fraction of a core, more threads would only
+ * add switches between them.
+ */
+public final class XnioLoop implements EventLoop, AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(XnioLoop.class);
+    /** Bytes; the stacks of callbacks are shallow and memory is short. */
+    private static final long STACK = 256 * 1024;
+
+    private final XnioWorker worker;
+    private final XnioIoThread thread;
+
+    public XnioLoop() throws IOException {
+        worker = Xnio.getInstance(XnioLoop.class.getClassLoader()).createWorker(OptionMap.builder()
+                .set(Options.WORKER_NAME, "meadowhollow")
+                .set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .set(Options.STACK_SIZE, STACK)
+                .set(Options.THREAD_DAEMON, false)
+                .getMap());
+        thread = worker.getIoThread();
+    }
+
+    XnioWorker worker() {
+        return worker;
+    }
+
+    XnioIoThread thread() {
+        return thread;
+    }
+
+    @Override
+    public Moment now() {
+        return new Moment(System.nanoTime());
+    }
+
+    @Override
+    public long wallMillis() {
+        return System.currentTimeMillis();
+    }
+
+    @Override
+    public void after(Duration pause, Runnable work) {
+        thread.executeAfter(() -> {
+            try {
+                work.run();
+            } catch (RuntimeException mistake) {
+                // One broken piece of work must not end the loop that everything else runs on.
+                LOG.error("a timer's work failed", mistake);
+            }
+        }, Math.max(0, pause.toNanos()), TimeUnit.NANOSECONDS);
+    }
+
+    @Override
+    public void close() {
+        worker.shutdownNow();
+    }
+}
