--- a/src/main/java/org/meadowhollow/cli/Main.java
+++ b/src/main/java/org/meadowhollow/cli/Main.java
@@ -16,9 +16,12 @@
 public final class Main implements Callable<Integer> {
     private static final Set<String> LEVELS = Set.of("error", "info", "debug");
 
-    @Option(names = "--config", required = true, paramLabel = "FILE", description = "the platform's settings file")
+    @Option(names = "--config", paramLabel = "FILE", description = "the platform's settings file")
     private Path config;
 
+    @Option(names = "--rehearse", hidden = true)
+    private boolean rehearse;
+
     @Option(names = "--check", description = "check the settings and exit")
     private boolean checkOnly;
 
@@ -53,7 +56,15 @@
     private static final int RUNNING = -1;
 
     @Override
-    public Integer call() {
+    public Integer call() throws Exception {
+        if (rehearse) {
+            Rehearsal.run();
+            return CommandLine.ExitCode.OK;
+        }
+        if (config == null) {
+            System.err.println("meadowhollow: --config FILE is missing (see --help)");
+            return CommandLine.ExitCode.USAGE;
+        }
         Settings settings;
         try {
             settings = Settings.read(config);
