--- a/src/main/java/org/meadowhollow/bookkeeping/StateStore.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/StateStore.java
@@ -41,8 +41,6 @@
 
     CompletableFuture<Void> renew(LeaseId lease);
 
-    CompletableFuture<Void> revoke(LeaseId lease);
-
     CompletableFuture<Changes> watch(String prefix, Version after, Duration wait);
 
     /** Whether the store has lately given no answer, or an answer of being out. */
--- /dev/null
+++ b/src/test/java/org/meadowhollow/story/FakeStore.java
@@ -0,0 +1,276 @@
+package org.meadowhollow.story;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.meadowhollow.bookkeeping.LeaseId;
+import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.StateException;
+import org.meadowhollow.bookkeeping.StateException.Outcome;
+import org.meadowhollow.bookkeeping.StateStore;
+import org.meadowhollow.bookkeeping.Transaction;
+import org.meadowhollow.bookkeeping.Version;
+import org.meadowhollow.protocol.Malformed;
+import org.meadowhollow.protocol.Wire;
+
+/** The state service in memory; each node has its own line to it, which can be cut or lose answers. */
+final class FakeStore {
+    private static final Duration LATENCY = Duration.ofMillis(3);
+    private static final Duration TIMEOUT = Duration.ofMillis(1500);
+
+    private record Stored(byte[] value, long version, long lease) {
+    }
+
+    private final VirtualLoop loop;
+    private final TreeMap<String, Stored> keys = new TreeMap<>();
+    private final Map<Long, Moment> leases = new HashMap<>();
+    private final Map<Long, Duration> ttls = new HashMap<>();
+    private final List<StateStore.Change> log = new ArrayList<>();
+    private long revision;
+    private long nextLease;
+    private boolean out;
+
+    FakeStore(VirtualLoop loop) {
+        this.loop = loop;
+    }
+
+    /** Begins or ends an outage; after one, all leases have their full time again. */
+    void out(boolean now) {
+        out = now;
+        leases.replaceAll((lease, end) -> loop.now().plus(ttls.get(lease)));
+    }
+
+    Map<String, Object> value(String key) {
+        Stored stored = keys.get(key);
+        return stored == null ? null : decode(stored.value());
+    }
+
+    int size(String prefix) {
+        return (int) keys.keySet().stream().filter(key -> key.startsWith(prefix)).count();
+    }
+
+    int largestValue() {
+        return keys.values().stream().mapToInt(stored -> stored.value().length).max().orElse(0);
+    }
+
+    private void expire() {
+        if (out) {
+            return;
+        }
+        for (Map.Entry<Long, Moment> lease : Map.copyOf(leases).entrySet()) {
+            if (lease.getValue().isBefore(loop.now())) {
+                end(lease.getKey());
+            }
+        }
+    }
+
+    private void end(long lease) {
+        leases.remove(lease);
+        for (String key : List.copyOf(keys.keySet())) {
+            if (keys.get(key).lease() == lease) {
+                revision++;
+                remove(key);
+            }
+        }
+    }
+
+    private void remove(String key) {
+        if (keys.remove(key) != null) {
+            log.add(new StateStore.Change(key, null, new Version(revision)));
+        }
+    }
+
+    private StateStore.Commit commit(Transaction transaction) {
+        expire();
+        List<String> failed = new ArrayList<>();
+        transaction.guards().forEach((key, version) -> {
+            Stored stored = keys.get(key);
+            if ((stored == null ? 0 : stored.version()) != version.value()) {
+                failed.add(key);
+            }
+        });
+        for (Transaction.Write write : transaction.writes().values()) {
+            if (write.lease() != null && !leases.containsKey(write.lease().value())) {
+                throw new StateException(Outcome.NO_SUCH_LEASE, "no such lease");
+            }
+        }
+        if (!failed.isEmpty()) {
+            return new StateStore.Commit(false, new Version(revision), failed);
+        }
+        revision++;
+        transaction.writes().forEach((key, write) -> {
+            if (write.value() == null) {
+                remove(key);
+            } else {
+                keys.put(key, new Stored(Wire.encode(write.value()), revision,
+                        write.lease() == null ? 0 : write.lease().value()));
+                log.add(new StateStore.Change(key, decode(Wire.encode(write.value())), new Version(revision)));
+            }
+        });
+        return new StateStore.Commit(true, new Version(revision), List.of());
+    }
+
+    private static Map<String, Object> decode(byte[] value) {
+        try {
+            return Wire.decode(value);
+        } catch (Malformed impossible) {
+            throw new IllegalStateException(impossible);
+        }
+    }
+
+    /** One node's line to the store. */
+    final class Line implements StateStore {
+        private boolean cut;
+        private boolean losesAnswers;
+        private boolean dead;
+        private int mostWrites;
+        private final List<Runnable> held = new ArrayList<>();
+        private boolean holding;
+
+        /** Refuses everything, as a node that alone gets 503 sees it. */
+        void cut(boolean now) {
+            cut = now;
+        }
+
+        /** Executes requests but loses the answers. */
+        void loseAnswers(boolean now) {
+            losesAnswers = now;
+        }
+
+        /** Keeps requests back, to deliver them when released, long after the caller gave up. */
+        void hold(boolean now) {
+            holding = now;
+            if (!now) {
+                List.copyOf(held).forEach(Runnable::run);
+                held.clear();
+            }
+        }
+
+        /** The process behind the line is gone: nothing comes back any more. */
+        void die() {
+            dead = true;
+        }
+
+        int mostWrites() {
+            return mostWrites;
+        }
+
+        private <T> CompletableFuture<T> call(Supplier<T> work) {
+            CompletableFuture<T> answer = new CompletableFuture<>();
+            Runnable execute = () -> {
+                expire();
+                if (cut || out) {
+                    fail(answer, Outcome.REFUSED);
+                    return;
+                }
+                try {
+                    T result = work.get();
+                    if (!losesAnswers) {
+                        loop.after(LATENCY, () -> complete(answer, result));
+                    }
+                } catch (StateException refused) {
+                    fail(answer, refused.outcome());
+                }
+            };
+            if (holding) {
+                held.add(execute);
+            } else {
+                loop.after(LATENCY, execute);
+            }
+            loop.after(TIMEOUT, () -> fail(answer, Outcome.UNKNOWN));
+            return answer;
+        }
+
+        private <T> void complete(CompletableFuture<T> answer, T result) {
+            if (!dead) {
+                answer.complete(result);
+            }
+        }
+
+        private void fail(CompletableFuture<?> answer, Outcome outcome) {
+            if (!dead) {
+                answer.completeExceptionally(new StateException(outcome, "the fake store says " + outcome));
+            }
+        }
+
+        @Override
+        public CompletableFuture<Optional<Entry>> get(String key, Urgency urgency) {
+            return call(() -> Optional.ofNullable(keys.get(key))
+                    .map(stored -> new Entry(key, decode(stored.value()), new Version(stored.version()))));
+        }
+
+        @Override
+        public CompletableFuture<Page> list(String prefix, String after, Urgency urgency) {
+            return call(() -> {
+                List<Entry> entries = new ArrayList<>();
+                keys.tailMap(after == null ? prefix : after, after == null).forEach((key, stored) -> {
+                    if (key.startsWith(prefix)) {
+                        entries.add(new Entry(key, decode(stored.value()), new Version(stored.version())));
+                    }
+                });
+                return new Page(entries, false, new Version(revision));
+            });
+        }
+
+        @Override
+        public CompletableFuture<Commit> commit(Transaction transaction, Urgency urgency) {
+            mostWrites = Math.max(mostWrites, transaction.writes().size());
+            return call(() -> FakeStore.this.commit(transaction));
+        }
+
+        @Override
+        public CompletableFuture<LeaseId> grant(Duration ttl) {
+            return call(() -> {
+                leases.put(++nextLease, loop.now().plus(ttl));
+                ttls.put(nextLease, ttl);
+                return new LeaseId(nextLease);
+            });
+        }
+
+        @Override
+        public CompletableFuture<Void> renew(LeaseId lease) {
+            return call(() -> {
+                if (!leases.containsKey(lease.value())) {
+                    throw new StateException(Outcome.NO_SUCH_LEASE, "the lease has ended");
+                }
+                leases.put(lease.value(), loop.now().plus(ttls.get(lease.value())));
+                return null;
+            });
+        }
+
+        @Override
+        public CompletableFuture<Changes> watch(String prefix, Version after, Duration wait) {
+            CompletableFuture<Changes> answer = new CompletableFuture<>();
+            look(answer, prefix, after, loop.now().plus(wait));
+            return answer;
+        }
+
+        private void look(CompletableFuture<Changes> answer, String prefix, Version after, Moment until) {
+            expire();
+            List<Change> found = new ArrayList<>();
+            if (!cut && !out) {
+                for (Change change : log) {
+                    if (change.key().startsWith(prefix) && change.version().isAfter(after)) {
+                        found.add(change);
+                    }
+                }
+            }
+            if (!found.isEmpty() || until.isBefore(loop.now())) {
+                loop.after(LATENCY, () -> complete(answer, new Changes(new Version(revision), found)));
+            } else if (!dead) {
+                loop.after(Duration.ofMillis(50), () -> look(answer, prefix, after, until));
+            }
+        }
+
+        @Override
+        public boolean seemsOut() {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/meadowhollow/story/FakeWorker.java
@@ -0,0 +1,235 @@
+package org.meadowhollow.story;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.meadowhollow.bookkeeping.Attempt;
+import org.meadowhollow.bookkeeping.Cause;
+import org.meadowhollow.bookkeeping.MachineId;
+import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.Order;
+import org.meadowhollow.bookkeeping.Report;
+import org.meadowhollow.bookkeeping.Session;
+import org.meadowhollow.bookkeeping.TaskId;
+import org.meadowhollow.bookkeeping.TaskState;
+import org.meadowhollow.bookkeeping.Term;
+import org.meadowhollow.coordination.Answer;
+
+/** A machine's worker, as the protocol describes it. */
+final class FakeWorker {
+    private static final Duration REPORT = Duration.ofSeconds(3);
+    private static final Duration LEASE = Duration.ofSeconds(18);
+    private static final Duration FETCH = Duration.ofSeconds(2);
+
+    /** A task here; it runs once its image has come. */
+    private static final class Task {
+        private final Attempt attempt;
+        private TaskState state = TaskState.FETCHING;
+        private Cause cause;
+        private final Moment runsAt;
+
+        Task(Attempt attempt, Moment runsAt) {
+            this.attempt = attempt;
+            this.runsAt = runsAt;
+        }
+    }
+
+    private final World world;
+    private final MachineId id;
+    private final String type;
+    private final String zone;
+    private final Map<TaskId, Task> tasks = new LinkedHashMap<>();
+    private Session session = new Session(1);
+    private long seq;
+    private Term token = Term.NONE;
+    private Moment answeredSentAt;
+    private int node;
+    private boolean hung;
+    private boolean gone;
+    private boolean deaf;
+    private double noticeS = Double.NaN;
+
+    FakeWorker(World world, String id, String type, String zone) {
+        this.world = world;
+        this.id = new MachineId(id);
+        this.type = type;
+        this.zone = zone;
+        this.answeredSentAt = world.loop().now();
+        tick();
+    }
+
+    MachineId id() {
+        return id;
+    }
+
+    String zone() {
+        return zone;
+    }
+
+    String type() {
+        return type;
+    }
+
+    void hang(boolean now) {
+        hung = now;
+    }
+
+    /** Reports still go out, but all answers are lost. */
+    void deaf(boolean now) {
+        deaf = now;
+    }
+
+    void notice(double seconds) {
+        noticeS = seconds;
+    }
+
+    void remove() {
+        gone = true;
+        tasks.clear();
+    }
+
+    boolean gone() {
+        return gone;
+    }
+
+    boolean hung() {
+        return hung;
+    }
+
+    Term token() {
+        return token;
+    }
+
+    Session session() {
+        return session;
+    }
+
+    /** Makes a task exit with an error. */
+    void fail(TaskId task) {
+        exit(tasks.get(task), Cause.ERROR);
+    }
+
+    /** Tasks that are on the machine in the protocol's sense: with their image, and not exited. */
+    List<TaskId> running() {
+        List<TaskId> all = new ArrayList<>();
+        if (world.loop().now().since(answeredSentAt).compareTo(LEASE) > 0) {
+            // A hung machine runs nothing; when it goes on, its worker first kills what outlived the lease.
+            return all;
+        }
+        tasks.forEach((task, held) -> {
+            if (held.state != TaskState.EXITED && held.state != TaskState.FETCHING) {
+                all.add(task);
+            }
+        });
+        return all;
+    }
+
+    Attempt attempt(TaskId task) {
+        return tasks.get(task).attempt;
+    }
+
+    private static void exit(Task task, Cause cause) {
+        task.state = TaskState.EXITED;
+        task.cause = cause;
+    }
+
+    private void tick() {
+        if (gone) {
+            return;
+        }
+        world.loop().after(REPORT, this::tick);
+        if (!hung) {
+            advance();
+            report();
+        }
+    }
+
+    /** What time has brought: the end of the lease, images that have come, tasks that are done. */
+    void advance() {
+        Moment now = world.loop().now();
+        if (now.since(answeredSentAt).compareTo(LEASE) > 0) {
+            tasks.clear();
+            session = new Session(session.value() + 1);
+            answeredSentAt = now;
+        }
+        tasks.forEach((id, task) -> {
+            if (task.state == TaskState.FETCHING && task.runsAt.isBefore(now)) {
+                task.state = TaskState.RUNNING;
+                world.started(this, id);
+            }
+            Duration runs = world.runTime(id.job());
+            if (task.state == TaskState.RUNNING && runs != null && now.since(task.runsAt).compareTo(runs) > 0) {
+                exit(task, Cause.DONE);
+                world.completed(id);
+            }
+        });
+    }
+
+    Report snapshot() {
+        List<Report.Task> list = new ArrayList<>();
+        tasks.forEach((id, task) -> list.add(new Report.Task(id, task.attempt, task.state, task.cause)));
+        return new Report(id, id.value() + ":9000", type, zone, false, session, ++seq, token, noticeS, list);
+    }
+
+    private void report() {
+        Report report = snapshot();
+        Moment sentAt = world.loop().now();
+        Answer answer = world.deliver(node, report);
+        if (answer == null || answer instanceof Answer.Elsewhere) {
+            String member = answer == null ? null : ((Answer.Elsewhere) answer).member();
+            node = member == null ? (node + 1) % world.nodeCount() : world.indexOf(member);
+            return;
+        }
+        Answer.Orders orders = (Answer.Orders) answer;
+        if (deaf || token.isAfter(orders.token())) {
+            return;
+        }
+        token = orders.token();
+        answeredSentAt = sentAt;
+        execute(orders.orders());
+    }
+
+    /** A direct command; null when there is no answer. */
+    Report direct(Term given, Session expected, List<Order> orders) {
+        if (gone || hung) {
+            return null;
+        }
+        advance();
+        if (!token.isAfter(given)) {
+            token = given;
+            if (session.equals(expected)) {
+                execute(orders);
+            }
+        }
+        return snapshot();
+    }
+
+    private void execute(List<Order> orders) {
+        for (Order order : orders) {
+            Task task = tasks.get(order.task());
+            boolean same = task != null && task.attempt.equals(order.attempt());
+            switch (order.op()) {
+                case START -> {
+                    if (!same) {
+                        if (task != null && task.state != TaskState.EXITED) {
+                            throw new AssertionError("started " + order + " beside another attempt");
+                        }
+                        tasks.put(order.task(), new Task(order.attempt(), world.loop().now().plus(FETCH)));
+                    }
+                }
+                case STOP -> {
+                    if (same && task.state != TaskState.EXITED) {
+                        exit(task, Cause.STOPPED);
+                    }
+                }
+                case FORGET -> {
+                    if (same && task.state == TaskState.EXITED) {
+                        tasks.remove(order.task());
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/meadowhollow/story/RandomTroubleTest.java
@@ -0,0 +1,96 @@
+package org.meadowhollow.story;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.coordination.Admission.Phase;
+
+/** Troubles of all kinds at random times, from fixed seeds; the world checks the rules at every step. */
+class RandomTroubleTest {
+    private static final int STEPS = 150;
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+    void theRulesHoldWhateverFails(long seed) {
+        Random random = new Random(seed);
+        World world = new World().team("team", 4, 20);
+        for (int at = 0; at < 6; at++) {
+            world.machine(at % 2 == 0 ? World.LARGE : World.SMALL, at < 3 ? "a" : "b");
+        }
+        List<JobSpec> jobs = new ArrayList<>();
+        for (int step = 0; step < STEPS; step++) {
+            trouble(world, random, jobs);
+            world.runS(1 + random.nextInt(5));
+        }
+        calm(world);
+        world.runS(400);
+        for (JobSpec job : jobs) {
+            Phase phase = world.poll(0, job.id()).orElseThrow().phase();
+            assertTrue(phase == Phase.CANCELLED || phase == Phase.DONE || job.kind() == Kind.SERVICE,
+                    job.id() + " is " + phase + " long after all troubles");
+        }
+        assertEquals(jobs.size(), jobs.stream().distinct().count());
+    }
+
+    private static void trouble(World world, Random random, List<JobSpec> jobs) {
+        int node = random.nextInt(3);
+        switch (random.nextInt(16)) {
+            case 0, 1, 2, 3 -> {
+                Kind kind = Kind.values()[random.nextInt(3)];
+                JobSpec job = World.spec(jobs.size() + 1, kind, 1 + random.nextInt(4), 1 + random.nextInt(2));
+                if (world.submit(node, job,
+                        kind == Kind.SERVICE ? null : Duration.ofSeconds(5 + random.nextInt(40)))) {
+                    jobs.add(job);
+                }
+            }
+            case 4, 5 -> {
+                if (!jobs.isEmpty()) {
+                    world.cancel(node, jobs.get(random.nextInt(jobs.size())).id());
+                }
+            }
+            case 6 -> world.crash(node);
+            case 7, 8 -> world.restart(node);
+            case 9 -> world.line(node).cut(random.nextBoolean());
+            case 10 -> world.line(node).loseAnswers(random.nextInt(3) == 0);
+            case 11 -> world.line(node).hold(random.nextInt(3) == 0);
+            case 12 -> world.store().out(random.nextInt(3) == 0);
+            case 13 -> world.cutFromWorkers(node, random.nextBoolean());
+            case 14 -> world.cloudOut(random.nextBoolean());
+            default -> {
+                List<FakeWorker> workers = world.workers();
+                if (!workers.isEmpty()) {
+                    FakeWorker worker = workers.get(random.nextInt(workers.size()));
+                    if (random.nextBoolean()) {
+                        worker.hang(random.nextBoolean());
+                    } else {
+                        worker.deaf(random.nextBoolean());
+                    }
+                }
+            }
+        }
+    }
+
+    private static void calm(World world) {
+        world.store().out(false);
+        world.cloudOut(false);
+        for (int node = 0; node < 3; node++) {
+            world.line(node).cut(false);
+            world.line(node).loseAnswers(false);
+            world.line(node).hold(false);
+            world.cutFromWorkers(node, false);
+            world.restart(node);
+        }
+        for (FakeWorker worker : world.workers()) {
+            worker.hang(false);
+            worker.deaf(false);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/meadowhollow/story/StoriesTest.java
@@ -0,0 +1,386 @@
+package org.meadowhollow.story;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.meadowhollow.bookkeeping.JobId;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.Priority;
+import org.meadowhollow.bookkeeping.TaskId;
+import org.meadowhollow.coordination.Admission.Phase;
+
+/** What happens to jobs while things fail; {@link World} checks the protocol's rules at every step. */
+class StoriesTest {
+    private static final Duration SHORT = Duration.ofSeconds(10);
+    private static final Duration LONG = Duration.ofMinutes(5);
+
+    private World world;
+
+    @BeforeEach
+    void threeNodesAndSomeMachines() {
+        world = new World();
+        for (int at = 0; at < 3; at++) {
+            world.machine(World.LARGE, "a");
+            world.machine(World.LARGE, "b");
+        }
+        world.runS(12);
+    }
+
+    private static JobSpec array(int number, int tasks) {
+        return World.spec(number, Kind.ARRAY, tasks, 1);
+    }
+
+    private Phase phase(JobSpec spec) {
+        for (int node = 0; node < 3; node++) {
+            var state = world.poll(node, spec.id());
+            if (state.isPresent()) {
+                return state.get().phase();
+            }
+        }
+        return null;
+    }
+
+    private FakeWorker placeOf(JobSpec spec, int task) {
+        List<FakeWorker> places = world.on(new TaskId(spec.id(), task));
+        return places.isEmpty() ? null : places.get(0);
+    }
+
+    @Test
+    void anAcceptedJobRunsAndEveryNodeSaysThatItIsDone() {
+        JobSpec job = array(1, 7);
+        assertTrue(world.submit(1, job, SHORT));
+        world.runS(30);
+        for (int node = 0; node < 3; node++) {
+            assertEquals(Phase.DONE, world.poll(node, job.id()).orElseThrow().phase());
+        }
+        assertEquals(7, world.starts());
+        assertEquals(0, world.store().size("job/") + world.store().size("task/"), "live records are left");
+    }
+
+    @Test
+    void aJobThatNobodySubmittedIsNotFound() {
+        assertTrue(world.poll(0, new JobId("req-999999")).isEmpty());
+        assertTrue(world.cancel(1, new JobId("req-999999")));
+        assertEquals(0, world.store().size("job/"));
+    }
+
+    @Test
+    void aSubmissionWhoseAnswerWasLostMakesOneJob() {
+        JobSpec job = array(1, 2);
+        world.line(0).loseAnswers(true);
+        world.submit(0, job, SHORT);
+        world.line(0).loseAnswers(false);
+        assertTrue(world.submit(1, job, SHORT));
+        world.runS(30);
+        assertEquals(Phase.DONE, phase(job));
+        assertTrue(world.submit(2, job, SHORT));
+        assertEquals(2, world.starts());
+    }
+
+    @Test
+    void aGangRunsWholeOrNotAtAll() {
+        JobSpec tooLarge = World.spec(1, Kind.GANG, 6, 8);
+        JobSpec fits = World.spec(2, Kind.GANG, 3, 8);
+        assertTrue(world.submit(0, fits, LONG));
+        assertTrue(world.submit(0, tooLarge, LONG));
+        world.cloudOut(true);
+        world.runS(20);
+        assertEquals(3, world.starts(), "three machines are left for a gang of six");
+        world.cloudOut(false);
+        world.runS(60);
+        assertEquals(9, world.starts());
+    }
+
+    @Test
+    void tasksOutliveTheirLeaderAndAreNotStartedAgain() {
+        JobSpec job = array(1, 5);
+        assertTrue(world.submit(0, job, Duration.ofSeconds(60)));
+        world.runS(15);
+        int first = world.leader();
+        world.crash(first);
+        world.runS(20);
+        assertTrue(world.leader() >= 0 && world.leader() != first);
+        world.runS(60);
+        assertEquals(5, world.starts());
+        assertEquals(Phase.DONE, phase(job));
+    }
+
+    @Test
+    void aRestartedLeaderDoesNotWaitForItsOwnDeadLease() {
+        int first = world.leader();
+        world.crash(first);
+        world.restart(first);
+        world.runS(1);
+        assertEquals(first, world.leader());
+        assertEquals(2L, world.store().value("meta/term").get("term"));
+    }
+
+    @Test
+    void allNodesMayCrashAtOnce() {
+        JobSpec job = array(1, 5);
+        assertTrue(world.submit(0, job, Duration.ofSeconds(40)));
+        world.runS(10);
+        for (int node = 0; node < 3; node++) {
+            world.crash(node);
+        }
+        world.runS(8);
+        for (int node = 0; node < 3; node++) {
+            world.restart(node);
+        }
+        world.runS(60);
+        assertEquals(5, world.starts());
+        assertEquals(Phase.DONE, phase(job));
+    }
+
+    @Test
+    void tasksOutliveAnOutageOfTheStateServiceButNothingStartsInIt() {
+        JobSpec running = array(1, 4);
+        assertTrue(world.submit(0, running, LONG));
+        world.runS(10);
+        world.store().out(true);
+        assertFalse(world.submit(1, array(2, 1), SHORT), "nothing can be accepted");
+        world.runS(19);
+        world.store().out(false);
+        world.runS(20);
+        assertEquals(4, world.starts());
+        assertTrue(world.submit(1, array(2, 1), SHORT));
+        world.runS(20);
+        assertEquals(5, world.starts());
+    }
+
+    @Test
+    void aLeaderCutFromTheStateServiceLetsGoInTimeForACancellation() {
+        JobSpec job = World.spec(1, Kind.SERVICE, 4, 1);
+        assertTrue(world.submit(0, job, null));
+        world.runS(15);
+        int old = world.leader();
+        world.line(old).cut(true);
+        world.runS(3);
+        assertTrue(world.cancel((old + 1) % 3, job.id()));
+        world.runS(50);
+        assertTrue(world.workers().stream().allMatch(worker -> worker.running().isEmpty()));
+    }
+
+    @Test
+    void aLeaderThatHearsNothingOfItsDepositionStillFallsSilent() {
+        JobSpec job = World.spec(1, Kind.SERVICE, 4, 1);
+        assertTrue(world.submit(0, job, null));
+        world.runS(15);
+        int old = world.leader();
+        // Only the old leader reaches the workers, and it alone is refused by the state service.
+        for (int node = 0; node < 3; node++) {
+            world.cutFromWorkers(node, node != old);
+        }
+        world.line(old).cut(true);
+        assertTrue(world.cancel((old + 1) % 3, job.id()));
+        world.runS(50);
+        assertTrue(world.workers().stream().allMatch(worker -> worker.running().isEmpty()));
+    }
+
+    @Test
+    void aLateTransactionOfADeposedLeaderChangesNothing() {
+        int old = world.leader();
+        world.line(old).hold(true);
+        JobSpec job = array(1, 6);
+        assertTrue(world.submit((old + 1) % 3, job, LONG));
+        world.runS(25);
+        assertTrue(world.leader() != old);
+        assertEquals(6, world.starts());
+        world.line(old).hold(false);
+        world.runS(30);
+        assertEquals(6, world.starts());
+    }
+
+    @Test
+    void aHungMachinesTasksRunElsewhereAndItMayGoOnLater() {
+        JobSpec job = World.spec(1, Kind.SERVICE, 1, 1);
+        assertTrue(world.submit(0, job, null));
+        world.runS(10);
+        FakeWorker hung = placeOf(job, 0);
+        world.cloudOut(true);
+        hung.hang(true);
+        world.runS(12);
+        assertEquals(1, world.starts(), "its lease may still hold");
+        world.runS(20);
+        assertEquals(2, world.starts());
+        hung.hang(false);
+        world.runS(20);
+        assertEquals(1, world.on(new TaskId(job.id(), 0)).size());
+    }
+
+    @Test
+    void aMachineThatNeverShowedTheNewTokenHoldsItsTasksForTheWholeLimit() {
+        JobSpec job = World.spec(1, Kind.SERVICE, 1, 1);
+        assertTrue(world.submit(0, job, null));
+        world.runS(10);
+        FakeWorker hung = placeOf(job, 0);
+        world.cloudOut(true);
+        hung.hang(true);
+        world.crash(world.leader());
+        world.runS(40);
+        assertEquals(1, world.starts(), "an earlier leader might still renew its lease");
+        world.runS(30);
+        assertEquals(2, world.starts());
+    }
+
+    @Test
+    void aStartWhoseAnswerWasLostIsSentAgain() {
+        world.workers().forEach(worker -> worker.deaf(true));
+        JobSpec job = array(1, 2);
+        assertTrue(world.submit(0, job, SHORT));
+        world.runS(7);
+        assertEquals(0, world.starts());
+        world.workers().forEach(worker -> worker.deaf(false));
+        world.runS(25);
+        assertEquals(2, world.starts());
+        assertEquals(Phase.DONE, phase(job));
+    }
+
+    @Test
+    void aCancelledJobIsGoneAndStaysCancelled() {
+        JobSpec job = World.spec(1, Kind.SERVICE, 5, 1);
+        assertTrue(world.submit(0, job, null));
+        world.runS(10);
+        assertTrue(world.cancel(2, job.id()));
+        world.runS(10);
+        assertTrue(world.workers().stream().allMatch(worker -> worker.running().isEmpty()));
+        assertEquals(Phase.CANCELLED, phase(job));
+        assertTrue(world.submit(1, job, null));
+        world.runS(20);
+        assertEquals(5, world.starts());
+    }
+
+    @Test
+    void aTeamNeverUsesMoreThanItsLimit() {
+        world.team("small", 0, 3);
+        JobSpec plain = array(1, 9);
+        JobSpec job = withTeam(plain, "small");
+        assertTrue(world.submit(0, job, SHORT));
+        world.runS(9);
+        world.crash(world.leader());
+        world.runS(120);
+        assertEquals(Phase.DONE, phase(job));
+    }
+
+    private static JobSpec withTeam(JobSpec spec, String team) {
+        return new JobSpec(spec.id(), spec.jobClass(), team, spec.kind(), spec.priority(), spec.tasks(),
+                spec.perTask(), spec.types(), spec.zone(), spec.oneZone(), spec.spread(), spec.spot(),
+                spec.image(), spec.imageGb(), spec.estimateS(), spec.checkpointS(), spec.saveS(),
+                spec.deadlineS());
+    }
+
+    private static JobSpec zoned(JobSpec spec, boolean oneZone, boolean spread) {
+        return new JobSpec(spec.id(), spec.jobClass(), spec.team(), spec.kind(), Priority.HIGH, spec.tasks(),
+                spec.perTask(), List.of("large"), spec.zone(), oneZone, spread, spec.spot(), spec.image(),
+                spec.imageGb(), spec.estimateS(), spec.checkpointS(), spec.saveS(), spec.deadlineS());
+    }
+
+    @Test
+    void replicasSpreadOverZonesAndGangsKeepTogether() {
+        JobSpec spread = zoned(World.spec(1, Kind.SERVICE, 5, 2), false, true);
+        JobSpec together = zoned(World.spec(2, Kind.GANG, 2, 8), true, false);
+        assertTrue(world.submit(0, together, LONG));
+        assertTrue(world.submit(0, spread, null));
+        world.runS(15);
+        assertEquals(7, world.starts());
+        FakeWorker lost = placeOf(spread, 0);
+        lost.hang(true);
+        world.runS(60);
+        assertEquals(5, countOn(spread));
+    }
+
+    private int countOn(JobSpec job) {
+        int count = 0;
+        for (int task = 0; task < job.tasks(); task++) {
+            count += world.on(new TaskId(job.id(), task)).size();
+        }
+        return count;
+    }
+
+    @Test
+    void aGangThatLosesATaskStartsAnewAsAWhole() {
+        JobSpec job = World.spec(1, Kind.GANG, 3, 8);
+        assertTrue(world.submit(0, job, LONG));
+        world.runS(12);
+        assertEquals(3, world.starts());
+        FakeWorker failing = placeOf(job, 1);
+        failing.fail(new TaskId(job.id(), 1));
+        world.runS(20);
+        assertEquals(6, world.starts());
+        List<Integer> attempts = new ArrayList<>();
+        for (int task = 0; task < 3; task++) {
+            attempts.add(placeOf(job, task).attempt(new TaskId(job.id(), task)).value());
+        }
+        assertEquals(List.of(2, 2, 2), attempts);
+    }
+
+    @Test
+    void aHugeJobKeepsItsRecordsSmallAndLeavesRoomForOthers() {
+        JobSpec huge = array(1, 100_000);
+        JobSpec other = zoned(array(2, 3), false, false);
+        assertTrue(world.submit(0, huge, LONG));
+        world.runS(5);
+        assertTrue(world.submit(1, other, SHORT));
+        world.runS(120);
+        assertEquals(Phase.DONE, phase(other));
+        assertTrue(world.store().largestValue() <= 16 * 1024);
+        assertTrue(world.line(world.leader()).mostWrites() <= 12);
+        assertTrue(world.cancel(0, huge.id()));
+        world.runS(60);
+        assertEquals(0, world.store().size("task/"));
+    }
+
+    @Test
+    void aTaskThatAlwaysFailsIsNotStartedInAFlood() {
+        JobSpec job = array(1, 1);
+        assertTrue(world.submit(0, job, LONG));
+        for (int second = 0; second < 120; second++) {
+            FakeWorker place = placeOf(job, 0);
+            if (place != null) {
+                place.fail(new TaskId(job.id(), 0));
+            }
+            world.runS(1);
+        }
+        assertTrue(world.starts() >= 3 && world.starts() < 14, "started " + world.starts() + " times");
+    }
+
+    @Test
+    void aReplicaLeavesAMachineThatIsTakenBack() {
+        JobSpec job = World.spec(1, Kind.SERVICE, 1, 1);
+        assertTrue(world.submit(0, job, null));
+        world.runS(10);
+        FakeWorker first = placeOf(job, 0);
+        first.notice(25);
+        world.runS(15);
+        FakeWorker second = placeOf(job, 0);
+        assertTrue(second != null && second != first);
+    }
+
+    @Test
+    void whatCanNeverRunIsRefused() {
+        assertFalse(world.submit(0, World.spec(1, Kind.ARRAY, 1, 9), SHORT), "no machine has nine");
+        assertFalse(world.submit(0, withTeam(array(2, 1), "nobody"), SHORT));
+        world.team("small", 0, 3);
+        assertFalse(world.submit(0, withTeam(World.spec(3, Kind.GANG, 4, 1), "small"), SHORT));
+        assertTrue(world.submit(0, withTeam(array(4, 4), "small"), SHORT), "an array runs a task at a time");
+    }
+
+    @Test
+    void machinesAreRentedForWorkAndReturnedWhenIdle() {
+        JobSpec job = array(1, 60);
+        int before = world.workers().size();
+        assertTrue(world.submit(0, job, Duration.ofSeconds(30)));
+        world.runS(40);
+        assertTrue(world.workers().size() > before);
+        world.runS(200);
+        assertEquals(Phase.DONE, phase(job));
+        assertTrue(world.workers().size() <= 1, world.workers().size() + " are left idle");
+    }
+}
--- /dev/null
+++ b/src/test/java/org/meadowhollow/story/VirtualLoop.java
@@ -0,0 +1,46 @@
+package org.meadowhollow.story;
+
+import java.time.Duration;
+import java.util.PriorityQueue;
+import org.meadowhollow.bookkeeping.EventLoop;
+import org.meadowhollow.bookkeeping.Moment;
+
+/** A loop whose time only moves when a test says so. */
+final class VirtualLoop implements EventLoop {
+    private record Due(long at, long order, Runnable work) implements Comparable<Due> {
+        @Override
+        public int compareTo(Due other) {
+            return at != other.at ? Long.compare(at, other.at) : Long.compare(order, other.order);
+        }
+    }
+
+    private final PriorityQueue<Due> due = new PriorityQueue<>();
+    private long nanos;
+    private long order;
+
+    @Override
+    public Moment now() {
+        return new Moment(nanos);
+    }
+
+    @Override
+    public long wallMillis() {
+        return nanos / 1_000_000;
+    }
+
+    @Override
+    public void after(Duration pause, Runnable work) {
+        due.add(new Due(nanos + Math.max(0, pause.toNanos()), order++, work));
+    }
+
+    /** Runs all that falls due within the span. */
+    void run(Duration span) {
+        long end = nanos + span.toNanos();
+        while (!due.isEmpty() && due.peek().at() <= end) {
+            Due next = due.poll();
+            nanos = Math.max(nanos, next.at());
+            next.work().run();
+        }
+        nanos = end;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/meadowhollow/story/World.java
@@ -0,0 +1,427 @@
+package org.meadowhollow.story;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.fail;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.meadowhollow.bookkeeping.Catalog;
+import org.meadowhollow.bookkeeping.JobId;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.MachineId;
+import org.meadowhollow.bookkeeping.MachineType;
+import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.Order;
+import org.meadowhollow.bookkeeping.Priority;
+import org.meadowhollow.bookkeeping.Report;
+import org.meadowhollow.bookkeeping.Resources;
+import org.meadowhollow.bookkeeping.Session;
+import org.meadowhollow.bookkeeping.TaskId;
+import org.meadowhollow.bookkeeping.Term;
+import org.meadowhollow.coordination.Admission;
+import org.meadowhollow.coordination.Admission.JobState;
+import org.meadowhollow.coordination.Admission.Phase;
+import org.meadowhollow.coordination.Answer;
+import org.meadowhollow.coordination.Cloud;
+import org.meadowhollow.coordination.Node;
+import org.meadowhollow.coordination.Peers;
+import org.meadowhollow.coordination.Platform;
+import org.meadowhollow.coordination.Workers;
+
+/**
+ * A deployment in memory and in virtual time: three nodes, the state service, a cloud and workers. It
+ * checks the protocol's rules whenever a task starts and after every step.
+ */
+final class World {
+    static final MachineType SMALL = new MachineType("small", Resources.of(8, 2, 32), 50, 1, 2, 1, 10,
+            List.of("a", "b"));
+    static final MachineType LARGE = new MachineType("large", Resources.of(32, 8, 128), 50, 1, 8, 4, 10,
+            List.of("a", "b"));
+    private static final Duration CANCEL = Duration.ofSeconds(48);
+    private static final Duration STEP = Duration.ofMillis(250);
+
+    private final VirtualLoop loop = new VirtualLoop();
+    private final FakeStore store = new FakeStore(loop);
+    private final List<Member> members = new ArrayList<>();
+    private final Map<MachineId, FakeWorker> workers = new TreeMap<>();
+    private final Map<String, List<MachineId>> rentals = new HashMap<>();
+    private final Map<JobId, JobSpec> specs = new HashMap<>();
+    private final Map<JobId, Duration> runTimes = new HashMap<>();
+    private final Map<JobId, Phase> told = new HashMap<>();
+    private final Map<JobId, Moment> toldCancelled = new HashMap<>();
+    private final Set<TaskId> completed = new HashSet<>();
+    private final Map<String, Platform.Team> teams = new HashMap<>();
+    private boolean cloudOut;
+    private int nextMachine;
+    private int nextSeed = 7;
+    private int starts;
+
+    /** A node's process and its lines. */
+    private final class Member {
+        private final String name;
+        private FakeStore.Line line;
+        private Node node;
+        private Admission admission;
+        private boolean cutFromWorkers;
+
+        Member(String name) {
+            this.name = name;
+            start();
+        }
+
+        void start() {
+            line = store.new Line();
+            FakeStore.Line mine = line;
+            Catalog catalog = new Catalog();
+            Platform platform = new Platform(name, 3, List.of("a", "b"), teams, List.of(), Duration.ofSeconds(3),
+                    Duration.ofSeconds(18), Duration.ofSeconds(6), CANCEL, 100, 50, 16 * 1024, 12, 10,
+                    Duration.ofSeconds(8));
+            node = new Node(loop, mine, new Direct(this), new Offer(), new Hints(this), platform, catalog,
+                    new Random(nextSeed++));
+            admission = new Admission(mine, loop, catalog, platform, node::counts);
+            node.start();
+        }
+
+        void crash() {
+            line.die();
+            node.close();
+            node = null;
+        }
+    }
+
+    World() {
+        team("team", 0, 0);
+        for (String name : List.of("n0", "n1", "n2")) {
+            members.add(new Member(name));
+        }
+    }
+
+    World team(String name, double guaranteedGpus, double mostGpus) {
+        teams.put(name, new Platform.Team(name, Resources.of(0, guaranteedGpus, 0),
+                Resources.of(0, mostGpus, 0)));
+        return this;
+    }
+
+    VirtualLoop loop() {
+        return loop;
+    }
+
+    FakeStore store() {
+        return store;
+    }
+
+    FakeStore.Line line(int node) {
+        return members.get(node).line;
+    }
+
+    int nodeCount() {
+        return members.size();
+    }
+
+    int indexOf(String member) {
+        return Integer.parseInt(member.substring(1));
+    }
+
+    int starts() {
+        return starts;
+    }
+
+    // ---- troubles ----
+
+    void crash(int node) {
+        if (members.get(node).node != null) {
+            members.get(node).crash();
+        }
+    }
+
+    void restart(int node) {
+        if (members.get(node).node == null) {
+            members.get(node).start();
+        }
+    }
+
+    void cutFromWorkers(int node, boolean cut) {
+        members.get(node).cutFromWorkers = cut;
+    }
+
+    void cloudOut(boolean out) {
+        cloudOut = out;
+    }
+
+    FakeWorker machine(MachineType type, String zone) {
+        String id = "vm-%06d".formatted(++nextMachine);
+        FakeWorker worker = new FakeWorker(this, id, type.name(), zone);
+        workers.put(worker.id(), worker);
+        return worker;
+    }
+
+    List<FakeWorker> workers() {
+        return List.copyOf(workers.values());
+    }
+
+    int leader() {
+        Map<String, Object> record = store.value("meta/leader");
+        return record == null ? -1 : indexOf((String) record.get("member"));
+    }
+
+    // ---- users ----
+
+    static JobSpec spec(int number, Kind kind, int tasks, double gpus) {
+        return new JobSpec(new JobId("req-%06d".formatted(number)), "class", "team", kind, Priority.NORMAL, tasks,
+                Resources.of(1, gpus, 4), null, null, false, false, false, "image", 1, 10, 0, 0, Double.NaN);
+    }
+
+    /** Submits until accepted, as users do. */
+    boolean submit(int node, JobSpec spec, Duration runTime) {
+        specs.put(spec.id(), spec);
+        runTimes.put(spec.id(), runTime);
+        Optional<Admission.Accepted> accepted = await(node, admission -> admission.submit(spec));
+        accepted.ifPresent(outcome -> tell(outcome.state()));
+        return accepted.isPresent();
+    }
+
+    Optional<JobState> poll(int node, JobId id) {
+        Optional<Optional<JobState>> answer = await(node, admission -> admission.poll(id));
+        if (answer.isPresent()) {
+            answer.get().ifPresent(this::tell);
+            if (answer.get().isEmpty() && told.containsKey(id)) {
+                fail("forgotten: " + id);
+            }
+            if (answer.get().isPresent() && !specs.containsKey(id)) {
+                fail("invented: " + id);
+            }
+        }
+        return answer.flatMap(state -> state);
+    }
+
+    boolean cancel(int node, JobId id) {
+        Optional<Optional<JobState>> answer = await(node, admission -> admission.cancel(id));
+        answer.flatMap(state -> state).ifPresent(this::tell);
+        return answer.isPresent();
+    }
+
+    private interface Ask<T> {
+        CompletableFuture<T> of(Admission admission);
+    }
+
+    /** Waits five seconds for an answer; empty if none or a refusal came. */
+    private <T> Optional<T> await(int node, Ask<T> ask) {
+        if (members.get(node).node == null) {
+            return Optional.empty();
+        }
+        CompletableFuture<T> answer = ask.of(members.get(node).admission);
+        for (int step = 0; step < 20 && !answer.isDone(); step++) {
+            run(STEP);
+        }
+        return answer.isDone() && !answer.isCompletedExceptionally() ? Optional.of(answer.join())
+                : Optional.empty();
+    }
+
+    private void tell(JobState state) {
+        Phase before = told.get(state.id());
+        if (before == Phase.DONE || before == Phase.CANCELLED) {
+            assertTrue(state.phase() == before, "went_back: " + state.id() + " was " + before);
+        }
+        told.put(state.id(), state.phase());
+        if (state.phase() == Phase.CANCELLED) {
+            toldCancelled.putIfAbsent(state.id(), loop.now());
+        }
+        if (state.phase() == Phase.DONE) {
+            for (int task = 0; task < specs.get(state.id()).tasks(); task++) {
+                assertTrue(completed.contains(new TaskId(state.id(), task)),
+                        "not_done: task " + task + " of " + state.id());
+            }
+        }
+    }
+
+    // ---- time and rules ----
+
+    void run(Duration span) {
+        long steps = span.toNanos() / STEP.toNanos();
+        for (long step = 0; step < steps; step++) {
+            loop.run(STEP);
+            for (FakeWorker worker : workers()) {
+                if (!worker.hung() && !worker.gone()) {
+                    worker.advance();
+                }
+            }
+            check();
+        }
+    }
+
+    void runS(double seconds) {
+        run(Duration.ofMillis((long) (seconds * 1000)));
+    }
+
+    private void check() {
+        Map<String, Resources> used = new HashMap<>();
+        for (FakeWorker worker : workers.values()) {
+            for (TaskId task : worker.running()) {
+                used.merge(specs.get(task.job()).team(), specs.get(task.job()).perTask(), Resources::plus);
+                Moment since = toldCancelled.get(task.job());
+                assertTrue(worker.hung() || since == null || loop.now().since(since).compareTo(CANCEL) <= 0,
+                        "ran_cancelled: " + task);
+            }
+        }
+        used.forEach((team, sum) -> {
+            long most = teams.get(team).most().gpu();
+            assertTrue(most == 0 || sum.gpu() <= most, "quota: team " + team);
+        });
+    }
+
+    /** A task has its image now and is on its machine. */
+    void started(FakeWorker worker, TaskId task) {
+        starts++;
+        JobSpec spec = specs.get(task.job());
+        assertTrue(spec.allowsZone(worker.zone()) && spec.allowsType(worker.type()), "wrong_place: " + task);
+        int inZone = 0;
+        for (FakeWorker other : workers.values()) {
+            for (TaskId running : other.running()) {
+                assertTrue(other == worker || !running.equals(task),
+                        "ran_twice: " + task + " on " + other.id() + " and " + worker.id());
+                if (running.job().equals(task.job())) {
+                    inZone += other.zone().equals(worker.zone()) ? 1 : 0;
+                    assertTrue(!spec.oneZone() || other.zone().equals(worker.zone()), "wrong_place: " + task);
+                }
+            }
+        }
+        assertTrue(!spec.spread() || inZone <= spec.mostPerZone(), "wrong_place: too many in a zone: " + task);
+    }
+
+    void completed(TaskId task) {
+        completed.add(task);
+    }
+
+    Duration runTime(JobId id) {
+        return runTimes.get(id);
+    }
+
+    /** The machines that a task is on. */
+    List<FakeWorker> on(TaskId task) {
+        return workers.values().stream().filter(worker -> worker.running().contains(task)).toList();
+    }
+
+    // ---- the network ----
+
+    /** Hands a report to a node; null when there is no answer. */
+    Answer deliver(int node, Report report) {
+        Member member = members.get(node);
+        return member.node == null || member.cutFromWorkers ? null : member.node.report(report);
+    }
+
+    private final class Direct implements Workers {
+        private final Member member;
+
+        Direct(Member member) {
+            this.member = member;
+        }
+
+        @Override
+        public CompletableFuture<Report> send(String address, Term token, Session session, List<Order> orders) {
+            for (Order order : orders) {
+                assertTrue(order.op() != Order.Op.START, "a start went out directly: " + order);
+            }
+            CompletableFuture<Report> answer = new CompletableFuture<>();
+            Node sender = member.node;
+            loop.after(Duration.ofMillis(5), () -> {
+                FakeWorker worker = workers.get(new MachineId(address.substring(0, address.indexOf(':'))));
+                Report report = worker == null || member.cutFromWorkers ? null
+                        : worker.direct(token, session, orders);
+                if (report != null && member.node == sender) {
+                    answer.complete(report);
+                } else {
+                    answer.completeExceptionally(new IllegalStateException("no answer"));
+                }
+            });
+            return answer;
+        }
+    }
+
+    private final class Hints implements Peers {
+        private final Member from;
+
+        Hints(Member from) {
+            this.from = from;
+        }
+
+        @Override
+        public void announce(String leader, Term term) {
+            loop.after(Duration.ofMillis(5), () -> {
+                for (Member member : members) {
+                    if (member != from && member.node != null) {
+                        member.node.heardOf(term, leader);
+                    }
+                }
+            });
+        }
+    }
+
+    private final class Offer implements Cloud {
+        private <T> CompletableFuture<T> after(CompletableFuture<T> answer, Runnable work) {
+            loop.after(Duration.ofMillis(200), () -> {
+                if (cloudOut) {
+                    answer.completeExceptionally(new IllegalStateException("trouble"));
+                } else {
+                    work.run();
+                }
+            });
+            return answer;
+        }
+
+        @Override
+        public CompletableFuture<List<MachineType>> types() {
+            CompletableFuture<List<MachineType>> answer = new CompletableFuture<>();
+            return after(answer, () -> answer.complete(List.of(SMALL, LARGE)));
+        }
+
+        @Override
+        public CompletableFuture<Optional<List<MachineId>>> rent(String request, String type, String zone,
+                boolean spot, int count) {
+            CompletableFuture<Optional<List<MachineId>>> answer = new CompletableFuture<>();
+            return after(answer, () -> {
+                assertTrue(!rentals.containsKey(request), "a rental's name was used twice: " + request);
+                List<MachineId> ids = new ArrayList<>();
+                for (int at = 0; at < count && workers.size() + ids.size() < 40; at++) {
+                    MachineId id = new MachineId("vm-%06d".formatted(++nextMachine));
+                    ids.add(id);
+                    loop.after(Duration.ofSeconds(10),
+                            () -> workers.put(id, new FakeWorker(World.this, id.value(), type, zone)));
+                }
+                rentals.put(request, ids);
+                answer.complete(ids.isEmpty() ? Optional.empty() : Optional.of(ids));
+            });
+        }
+
+        @Override
+        public CompletableFuture<Void> release(List<MachineId> machines) {
+            CompletableFuture<Void> answer = new CompletableFuture<>();
+            return after(answer, () -> {
+                for (MachineId id : machines) {
+                    FakeWorker worker = workers.remove(id);
+                    if (worker != null) {
+                        worker.remove();
+                    }
+                }
+                answer.complete(null);
+            });
+        }
+
+        @Override
+        public CompletableFuture<List<Listed>> list() {
+            CompletableFuture<List<Listed>> answer = new CompletableFuture<>();
+            return after(answer, () -> answer.complete(workers.values().stream()
+                    .map(worker -> new Listed(worker.id(), worker.id().value() + ":9000", worker.type(),
+                            worker.zone(), false, Phase.RUNNING, 60)).toList()));
+        }
+    }
+}
