--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -183,6 +183,9 @@
             }
             if (job.cancelled()) {
                 stopAll(job, 0, "its user cancelled the job");
+            } else if (job.allDone()) {
+                // The predecessor noted the last task as done but did not get to write the job's end.
+                ledger.ending(job);
             }
         }
         loaded = true;
--- a/src/test/java/org/meadowhollow/story/RandomTroubleTest.java
+++ b/src/test/java/org/meadowhollow/story/RandomTroubleTest.java
@@ -1,6 +1,5 @@
 package org.meadowhollow.story;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
@@ -27,25 +26,32 @@
         }
         List<JobSpec> jobs = new ArrayList<>();
         for (int step = 0; step < STEPS; step++) {
-            trouble(world, random, jobs);
+            trouble(world, random, jobs, step);
             world.runS(1 + random.nextInt(5));
         }
         calm(world);
+        world.runS(30);
+        // Replicas would fill the team's limit for ever.
+        for (JobSpec job : jobs) {
+            if (job.kind() == Kind.SERVICE) {
+                assertTrue(world.cancel(0, job.id()));
+            }
+        }
         world.runS(400);
         for (JobSpec job : jobs) {
             Phase phase = world.poll(0, job.id()).orElseThrow().phase();
-            assertTrue(phase == Phase.CANCELLED || phase == Phase.DONE || job.kind() == Kind.SERVICE,
+            assertTrue(phase == Phase.CANCELLED || phase == Phase.DONE,
                     job.id() + " is " + phase + " long after all troubles");
         }
-        assertEquals(jobs.size(), jobs.stream().distinct().count());
+        assertTrue(jobs.isEmpty() || world.starts() > 0);
     }
 
-    private static void trouble(World world, Random random, List<JobSpec> jobs) {
+    private static void trouble(World world, Random random, List<JobSpec> jobs, int step) {
         int node = random.nextInt(3);
         switch (random.nextInt(16)) {
             case 0, 1, 2, 3 -> {
                 Kind kind = Kind.values()[random.nextInt(3)];
-                JobSpec job = World.spec(jobs.size() + 1, kind, 1 + random.nextInt(4), 1 + random.nextInt(2));
+                JobSpec job = World.spec(step, kind, 1 + random.nextInt(4), 1 + random.nextInt(2));
                 if (world.submit(node, job,
                         kind == Kind.SERVICE ? null : Duration.ofSeconds(5 + random.nextInt(40)))) {
                     jobs.add(job);
