--- a/src/main/java/org/meadowhollow/bookkeeping/Ledger.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Ledger.java
@@ -69,7 +69,8 @@
 
     /** Notes that nothing of the job is left to do, so that its final state can be written. */
     public void ending(Job job) {
-        if (!job.ended()) {
+        // A job ends once: a second try would fail for ever, and take the rest of its transaction along.
+        if (!job.ended() && !endingInFlight.contains(job.id())) {
             ending.add(job);
         }
     }
@@ -120,6 +121,9 @@
                 continue;
             }
             jobs.remove();
+            if (job.ended()) {
+                continue;
+            }
             endingInFlight.add(job.id());
             ends.add(job);
             touched.put(Records.job(job.id()), job);
