--- a/src/test/java/org/meadowhollow/story/World.java
+++ b/src/test/java/org/meadowhollow/story/World.java
@@ -300,6 +300,13 @@
 
     void completed(TaskId task) {
         completed.add(task);
+        JobSpec spec = specs.get(task.job());
+        if (spec.kind() == Kind.GANG) {
+            // The tasks of a gang complete together.
+            for (int other = 0; other < spec.tasks(); other++) {
+                completed.add(new TaskId(task.job(), other));
+            }
+        }
     }
 
     Duration runTime(JobId id) {
