--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -778,12 +778,11 @@
 
     private Map<String, PlacementRound.Share> shares() {
         Map<String, Resources> used = new HashMap<>();
-        for (Job job : jobs.values()) {
-            if (!job.placements().isEmpty()) {
-                used.merge(job.spec().team(), job.spec().perTask().times(job.placements().size()),
-                        Resources::plus);
-            }
+        // By machine, not by job: a task counts until it is proven gone, even when its job is over.
+        for (Machine machine : machines.values()) {
+            countUse(machine.placements(), used);
         }
+        unseenMachines.values().forEach(placements -> countUse(placements, used));
         Map<String, PlacementRound.Share> shares = new HashMap<>();
         for (Platform.Team team : platform.teams().values()) {
             shares.put(team.name(), new PlacementRound.Share(used.getOrDefault(team.name(), Resources.NONE),
@@ -792,6 +791,12 @@
         return shares;
     }
 
+    private static void countUse(List<Placement> placements, Map<String, Resources> used) {
+        for (Placement placement : placements) {
+            used.merge(placement.job().spec().team(), placement.job().spec().perTask(), Resources::plus);
+        }
+    }
+
     /** The jobs that fit into their team's guarantee together with the team's earlier unfinished jobs. */
     private Map<JobId, Boolean> guaranteed() {
         List<Job> byAge = new ArrayList<>(jobs.values());
--- a/src/test/java/org/meadowhollow/story/FakeWorker.java
+++ b/src/test/java/org/meadowhollow/story/FakeWorker.java
@@ -111,6 +111,11 @@
         exit(tasks.get(task), Cause.ERROR);
     }
 
+    /** Makes a task complete, as its gang does. */
+    void complete(TaskId task) {
+        exit(tasks.get(task), Cause.DONE);
+    }
+
     /** Tasks that are on the machine in the protocol's sense: with their image, and not exited. */
     List<TaskId> running() {
         List<TaskId> all = new ArrayList<>();
