--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -5,9 +5,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import org.meadowhollow.bookkeeping.Attempt;
 import org.meadowhollow.bookkeeping.Catalog;
@@ -15,6 +17,7 @@
 import org.meadowhollow.bookkeeping.EventLoop;
 import org.meadowhollow.bookkeeping.Job;
 import org.meadowhollow.bookkeeping.JobId;
+import org.meadowhollow.bookkeeping.JobSpec;
 import org.meadowhollow.bookkeeping.Kind;
 import org.meadowhollow.bookkeeping.Ledger;
 import org.meadowhollow.bookkeeping.Machine;
@@ -81,6 +84,7 @@
     private final Map<MachineId, List<Placement>> unseenMachines = new HashMap<>();
     private final Map<MachineId, Moment> probedAt = new HashMap<>();
     private final Object2IntOpenHashMap<MachineId> faults = new Object2IntOpenHashMap<>();
+    private final Set<String> largeFor = new HashSet<>();
     private boolean loaded;
     private boolean closed;
     private long byTable;
@@ -223,6 +227,7 @@
             job = Records.job(id, record, version, now);
             job.waitingSince(now);
             jobs.put(id, job);
+            noteLarge(job.spec());
             LOG.info("job {}: {} of {} tasks for team {}, class {}", id, job.spec().kind(), job.spec().tasks(),
                     job.spec().team(), job.spec().jobClass());
             return;
@@ -678,7 +683,8 @@
             }
             seats.add(new PlacementRound.Seat(machine.id(), machine.type().name(), machine.zone(),
                     machine.spot(), machine.type().room(), machine.free(), machine.placements().size(),
-                    machine.images(), risks.get(machine.id())));
+                    images(machine), fetches(machine), risks.get(machine.id()),
+                    largeFor.contains(machine.type().name())));
         }
         List<Job> order = new ArrayList<>();
         for (Job job : jobs.values()) {
@@ -734,6 +740,35 @@
         fleet.needs(needs);
     }
 
+    /** Images cached on a machine or on their way to it. */
+    private static Set<String> images(Machine machine) {
+        Set<String> images = new HashSet<>(machine.images());
+        for (Placement placement : machine.placements()) {
+            images.add(placement.job().spec().image());
+        }
+        return images;
+    }
+
+    private static int fetches(Machine machine) {
+        Set<String> fetching = new HashSet<>();
+        for (Placement placement : machine.placements()) {
+            if (!machine.images().contains(placement.job().spec().image())) {
+                fetching.add(placement.job().spec().image());
+            }
+        }
+        return fetching.size();
+    }
+
+    /** Notes the machine types that a job's tasks need most of. */
+    private void noteLarge(JobSpec spec) {
+        for (MachineType type : catalog.types()) {
+            if (spec.allowsType(type.name()) && spec.perTask().fitsIn(type.room())
+                    && PlacementRound.isLarge(spec, type.room())) {
+                largeFor.add(type.name());
+            }
+        }
+    }
+
     private int[] waitingTasks(Job job, Map<TaskId, Boolean> strays) {
         if (job.spec().kind() == Kind.GANG && (!job.placements().isEmpty() || job.doneCount() > 0)) {
             return new int[0];
--- a/src/main/java/org/meadowhollow/coordination/PlacementRound.java
+++ b/src/main/java/org/meadowhollow/coordination/PlacementRound.java
@@ -4,6 +4,7 @@
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -20,6 +21,8 @@
 public final class PlacementRound {
     /** The paper's EfficiencyFirst: no violation with at least this chance. */
     private static final double LEAST_CHANCE = 0.8;
+    /** A task that takes more than this share of a machine has it to itself. */
+    private static final double LARGE = 0.5;
 
     /** A machine that can take tasks now. */
     public static final class Seat {
@@ -30,11 +33,18 @@
         private final Resources whole;
         private final Set<String> images;
         private final RiskTable risk;
+        private final boolean forLarge;
         private Resources free;
         private int tasks;
+        private int fetches;
 
+        /**
+         * @param images what is cached here or being fetched
+         * @param fetches how many images are being fetched
+         * @param forLarge whether tasks that need most of such a machine are about
+         */
         public Seat(MachineId id, String type, String zone, boolean spot, Resources whole, Resources free,
-                int tasks, Set<String> images, RiskTable risk) {
+                int tasks, Set<String> images, int fetches, RiskTable risk, boolean forLarge) {
             this.id = id;
             this.type = type;
             this.zone = zone;
@@ -42,13 +52,28 @@
             this.whole = whole;
             this.free = free;
             this.tasks = tasks;
-            this.images = images;
+            this.images = new HashSet<>(images);
+            this.fetches = fetches;
             this.risk = risk;
+            this.forLarge = forLarge;
         }
 
-        private void take(Resources amount, int sign) {
-            free = sign > 0 ? free.minus(amount) : free.plus(amount);
-            tasks += sign;
+        /** Whether the machine is better kept whole: it is empty, and large tasks are about. */
+        private boolean kept() {
+            return forLarge && tasks == 0;
+        }
+
+        private void take(JobSpec spec) {
+            free = free.minus(spec.perTask());
+            tasks++;
+            if (images.add(spec.image())) {
+                fetches++;
+            }
+        }
+
+        private void giveBack(JobSpec spec) {
+            free = free.plus(spec.perTask());
+            tasks--;
         }
     }
 
@@ -171,7 +196,7 @@
                 return true;
             }
             for (Seat seat : taken) {
-                seat.take(spec.perTask(), -1);
+                seat.giveBack(spec);
                 team.used = team.used.minus(spec.perTask());
             }
         }
@@ -179,8 +204,7 @@
     }
 
     private static void take(Seat seat, JobSpec spec, Object2IntOpenHashMap<String> zones, Share team) {
-        seat.take(spec.perTask(), 1);
-        seat.images.add(spec.image());
+        seat.take(spec);
         zones.addTo(seat.zone, 1);
         team.used = team.used.plus(spec.perTask());
     }
@@ -214,21 +238,40 @@
                 roomiest = seat;
             }
         }
-        if (best != null) {
+        // An empty bucket is no reason to fetch an image anew that the machine has.
+        String image = job.spec().image();
+        if (best != null && (roomiest == null || best.images.contains(image) || !roomiest.images.contains(image))) {
             return new Choice(best, true);
         }
         return roomiest == null ? null : new Choice(roomiest, false);
     }
 
-    /** At equal risk: where the image is, which saves its fetch, then most room. */
+    /**
+     * At equal risk: where the image is, or else where no other fetch shares the line; a cheap machine for
+     * a task that may use one; no machine that a large task could take whole; then most room.
+     */
     private static boolean better(Seat one, Seat other, JobSpec spec) {
         boolean cached = one.images.contains(spec.image());
         if (cached != other.images.contains(spec.image())) {
             return cached;
         }
+        if (!cached && one.fetches != other.fetches) {
+            return one.fetches < other.fetches;
+        }
+        if (one.spot != other.spot) {
+            return one.spot;
+        }
+        if (!isLarge(spec, one.whole) && !isLarge(spec, other.whole) && one.kept() != other.kept()) {
+            return other.kept();
+        }
         return one.free.shareOf(one.whole) > other.free.shareOf(other.whole);
     }
 
+    /** Whether a task needs so much of a machine that no second one fits beside it. */
+    static boolean isLarge(JobSpec spec, Resources whole) {
+        return spec.perTask().shareOf(whole) > LARGE;
+    }
+
     private static boolean allowed(JobSpec spec, Object2IntMap<String> zones, Seat seat) {
         if (!spec.perTask().fitsIn(seat.free) || !spec.allowsType(seat.type) || !spec.allowsZone(seat.zone)
                 || seat.spot && !spec.spot()) {
