--- a/src/main/java/org/meadowhollow/coordination/Fleet.java
+++ b/src/main/java/org/meadowhollow/coordination/Fleet.java
@@ -28,6 +28,10 @@
     /** The cloud's limit of machines in one request. */
     private static final int MOST_RENTED = 50;
     private static final int MOST_RELEASED = 100;
+    private static final boolean[] ORDINARY = {false};
+    private static final boolean[] SPOT_FIRST = {true, false};
+    /** Makes any difference in price count for more than a zone with fewer machines. */
+    private static final double ZONE_WEIGHT = 1000;
     /** A machine that takes this many times its type's boot time is taken for one that never comes up. */
     private static final double BOOT_PATIENCE = 4;
     /** After a refusal the same kind is left alone for this long at first, and for twice that each time. */
@@ -258,17 +262,20 @@
         double bestCost = 0;
         for (MachineType type : catalog.types()) {
             for (String zone : type.zones()) {
-                Source source = new Source(type.name(), zone, false);
-                Pause pause = pauses.get(source);
-                if (!fits(spec, source, only) || pause != null && now.isBefore(pause.until)
-                        || inZone.getOrDefault(zone, 0) >= spec.mostPerZone()) {
-                    continue;
-                }
-                int each = spec.kind() == Kind.GANG ? 1 : spec.perTask().countIn(type.room(), MOST_RENTED);
-                double cost = type.price() / Math.max(1, each) * 1000 + perZone.getOrDefault(zone, 0);
-                if (best == null || cost < bestCost) {
-                    best = source;
-                    bestCost = cost;
+                for (boolean spot : spec.spot() ? SPOT_FIRST : ORDINARY) {
+                    Source source = new Source(type.name(), zone, spot);
+                    Pause pause = pauses.get(source);
+                    if (!fits(spec, source, only) || pause != null && now.isBefore(pause.until)
+                            || inZone.getOrDefault(zone, 0) >= spec.mostPerZone()) {
+                        continue;
+                    }
+                    int each = spec.kind() == Kind.GANG ? 1 : spec.perTask().countIn(type.room(), MOST_RENTED);
+                    double cost = (spot ? type.spotPrice() : type.price()) / Math.max(1, each) * ZONE_WEIGHT
+                            + perZone.getOrDefault(zone, 0);
+                    if (best == null || cost < bestCost) {
+                        best = source;
+                        bestCost = cost;
+                    }
                 }
             }
         }
--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -348,6 +348,9 @@
                 if (task.state() == TaskState.EXITED) {
                     exited(machine, placement, task.cause(), now);
                 } else {
+                    if (placement.state() != task.state()) {
+                        LOG.debug("task {} on {} is {}", task.id(), machine.id(), task.state());
+                    }
                     placement.state(task.state(), now);
                     if (task.state() != TaskState.FETCHING) {
                         machine.images().add(placement.job().spec().image());
