--- a/src/main/java/org/meadowhollow/coordination/Fleet.java
+++ b/src/main/java/org/meadowhollow/coordination/Fleet.java
@@ -37,8 +37,6 @@
     /** After a refusal the same kind is left alone for this long at first, and for twice that each time. */
     private static final Duration FIRST_PAUSE = Duration.ofSeconds(4);
     private static final Duration LONGEST_PAUSE = Duration.ofSeconds(30);
-    /** Idle machines are kept for this many boot times: the next job may be about to come. */
-    private static final double IDLE_BOOTS = 3;
     /** A deleted machine costs a minute in any case. */
     private static final double LEAST_PAID_S = 60;
     /** A silent machine is given up after this share of its lease: most of those that hang go on sooner. */
@@ -197,8 +195,15 @@
         if (machine.idleSince() == null || machine.heardAt() == null) {
             return false;
         }
-        double keepS = Math.max(LEAST_PAID_S, machine.type().bootS() * IDLE_BOOTS);
-        return machine.draining() || now.secondsSince(machine.idleSince()) > keepS;
+        return machine.draining() || now.secondsSince(machine.idleSince()) > keepS(machine.type());
+    }
+
+    /**
+     * How long an idle machine is kept: as long as it would take to have another one as ready, with its
+     * image fetched. Who keeps for the time that it costs to come back never pays more than double.
+     */
+    private double keepS(MachineType type) {
+        return Math.max(LEAST_PAID_S, type.bootS() + leader.largestImageGb() / type.fetchGbPerS());
     }
 
     /** What to rent: the needs that neither the machines that are booting nor each other's new ones take. */
--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -85,6 +85,7 @@
     private final Map<MachineId, Moment> probedAt = new HashMap<>();
     private final Object2IntOpenHashMap<MachineId> faults = new Object2IntOpenHashMap<>();
     private final Set<String> largeFor = new HashSet<>();
+    private double largestImageGb;
     private boolean loaded;
     private boolean closed;
     private long byTable;
@@ -762,8 +763,9 @@
         return fetching.size();
     }
 
-    /** Notes the machine types that a job's tasks need most of. */
+    /** Notes the machine types that a job's tasks need most of, and the size of its image. */
     private void noteLarge(JobSpec spec) {
+        largestImageGb = Math.max(largestImageGb, spec.imageGb());
         for (MachineType type : catalog.types()) {
             if (spec.allowsType(type.name()) && spec.perTask().fitsIn(type.room())
                     && PlacementRound.isLarge(spec, type.room())) {
@@ -862,6 +864,10 @@
         return List.copyOf(machines.values());
     }
 
+    synchronized double largestImageGb() {
+        return largestImageGb;
+    }
+
     synchronized boolean isLoaded() {
         return loaded;
     }
