--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -687,7 +687,7 @@
             }
             seats.add(new PlacementRound.Seat(machine.id(), machine.type().name(), machine.zone(),
                     machine.spot(), machine.type().room(), machine.free(), machine.placements().size(),
-                    images(machine), fetches(machine), risks.get(machine.id()),
+                    images(machine), fetches(machine), machine.type().fetchGbPerS(), risks.get(machine.id()),
                     largeFor.contains(machine.type().name())));
         }
         List<Job> order = new ArrayList<>();
--- a/src/main/java/org/meadowhollow/coordination/PlacementRound.java
+++ b/src/main/java/org/meadowhollow/coordination/PlacementRound.java
@@ -34,6 +34,7 @@
         private final Set<String> images;
         private final RiskTable risk;
         private final boolean forLarge;
+        private final double fetchGbPerS;
         private Resources free;
         private int tasks;
         private int fetches;
@@ -44,7 +45,8 @@
          * @param forLarge whether tasks that need most of such a machine are about
          */
         public Seat(MachineId id, String type, String zone, boolean spot, Resources whole, Resources free,
-                int tasks, Set<String> images, int fetches, RiskTable risk, boolean forLarge) {
+                int tasks, Set<String> images, int fetches, double fetchGbPerS, RiskTable risk,
+                boolean forLarge) {
             this.id = id;
             this.type = type;
             this.zone = zone;
@@ -54,6 +56,7 @@
             this.tasks = tasks;
             this.images = new HashSet<>(images);
             this.fetches = fetches;
+            this.fetchGbPerS = fetchGbPerS;
             this.risk = risk;
             this.forLarge = forLarge;
         }
@@ -71,6 +74,11 @@
             }
         }
 
+        /** About how long an image takes to come, on a line that fetches may have to share. */
+        private double fetchS(JobSpec spec) {
+            return Math.rint(spec.imageGb() * (fetches + 1) / fetchGbPerS);
+        }
+
         private void giveBack(JobSpec spec) {
             free = free.plus(spec.perTask());
             tasks--;
@@ -247,21 +255,27 @@
     }
 
     /**
-     * At equal risk: where the image is, or else where no other fetch shares the line; a cheap machine for
-     * a task that may use one; no machine that a large task could take whole; then most room.
+     * At equal risk: where the image is; a spot machine for a task that may use one; no machine that a large
+     * task could take whole; where the image comes soonest; then most room.
      */
     private static boolean better(Seat one, Seat other, JobSpec spec) {
         boolean cached = one.images.contains(spec.image());
         if (cached != other.images.contains(spec.image())) {
             return cached;
         }
-        if (!cached && one.fetches != other.fetches) {
-            return one.fetches < other.fetches;
-        }
-        if (one.spot != other.spot) {
+        boolean keeps = !isLarge(spec, one.whole) && !isLarge(spec, other.whole) && one.kept() != other.kept();
+        if (spec.kind() != Kind.SERVICE && one.spot != other.spot) {
             return one.spot;
         }
-        if (!isLarge(spec, one.whole) && !isLarge(spec, other.whole) && one.kept() != other.kept()) {
+        if (spec.kind() != Kind.SERVICE && keeps) {
+            return other.kept();
+        }
+        // Somebody waits for every replica, so its fetch comes before the room that is kept.
+        int fetch = cached ? 0 : Double.compare(one.fetchS(spec), other.fetchS(spec));
+        if (fetch != 0) {
+            return fetch < 0;
+        }
+        if (keeps) {
             return other.kept();
         }
         return one.free.shareOf(one.whole) > other.free.shareOf(other.whole);
--- /dev/null
+++ b/src/main/java/org/meadowhollow/coordination/Preemption.java
@@ -0,0 +1,66 @@
+package org.meadowhollow.coordination;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Priority;
+import org.meadowhollow.bookkeeping.Resources;
+
+/**
+ * Which tasks to stop for one that finds no room: a pure function. Only work of lower priority may be
+ * stopped, or, for a team within its guarantee, what another team runs beyond its own.
+ */
+final class Preemption {
+    private Preemption() {
+    }
+
+    /**
+     * A task that runs somewhere.
+     *
+     * @param lostS seconds of work that stopping it would lose
+     * @param borrowed whether its team uses more than its guarantee
+     */
+    record Running<T>(T task, Priority priority, String team, Resources takes, double lostS, boolean borrowed) {
+    }
+
+    /** A machine that the waiting task may use, what is free on it, and what runs there. */
+    record Place<T>(Resources free, boolean cached, List<Running<T>> running) {
+    }
+
+    /** The tasks to stop, all on one machine, that lose least; empty if no machine can be made to fit. */
+    static <T> List<T> victims(JobSpec spec, boolean guaranteed, List<Place<T>> places) {
+        List<T> best = List.of();
+        double bestLoss = Double.MAX_VALUE;
+        for (Place<T> place : places) {
+            List<Running<T>> may = new ArrayList<>();
+            for (Running<T> running : place.running()) {
+                if (mayStop(spec, guaranteed, running)) {
+                    may.add(running);
+                }
+            }
+            may.sort(Comparator.comparingDouble(Running::lostS));
+            Resources free = place.free();
+            List<T> stopped = new ArrayList<>();
+            double loss = place.cached() ? 0 : spec.imageGb();
+            for (Running<T> running : may) {
+                if (spec.perTask().fitsIn(free)) {
+                    break;
+                }
+                free = free.plus(running.takes());
+                stopped.add(running.task());
+                loss += running.lostS();
+            }
+            if (!stopped.isEmpty() && spec.perTask().fitsIn(free) && loss < bestLoss) {
+                best = stopped;
+                bestLoss = loss;
+            }
+        }
+        return best;
+    }
+
+    private static boolean mayStop(JobSpec spec, boolean guaranteed, Running<?> running) {
+        return spec.priority().above(running.priority())
+                || guaranteed && running.borrowed() && !running.team().equals(spec.team());
+    }
+}
