--- a/src/main/java/org/meadowhollow/bookkeeping/Job.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Job.java
@@ -18,6 +18,7 @@
     private Moment cancelSeenAt;
     private Moment waitingSince;
     private Moment holdUntil;
+    private Moment roomMadeAt;
     private int failures;
 
     public Job(JobSpec spec, long acceptedAtMillis, int chunkSize, Version version) {
@@ -191,6 +192,15 @@
         holdUntil = until;
     }
 
+    /** When others were last stopped for this job, or null. */
+    public Moment roomMadeAt() {
+        return roomMadeAt;
+    }
+
+    public void roomMadeAt(Moment at) {
+        roomMadeAt = at;
+    }
+
     /** Counts a task's own failure and says how many there were. */
     public int failed() {
         return ++failures;
--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -1,5 +1,6 @@
 package org.meadowhollow.coordination;
 
+import it.unimi.dsi.fastutil.objects.Object2IntMap;
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -55,6 +56,10 @@
     private static final int MOST_STARTS = 100;
     /** A task without a machine that passes goes by room alone after this long (DESIGN's value). */
     private static final Duration DESPERATE = Duration.ofSeconds(30);
+    /** Jobs in a round for which others are stopped: what is stopped must be seen to help first. */
+    private static final int MOST_PREEMPTING = 4;
+    /** Time for a stop to take effect and the room to be used before more is stopped for the same job. */
+    private static final Duration PREEMPT_AGAIN = Duration.ofSeconds(10);
     /** Orders in one answer; keeps it below the protocol's 64 KiB. */
     private static final int MOST_ORDERS = 400;
     /** Clock drift and timer steps on top of a worker's lease. */
@@ -618,7 +623,7 @@
             for (Placement placement : List.copyOf(machine.placements())) {
                 if (!placement.stopping() && (placement.job().spec().saves()
                         || placement.job().spec().kind() == Kind.SERVICE)) {
-                    stopForDrain(placement);
+                    stopSaving(placement, "machine " + placement.machine() + " is being taken back");
                 }
             }
         }
@@ -631,9 +636,9 @@
         }
     }
 
-    private void stopForDrain(Placement placement) {
+    /** Stops a task so that it can save what it did. */
+    private void stopSaving(Placement placement, String why) {
         Job job = placement.job();
-        String why = "machine " + placement.machine() + " is being taken back";
         if (job.spec().kind() == Kind.GANG) {
             // An orderly stop saves only if all tasks hear of it together.
             for (Placement each : List.copyOf(job.placements())) {
@@ -735,15 +740,85 @@
                     byRoom);
         }
         List<Fleet.Need> needs = new ArrayList<>();
+        int preempting = 0;
         for (PlacementRound.Waiting job : waiting) {
             Integer count = outcome.unplaced().get(job.spec().id());
             if (count != null) {
                 needs.add(new Fleet.Need(job.spec(), count));
+                if (preempting < MOST_PREEMPTING && makeRoom(jobs.get(job.spec().id()), job.zones(),
+                        guaranteed.getOrDefault(job.spec().id(), false), now)) {
+                    preempting++;
+                }
             }
         }
         fleet.needs(needs);
     }
 
+    /**
+     * Stops tasks for one that could not be ready in time on a new machine; true if it did. The room goes to
+     * it in a later round, for it comes first in the order.
+     */
+    private boolean makeRoom(Job job, Object2IntMap<String> zones, boolean guaranteed, Moment now) {
+        JobSpec spec = job.spec();
+        if (spec.kind() == Kind.GANG && spec.tasks() > 1 || now.secondsSince(job.waitingSince())
+                < patienceS(spec, guaranteed)
+                || job.roomMadeAt() != null && now.since(job.roomMadeAt()).compareTo(PREEMPT_AGAIN) < 0) {
+            return false;
+        }
+        Map<String, Resources> used = used();
+        List<Preemption.Place<Placement>> places = new ArrayList<>();
+        for (Machine machine : machines.values()) {
+            if (usable(machine, now) && spec.allowsType(machine.type().name()) && spec.allowsZone(machine.zone())
+                    && (spec.spot() || !machine.spot()) && zones.getInt(machine.zone()) < spec.mostPerZone()) {
+                places.add(new Preemption.Place<>(machine.free(), machine.images().contains(spec.image()),
+                        running(machine, used, now)));
+            }
+        }
+        List<Placement> victims = Preemption.victims(spec, guaranteed, places);
+        for (Placement victim : victims) {
+            stopSaving(victim, "room is needed for " + job.id());
+        }
+        if (!victims.isEmpty()) {
+            job.roomMadeAt(now);
+        }
+        return !victims.isEmpty();
+    }
+
+    private List<Preemption.Running<Placement>> running(Machine machine, Map<String, Resources> used, Moment now) {
+        List<Preemption.Running<Placement>> running = new ArrayList<>();
+        for (Placement placement : machine.placements()) {
+            JobSpec spec = placement.job().spec();
+            if (spec.kind() == Kind.SERVICE || placement.stopping()) {
+                continue;
+            }
+            double ranS = placement.runningSince() == null ? 0 : now.secondsSince(placement.runningSince());
+            Resources guarantee = platform.teams().get(spec.team()).guaranteed();
+            Resources uses = used.get(spec.team());
+            running.add(new Preemption.Running<>(placement, spec.priority(), spec.team(), spec.perTask(),
+                    spec.saves() ? Math.min(ranS, spec.saveS()) : ranS,
+                    uses.gpu() > guarantee.gpu() && (guarantee.cpu() == 0 || uses.cpu() > guarantee.cpu())));
+        }
+        return running;
+    }
+
+    /** How long a job can wait before only a running task's place can still serve it in time. */
+    private double patienceS(JobSpec spec, boolean guaranteed) {
+        double withinS = Double.MAX_VALUE;
+        for (Platform.Objective objective : platform.objectives()) {
+            if (objective.kind().equals("wait") && spec.jobClass().equals(objective.jobClass())
+                    || objective.kind().equals("guarantee") && guaranteed) {
+                withinS = Math.min(withinS, objective.withinS());
+            }
+        }
+        double readyS = Double.MAX_VALUE;
+        for (MachineType type : catalog.types()) {
+            if (spec.allowsType(type.name()) && spec.perTask().fitsIn(type.room())) {
+                readyS = Math.min(readyS, type.bootS() + spec.imageGb() / type.fetchGbPerS());
+            }
+        }
+        return withinS == Double.MAX_VALUE ? DESPERATE.toSeconds() : withinS - readyS;
+    }
+
     /** Images cached on a machine or on their way to it. */
     private static Set<String> images(Machine machine) {
         Set<String> images = new HashSet<>(machine.images());
@@ -816,13 +891,18 @@
                 : job.acceptedAtMillis() / 1000.0 + job.spec().deadlineS();
     }
 
-    private Map<String, PlacementRound.Share> shares() {
+    private Map<String, Resources> used() {
         Map<String, Resources> used = new HashMap<>();
         // By machine, not by job: a task counts until it is proven gone, even when its job is over.
         for (Machine machine : machines.values()) {
             countUse(machine.placements(), used);
         }
         unseenMachines.values().forEach(placements -> countUse(placements, used));
+        return used;
+    }
+
+    private Map<String, PlacementRound.Share> shares() {
+        Map<String, Resources> used = used();
         Map<String, PlacementRound.Share> shares = new HashMap<>();
         for (Platform.Team team : platform.teams().values()) {
             shares.put(team.name(), new PlacementRound.Share(used.getOrDefault(team.name(), Resources.NONE),
