--- a/src/main/java/org/meadowhollow/coordination/RiskTable.java
+++ b/src/main/java/org/meadowhollow/coordination/RiskTable.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayDeque;
+import org.agrona.collections.Int2IntCounterMap;
 import org.meadowhollow.bookkeeping.Moment;
 
 /**
@@ -11,7 +12,6 @@
 public final class RiskTable {
     /** The paper's groups V1 to V4: 0, 1 or 2, 3 or 4, and 5 or more violations. */
     private static final int GROUPS = 4;
-    private static final int COUNT_BUCKETS = 6;
     private static final int SHARE_BUCKETS = 5;
     /** Fewer samples than this say nothing (DESIGN's starting value). */
     static final int LEAST_SAMPLES = 20;
@@ -28,7 +28,8 @@
     private record Sample(Moment at, int bucket, int group, int tasks, int violations) {
     }
 
-    private final int[][] seen = new int[COUNT_BUCKETS * SHARE_BUCKETS][GROUPS];
+    /** How often a group was seen in a bucket, by {@link #cell}. */
+    private final Int2IntCounterMap seen = new Int2IntCounterMap(0);
     private final ArrayDeque<Sample> recent = new ArrayDeque<>();
     private int samples;
     private Moment windowsFrom;
@@ -37,7 +38,7 @@
     public void add(int tasks, double share, int violations, Moment now) {
         int bucket = bucket(tasks, share);
         int group = violations == 0 ? 0 : violations <= 2 ? 1 : violations <= 4 ? 2 : 3;
-        seen[bucket][group]++;
+        seen.incrementAndGet(cell(bucket, group));
         samples++;
         recent.add(new Sample(now, bucket, group, tasks, violations));
         if (recent.size() > MOST_SAMPLES) {
@@ -59,12 +60,12 @@
         if (samples < LEAST_SAMPLES) {
             return Double.NaN;
         }
-        int[] groups = seen[bucket(tasks, share)];
+        int bucket = bucket(tasks, share);
         int sum = 0;
-        for (int count : groups) {
-            sum += count;
+        for (int group = 0; group < GROUPS; group++) {
+            sum += seen.get(cell(bucket, group));
         }
-        return sum == 0 ? Double.NaN : (double) groups[0] / sum;
+        return sum == 0 ? Double.NaN : (double) seen.get(cell(bucket, 0)) / sum;
     }
 
     private boolean swings(Moment now) {
@@ -93,15 +94,17 @@
         if (recent.size() < LEAST_SAMPLES) {
             return;
         }
-        for (int[] groups : seen) {
-            java.util.Arrays.fill(groups, 0);
-        }
+        seen.clear();
         samples = recent.size();
         for (Sample sample : recent) {
-            seen[sample.bucket()][sample.group()]++;
+            seen.incrementAndGet(cell(sample.bucket(), sample.group()));
         }
     }
 
+    private static int cell(int bucket, int group) {
+        return bucket * GROUPS + group;
+    }
+
     private static int bucket(int tasks, double share) {
         int count = tasks <= 2 ? tasks : tasks <= 4 ? 3 : tasks <= 8 ? 4 : 5;
         int part = Math.min(SHARE_BUCKETS - 1, (int) (Math.max(0, share) * SHARE_BUCKETS));
--- /dev/null
+++ b/src/test/java/org/meadowhollow/cli/ControllerTest.java
@@ -0,0 +1,84 @@
+package org.meadowhollow.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.meadowhollow.protocol.Fields;
+import org.meadowhollow.protocol.Wire;
+
+/** A real controller on loopback whose state service and cloud cannot be reached. */
+class ControllerTest {
+    private static final String SETTINGS = """
+            {"member":"n0","area":"z","listen":"127.0.0.1:0","back":"127.0.0.1:0","known":[],"news":1,
+             "external":{"cloud":"127.0.0.1:1","state":"127.0.0.1:1"},
+             "settings":{"size":1,"zones":["z"],"teams":[{"name":"t","gpus_max":4}],
+              "objectives":[{"kind":"wait","class":"c","within_s":1.0}],
+              "workers":{"report_s":3.0,"lease_s":18.0,"gang_peer_s":6.0,"cancel_s":48.0},
+              "state":{"rps":80.0,"write_rps":30.0,"value_kb":16.0,"txn_ops":12},
+              "cloud":{"rps":8.0,"list_lag_s":10.0}}}""";
+
+    @TempDir
+    private Path folder;
+
+    private Settings settings(String text) throws IOException, Settings.Unusable {
+        Path file = folder.resolve("settings.json");
+        Files.writeString(file, text);
+        return Settings.read(file);
+    }
+
+    private static String ask(int port, String method, String path, byte[] body) throws IOException {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(10_000);
+            socket.getOutputStream().write((method + ' ' + path + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                    + "Content-Length: " + body.length + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            try {
+                socket.getOutputStream().write(body);
+            } catch (IOException refusedEarly) {
+                // The answer may come before the whole of a body that is too large.
+            }
+            InputStream answer = socket.getInputStream();
+            return new String(answer.readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    private static String status(String answer) {
+        return answer.split(" ")[1];
+    }
+
+    @Test
+    void everyRequestGetsACleanAnswer() throws Exception {
+        try (Controller controller = Controller.builder(settings(SETTINGS)).start()) {
+            int port = controller.port();
+            byte[] none = new byte[0];
+            assertEquals("503", status(ask(port, "GET", "/ready", none)));
+            assertEquals("404", status(ask(port, "GET", "/elsewhere", none)));
+            assertEquals("404", status(ask(port, "GET", "/submissions/nonsense", none)));
+            assertEquals("405", status(ask(port, "PUT", "/submissions", none)));
+            assertEquals("400", status(ask(port, "POST", "/submissions", none)));
+            assertEquals("400", status(ask(port, "POST", "/hello", Wire.encode(Fields.of("stall", "m")))));
+            assertEquals("400", status(ask(port, "POST", "/submissions", new byte[70_000])));
+            String later = ask(port, "GET", "/submissions/req-1", none);
+            assertEquals("503", status(later), "nothing confirms that there is no such job");
+            assertTrue(later.contains("Retry-After: 1"));
+        }
+    }
+
+    @Test
+    void settingsThatCannotBeUsedAreNamed() {
+        for (String[] wrong : new String[][] {{"127.0.0.1:0\",\"back", "nowhere\",\"back"}, {"\"lease_s\":18.0,", ""},
+                {"48.0", "18.0"}, {"\"rps\":80.0", "\"rps\":\"many\""}, {"{\"member\"", "[\"member\""}}) {
+            String text = SETTINGS.replace(wrong[0], wrong[1]);
+            Settings.Unusable unusable = assertThrows(Settings.Unusable.class, () -> settings(text), wrong[1]);
+            assertEquals(1, unusable.getMessage().lines().count());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/meadowhollow/coordination/PlacementRoundTest.java
@@ -0,0 +1,100 @@
+package org.meadowhollow.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.meadowhollow.bookkeeping.JobId;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.MachineId;
+import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.Priority;
+import org.meadowhollow.bookkeeping.Resources;
+
+class PlacementRoundTest {
+    private static final Resources WHOLE = Resources.of(8, 8, 8);
+    private final List<PlacementRound.Seat> seats = new ArrayList<>();
+
+    /** A table that has seen 40 reports at the load that one task makes, with so many losses among them. */
+    private static RiskTable learned(int losses) {
+        RiskTable table = new RiskTable();
+        for (int at = 0; at < 40; at++) {
+            table.add(1, 0.13, at < losses ? 1 : 0, new Moment(at * 1_000_000_000L));
+        }
+        return table;
+    }
+
+    private void seat(String name, double used, RiskTable risk, String... images) {
+        seats.add(new PlacementRound.Seat(new MachineId(name), "type", name.substring(0, 1), false, WHOLE,
+                WHOLE.minus(Resources.of(used, used, used)), 0, Set.of(images), 0, 1, risk, false));
+    }
+
+    private static JobSpec spec(Kind kind, int tasks, boolean oneZone) {
+        return new JobSpec(new JobId("req-1"), "class", "team", kind, Priority.NORMAL, tasks,
+                Resources.of(1, 1, 1), null, null, oneZone, false, false, "image", 1, 1, 0, 0, Double.NaN);
+    }
+
+    private List<String> run(JobSpec spec, boolean desperate) {
+        int[] tasks = new int[spec.tasks()];
+        for (int at = 0; at < tasks.length; at++) {
+            tasks[at] = at;
+        }
+        Map<String, PlacementRound.Share> teams =
+                Map.of("team", new PlacementRound.Share(Resources.NONE, Resources.NONE));
+        return PlacementRound.run(seats, teams, List.of(new PlacementRound.Waiting(spec, tasks,
+                new Object2IntOpenHashMap<>(), desperate)), 100).decisions().stream()
+                .map(decision -> decision.machine() + (decision.byTable() ? " by risk" : " by room")).toList();
+    }
+
+    @Test
+    void theLeastRiskComesBeforeTheMostRoom() {
+        seat("a1", 0, learned(4));
+        seat("a2", 0.1, learned(0));
+        assertEquals(List.of("a2 by risk"), run(spec(Kind.ARRAY, 1, false), false));
+    }
+
+    @Test
+    void atEqualRiskTheMostRoomWins() {
+        seat("a1", 0.1, learned(2));
+        seat("a2", 0, learned(2));
+        assertEquals(List.of("a2 by risk"), run(spec(Kind.ARRAY, 1, false), false));
+    }
+
+    @Test
+    void aMachineThatBreaksThePolicyIsUsedOnlyInDespair() {
+        seat("a1", 0, learned(20));
+        assertEquals(List.of(), run(spec(Kind.ARRAY, 1, false), false));
+        assertEquals(List.of("a1 by room"), run(spec(Kind.ARRAY, 1, false), true));
+    }
+
+    @Test
+    void whatTheTableHasNotSeenIsJudgedByRoomAlone() {
+        seat("a1", 2, new RiskTable());
+        seat("a2", 0, new RiskTable());
+        assertEquals(List.of("a2 by room"), run(spec(Kind.ARRAY, 1, false), false));
+    }
+
+    @Test
+    void aCachedImageSavesItsFetch() {
+        seat("a1", 3, new RiskTable(), "image");
+        seat("a2", 0, new RiskTable());
+        assertEquals(List.of("a1 by room"), run(spec(Kind.ARRAY, 1, false), false));
+    }
+
+    @Test
+    void aGangGoesWholeIntoOneZoneThatHasRoom() {
+        seat("a1", 7, new RiskTable());
+        seat("b1", 6, new RiskTable());
+        seat("b2", 7, new RiskTable());
+        List<String> placed = run(spec(Kind.GANG, 3, true), false);
+        assertEquals(3, placed.size());
+        assertTrue(placed.stream().allMatch(each -> each.startsWith("b")));
+        assertEquals(List.of(), run(spec(Kind.GANG, 3, true), false), "a1 alone cannot hold three");
+    }
+}
--- /dev/null
+++ b/src/test/java/org/meadowhollow/coordination/PreemptionTest.java
@@ -0,0 +1,53 @@
+package org.meadowhollow.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.meadowhollow.bookkeeping.JobId;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.Priority;
+import org.meadowhollow.bookkeeping.Resources;
+
+class PreemptionTest {
+    private static final Resources ONE = Resources.of(1, 1, 1);
+
+    private static JobSpec spec(Priority priority, double gpus) {
+        return new JobSpec(new JobId("req-1"), "class", "team", Kind.ARRAY, priority, 1,
+                Resources.of(1, gpus, 1), null, null, false, false, false, "image", 1, 1, 0, 0, Double.NaN);
+    }
+
+    private static Preemption.Running<String> running(String task, Priority priority, double lostS,
+            boolean borrowed) {
+        return new Preemption.Running<>(task, priority, "other", ONE, lostS, borrowed);
+    }
+
+    private static Preemption.Place<String> full(List<Preemption.Running<String>> running) {
+        return new Preemption.Place<>(Resources.NONE, true, running);
+    }
+
+    @Test
+    void onlyLowerPriorityGivesWay() {
+        var place = full(List.of(running("same", Priority.HIGH, 1, true), running("low", Priority.LOW, 9, true)));
+        assertEquals(List.of("low"), Preemption.victims(spec(Priority.HIGH, 1), false, List.of(place)));
+        assertEquals(List.of(), Preemption.victims(spec(Priority.LOW, 1), false, List.of(place)));
+    }
+
+    @Test
+    void whatATeamBorrowedIsGivenBackForAnothersGuarantee() {
+        var own = full(List.of(running("own", Priority.HIGH, 1, false)));
+        var borrowed = full(List.of(running("borrowed", Priority.HIGH, 5, true)));
+        assertEquals(List.of("borrowed"), Preemption.victims(spec(Priority.LOW, 1), true, List.of(own, borrowed)));
+    }
+
+    @Test
+    void theLeastWorkIsLostAndNothingInVain() {
+        var dear = full(List.of(running("long", Priority.LOW, 60, true)));
+        var cheap = full(List.of(running("new", Priority.LOW, 2, true), running("newer", Priority.LOW, 1, true)));
+        assertEquals(List.of("newer"), Preemption.victims(spec(Priority.HIGH, 1), false, List.of(dear, cheap)));
+        assertEquals(List.of("newer", "new"),
+                Preemption.victims(spec(Priority.HIGH, 2), false, List.of(dear, cheap)));
+        assertEquals(List.of(), Preemption.victims(spec(Priority.HIGH, 3), false, List.of(dear, cheap)));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/meadowhollow/protocol/StateClientTest.java
@@ -0,0 +1,61 @@
+package org.meadowhollow.protocol;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.meadowhollow.bookkeeping.StateException;
+import org.meadowhollow.bookkeeping.StateException.Outcome;
+import org.meadowhollow.bookkeeping.StateStore.Urgency;
+import org.meadowhollow.protocol.state.StateClient;
+import org.meadowhollow.story.VirtualLoop;
+
+class StateClientTest {
+    private final VirtualLoop loop = new VirtualLoop();
+    private final List<String> sent = new ArrayList<>();
+    private int status = 404;
+    private final Http.Client http = (address, method, path, body, timeout) -> {
+        sent.add(path);
+        return CompletableFuture.completedFuture(Http.Reply.of(status, Map.of("error", "no such lease")));
+    };
+    private final StateClient client = new StateClient(http, "state:1", loop, new RateBudget(10, 2),
+            new RateBudget(10, 2));
+
+    private Outcome outcomeOf(CompletableFuture<?> call) {
+        return call.handle((result, failure) -> StateException.of(failure)).join();
+    }
+
+    @Test
+    void requestsKeepToTheBudgetAndTheMostUrgentGoFirst() {
+        for (int at = 0; at < 4; at++) {
+            client.get("background/" + at, Urgency.BACKGROUND);
+        }
+        client.get("user", Urgency.USER);
+        client.grant(Duration.ofSeconds(5));
+        assertEquals(List.of("/kv/background/0", "/kv/background/1"), sent);
+        loop.run(Duration.ofMillis(101));
+        assertEquals("/grants", sent.get(2));
+        loop.run(Duration.ofMillis(101));
+        assertEquals("/kv/user", sent.get(3));
+        loop.run(Duration.ofSeconds(1));
+        assertEquals(6, sent.size());
+    }
+
+    @Test
+    void answersSayWhatIsKnownOfTheRequest() {
+        assertTrue(client.get("key", Urgency.USER).join().isEmpty());
+        status = 503;
+        assertEquals(Outcome.REFUSED, outcomeOf(client.get("key", Urgency.USER)));
+        assertTrue(client.seemsOut());
+        loop.run(Duration.ofSeconds(2));
+        status = 400;
+        assertEquals(Outcome.NO_SUCH_LEASE, outcomeOf(client.get("key", Urgency.USER)));
+        status = 500;
+        assertEquals(Outcome.UNKNOWN, outcomeOf(client.get("key", Urgency.USER)));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/meadowhollow/protocol/SubmissionTest.java
@@ -0,0 +1,73 @@
+package org.meadowhollow.protocol;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.Priority;
+import org.meadowhollow.protocol.users.SubmissionCodec;
+
+class SubmissionTest {
+    private static Map<String, Object> body() {
+        return Fields.of("ref", "req-000412", "herd", "train", "crew", "vision", "shape", "ensemble", "urgency",
+                "urgent", "chores", 16L, "cores", 8.0, "gpus", 1L, "memGb", 64.0, "bundle", "img-07", "pullGb", 6.2,
+                "breeds", List.of("g8"), "field", null, "together", true, "spread", false, "loaners", true,
+                "expectedS", 240.0, "bookmarkS", 30.0, "stashS", 4.0, "dueS", null, "unheardOf", "ignored");
+    }
+
+    private static JobSpec decode(Map<String, Object> body) throws Malformed {
+        return SubmissionCodec.decode(Fields.decode(Wire.encode(body)));
+    }
+
+    @Test
+    void aSubmissionIsReadAsTheProtocolSays() throws Malformed {
+        JobSpec spec = decode(body());
+        assertEquals(Kind.GANG, spec.kind());
+        assertEquals(Priority.HIGH, spec.priority());
+        assertEquals(16, spec.tasks());
+        assertEquals(1_000_000, spec.perTask().gpu());
+        assertEquals(Double.NaN, spec.deadlineS());
+    }
+
+    @Test
+    void anAbsentFieldEqualsNull() throws Malformed {
+        Map<String, Object> body = new HashMap<>(body());
+        body.remove("field");
+        body.remove("dueS");
+        assertEquals(decode(body()), decode(body));
+    }
+
+    @Test
+    void wrongFieldsAreMalformed() {
+        for (Object[] wrong : new Object[][] {{"ref", "job-1"}, {"ref", null}, {"chores", 0L}, {"chores", 100_001L},
+                {"chores", 2.5}, {"chores", "2"}, {"cores", -1.0}, {"cores", Double.NaN}, {"shape", "heap"},
+                {"urgency", 3L}, {"breeds", "g8"}, {"breeds", List.of(1L)}, {"together", "yes"}, {"herd", ""}}) {
+            Map<String, Object> body = body();
+            body.put((String) wrong[0], wrong[1]);
+            assertThrows(Malformed.class, () -> decode(body), Arrays.toString(wrong));
+        }
+    }
+
+    @Test
+    void brokenBodiesAreMalformed() {
+        byte[] good = Wire.encode(body());
+        byte[] deep = new byte[5000];
+        Arrays.fill(deep, (byte) 0x91);
+        byte[] promising = {(byte) 0xdf, 0x7f, (byte) 0xff, (byte) 0xff, (byte) 0xff};
+        byte[] nested = new byte[deep.length + 3];
+        nested[0] = (byte) 0x81;
+        nested[1] = (byte) 0xa1;
+        nested[2] = 'a';
+        System.arraycopy(deep, 0, nested, 3, deep.length);
+        for (byte[] broken : new byte[][] {{}, {(byte) 0xc1}, Arrays.copyOf(good, good.length - 3),
+                Arrays.copyOf(good, good.length + 1), deep, nested, promising}) {
+            assertThrows(Malformed.class, () -> Wire.decode(broken));
+        }
+    }
+}
--- a/src/test/java/org/meadowhollow/story/VirtualLoop.java
+++ b/src/test/java/org/meadowhollow/story/VirtualLoop.java
@@ -6,7 +6,7 @@
 import org.meadowhollow.bookkeeping.Moment;
 
 /** A loop whose time only moves when a test says so. */
-final class VirtualLoop implements EventLoop {
+public final class VirtualLoop implements EventLoop {
     private record Due(long at, long order, Runnable work) implements Comparable<Due> {
         @Override
         public int compareTo(Due other) {
@@ -34,7 +34,7 @@
     }
 
     /** Runs all that falls due within the span. */
-    void run(Duration span) {
+    public void run(Duration span) {
         long end = nanos + span.toNanos();
         while (!due.isEmpty() && due.peek().at() <= end) {
             Due next = due.poll();
