Replicas keep off machines without one that large tasks need

Cause: two replicas each on two of the six large machines blocked gangs for as long as the replicas ran.

--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -692,7 +692,7 @@
             }
             seats.add(new PlacementRound.Seat(machine.id(), machine.type().name(), machine.zone(),
                     machine.spot(), machine.type().room(), machine.free(), machine.placements().size(),
-                    images(machine), fetches(machine), machine.type().fetchGbPerS(), risks.get(machine.id()),
+                    replicas(machine), images(machine), fetches(machine), machine.type().fetchGbPerS(), risks.get(machine.id()),
                     largeFor.contains(machine.type().name())));
         }
         List<Job> order = new ArrayList<>();
@@ -828,6 +828,14 @@
         return images;
     }
 
+    private static int replicas(Machine machine) {
+        int count = 0;
+        for (Placement placement : machine.placements()) {
+            count += placement.job().spec().kind() == Kind.SERVICE ? 1 : 0;
+        }
+        return count;
+    }
+
     private static int fetches(Machine machine) {
         Set<String> fetching = new HashSet<>();
         for (Placement placement : machine.placements()) {
--- a/src/main/java/org/meadowhollow/coordination/PlacementRound.java
+++ b/src/main/java/org/meadowhollow/coordination/PlacementRound.java
@@ -37,15 +37,18 @@
         private final double fetchGbPerS;
         private Resources free;
         private int tasks;
+        private int replicas;
         private int fetches;
 
         /**
+         * @param tasks all tasks on the machine
+         * @param replicas those of services among them
          * @param images what is cached here or being fetched
          * @param fetches how many images are being fetched
          * @param forLarge whether tasks that need most of such a machine are about
          */
         public Seat(MachineId id, String type, String zone, boolean spot, Resources whole, Resources free,
-                int tasks, Set<String> images, int fetches, double fetchGbPerS, RiskTable risk,
+                int tasks, int replicas, Set<String> images, int fetches, double fetchGbPerS, RiskTable risk,
                 boolean forLarge) {
             this.id = id;
             this.type = type;
@@ -54,6 +57,7 @@
             this.whole = whole;
             this.free = free;
             this.tasks = tasks;
+            this.replicas = replicas;
             this.images = new HashSet<>(images);
             this.fetches = fetches;
             this.fetchGbPerS = fetchGbPerS;
@@ -61,14 +65,18 @@
             this.forLarge = forLarge;
         }
 
-        /** Whether the machine is better kept whole: it is empty, and large tasks are about. */
-        private boolean kept() {
-            return forLarge && tasks == 0;
+        /**
+         * Whether the machine is better kept whole, since large tasks are about: an empty one is not for short
+         * tasks, and one without a replica is not for replicas, which would block it for as long as they run.
+         */
+        private boolean keptFrom(JobSpec spec) {
+            return forLarge && !isLarge(spec, whole) && (spec.kind() == Kind.SERVICE ? replicas : tasks) == 0;
         }
 
         private void take(JobSpec spec) {
             free = free.minus(spec.perTask());
             tasks++;
+            replicas += spec.kind() == Kind.SERVICE ? 1 : 0;
             if (images.add(spec.image())) {
                 fetches++;
             }
@@ -263,12 +271,12 @@
         if (cached != other.images.contains(spec.image())) {
             return cached;
         }
-        boolean keeps = !isLarge(spec, one.whole) && !isLarge(spec, other.whole) && one.kept() != other.kept();
+        boolean keeps = one.keptFrom(spec) != other.keptFrom(spec);
         if (spec.kind() != Kind.SERVICE && one.spot != other.spot) {
             return one.spot;
         }
         if (spec.kind() != Kind.SERVICE && keeps) {
-            return other.kept();
+            return other.keptFrom(spec);
         }
         // Somebody waits for every replica, so its fetch comes before the room that is kept.
         int fetch = cached ? 0 : Double.compare(one.fetchS(spec), other.fetchS(spec));
@@ -276,7 +284,7 @@
             return fetch < 0;
         }
         if (keeps) {
-            return other.kept();
+            return other.keptFrom(spec);
         }
         return one.free.shareOf(one.whole) > other.free.shareOf(other.whole);
     }
--- a/src/test/java/org/meadowhollow/coordination/PlacementRoundTest.java
+++ b/src/test/java/org/meadowhollow/coordination/PlacementRoundTest.java
@@ -32,7 +32,7 @@
 
     private void seat(String name, double used, RiskTable risk, String... images) {
         seats.add(new PlacementRound.Seat(new MachineId(name), "type", name.substring(0, 1), false, WHOLE,
-                WHOLE.minus(Resources.of(used, used, used)), 0, Set.of(images), 0, 1, risk, false));
+                WHOLE.minus(Resources.of(used, used, used)), 0, 0, Set.of(images), 0, 1, risk, false));
     }
 
     private static JobSpec spec(Kind kind, int tasks, boolean oneZone) {
