--- a/src/main/java/org/meadowhollow/coordination/Fleet.java
+++ b/src/main/java/org/meadowhollow/coordination/Fleet.java
@@ -39,8 +39,15 @@
     private static final Duration LONGEST_PAUSE = Duration.ofSeconds(30);
     /** A deleted machine costs a minute in any case. */
     private static final double LEAST_PAID_S = 60;
-    /** A silent machine is given up after this share of its lease: most of those that hang go on sooner. */
+    /** A silent machine is given up after this many leases: its tasks are gone, but it may yet go on. */
     private static final double GIVE_UP_LEASES = 1.5;
+    /**
+     * A machine that others wait for is given up after this many reports: two in a row at their latest (a
+     * quarter late each), and time for a direct question. Its return proves its tasks gone before its lease does.
+     */
+    private static final double GIVE_UP_REPORTS = 2.7;
+    /** If more than this share of the machines is silent, the fault is more likely ours than theirs. */
+    private static final double MOST_SILENT = 0.25;
 
     /** Waiting tasks of a job that found no machine. */
     record Need(JobSpec spec, int tasks) {
@@ -171,8 +178,12 @@
             });
             wanted = renting > 0 ? Map.of() : wanted(machines, now);
         }
+        double giveUpS = platform.reportEvery().toNanos() / 1e9 * GIVE_UP_REPORTS;
+        List<Machine> silent = machines.stream().filter(machine -> machine.heardAt() != null
+                && now.secondsSince(machine.heardAt()) > giveUpS).toList();
+        boolean fewSilent = silent.size() <= Math.max(1, machines.size() * MOST_SILENT);
         for (Machine machine : machines) {
-            if (unwanted(machine, now)) {
+            if (unwanted(machine, now) || fewSilent && silent.contains(machine) && isWaitedFor(machine)) {
                 unwanted.add(machine.id());
             }
         }
@@ -180,6 +191,12 @@
         release(unwanted, "idle, silent or faulty");
     }
 
+    /** Whether a service or a gang is held up while nobody knows if the machine's tasks still run. */
+    private static boolean isWaitedFor(Machine machine) {
+        return !machine.releasing() && machine.placements().stream()
+                .anyMatch(placement -> placement.job().spec().kind() != Kind.ARRAY);
+    }
+
     private boolean unwanted(Machine machine, Moment now) {
         if (machine.releasing()) {
             return false;
