Give up on hanging connects, return machines that hold cancelled tasks, drop dead code

- A connect that hangs behind a cut counts no more once its caller has given up; 24 such attempts blocked every later request to that address until the kernel let go of them.
- A cancelled task that is still there after half of cancel_s costs its machine.
- Returned machines are remembered for half an hour instead of for ever.

--- a/src/main/java/org/meadowhollow/bookkeeping/Machine.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Machine.java
@@ -24,7 +24,6 @@
     private Session session;
     private long seq = -1;
     private Term shown = Term.NONE;
-    private Moment firstSeenAt;
     private Moment heardAt;
     private Moment noticeEndsAt;
     private boolean draining;
@@ -36,12 +35,11 @@
     private final Set<String> images = new HashSet<>();
     private int lostSinceReport;
 
-    public Machine(MachineId id, MachineType type, String zone, boolean spot, Moment now) {
+    public Machine(MachineId id, MachineType type, String zone, boolean spot) {
         this.id = id;
         this.type = type;
         this.zone = zone;
         this.spot = spot;
-        this.firstSeenAt = now;
     }
 
     public MachineId id() {
@@ -68,10 +66,6 @@
         address = known;
     }
 
-    public Moment firstSeenAt() {
-        return firstSeenAt;
-    }
-
     /** The session last reported, or null before the first report. */
     public Session session() {
         return session;
--- a/src/main/java/org/meadowhollow/bookkeeping/Placement.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Placement.java
@@ -8,23 +8,19 @@
     private final MachineId machine;
     private final Session session;
     private final long change;
-    private final Moment placedAt;
     private TaskState state;
     private long startSentSeq = -1;
     private boolean stopping;
     private double graceS;
-    private Moment stopAskedAt;
     private Moment runningSince;
 
-    Placement(Job job, TaskId task, Attempt attempt, MachineId machine, Session session, long change,
-            Moment placedAt) {
+    Placement(Job job, TaskId task, Attempt attempt, MachineId machine, Session session, long change) {
         this.job = job;
         this.task = task;
         this.attempt = attempt;
         this.machine = machine;
         this.session = session;
         this.change = change;
-        this.placedAt = placedAt;
     }
 
     public Job job() {
@@ -47,10 +43,6 @@
         return session;
     }
 
-    public Moment placedAt() {
-        return placedAt;
-    }
-
     public boolean committed() {
         return job.chunkOf(task.index()).isSaved(change);
     }
@@ -90,16 +82,9 @@
         return graceS;
     }
 
-    public Moment stopAskedAt() {
-        return stopAskedAt;
-    }
-
     /** Asks for a stop; a later call can only shorten the time to save. */
-    public void stop(double grace, Moment now) {
+    public void stop(double grace) {
         graceS = stopping ? Math.min(graceS, grace) : grace;
-        if (!stopping) {
-            stopAskedAt = now;
-        }
         stopping = true;
     }
 }
--- a/src/main/java/org/meadowhollow/cli/Settings.java
+++ b/src/main/java/org/meadowhollow/cli/Settings.java
@@ -82,8 +82,8 @@
         if (cancel.compareTo(lease) <= 0) {
             throw new Malformed("cancel_s must be longer than lease_s");
         }
-        return new Platform(member, (int) positive(settings, "size"), zones == null ? List.of() : zones, teams,
-                objectives, seconds(workers, "report_s"), lease, seconds(workers, "gang_peer_s"), cancel,
+        return new Platform(member, zones == null ? List.of() : zones, teams,
+                objectives, seconds(workers, "report_s"), lease, cancel,
                 positive(state, "rps"), positive(state, "write_rps"), (int) (positive(state, "value_kb") * 1024),
                 (int) positive(state, "txn_ops"), positive(cloud, "rps"), seconds(cloud, "list_lag_s"));
     }
--- a/src/main/java/org/meadowhollow/coordination/Fleet.java
+++ b/src/main/java/org/meadowhollow/coordination/Fleet.java
@@ -28,6 +28,8 @@
     /** The cloud's limit of machines in one request. */
     private static final int MOST_RENTED = 50;
     private static final int MOST_RELEASED = 100;
+    /** Messages can arrive minutes late. */
+    private static final Duration FORGET_RETURNED = Duration.ofMinutes(30);
     private static final boolean[] ORDINARY = {false};
     private static final boolean[] SPOT_FIRST = {true, false};
     /** Makes any difference in price count for more than a zone with fewer machines. */
@@ -72,7 +74,8 @@
     private final Term term;
     private final Map<MachineId, Rental> booting = new LinkedHashMap<>();
     private final Map<Source, Pause> pauses = new HashMap<>();
-    private final Set<MachineId> released = new HashSet<>();
+    /** Returned machines, for as long as a late list or report may still name them. */
+    private final Map<MachineId, Moment> released = new LinkedHashMap<>();
     private List<Need> needs = List.of();
     private int counter;
     private int renting;
@@ -102,7 +105,7 @@
 
     /** Whether a machine was returned for certain, so that a late report of it means nothing. */
     synchronized boolean isGone(MachineId id) {
-        return released.contains(id);
+        return released.containsKey(id);
     }
 
     private void list() {
@@ -123,7 +126,7 @@
         List<Cloud.Listed> live = new ArrayList<>();
         synchronized (this) {
             for (Cloud.Listed item : list) {
-                if (released.contains(item.id())) {
+                if (released.containsKey(item.id())) {
                     continue;
                 }
                 live.add(item);
@@ -205,6 +208,12 @@
         if (machine.heardAt() != null && now.secondsSince(machine.heardAt()) > leaseS * GIVE_UP_LEASES) {
             return true;
         }
+        // A cancelled task that does not go is made to: the return proves it gone in time for its limit.
+        Duration half = platform.cancelWithin().dividedBy(2);
+        if (machine.placements().stream().anyMatch(placement -> placement.job().cancelled()
+                && now.since(placement.job().cancelSeenAt()).compareTo(half) > 0)) {
+            return true;
+        }
         if (machine.noticeEndsAt() != null) {
             return machine.noticeEndsAt().isBefore(now) && machine.heardAt() != null
                     && now.secondsSince(machine.heardAt()) > 1;
@@ -358,7 +367,9 @@
             synchronized (this) {
                 releasing = false;
                 if (failure == null) {
-                    released.addAll(batch);
+                    Moment now = loop.now();
+                    released.values().removeIf(at -> now.since(at).compareTo(FORGET_RETURNED) > 0);
+                    batch.forEach(id -> released.put(id, now));
                     batch.forEach(booting::remove);
                 }
             }
--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -165,7 +165,7 @@
                     return;
                 }
                 for (StateStore.Entry entry : page.entries()) {
-                    if (!Records.load(entry, jobs, begunAt)) {
+                    if (!Records.load(entry, jobs)) {
                         ledger.leftover(entry.key());
                     }
                 }
@@ -312,7 +312,7 @@
             if (type == null || fleet.isGone(report.machine())) {
                 return null;
             }
-            machine = add(new Machine(report.machine(), type, report.zone(), report.spot(), now));
+            machine = add(new Machine(report.machine(), type, report.zone(), report.spot()));
         }
         machine.address(report.address());
         return machine;
@@ -538,7 +538,7 @@
             LOG.info("task {} attempt {} on {} is stopped: {}", placement.task(), placement.attempt(),
                     placement.machine(), why);
         }
-        placement.stop(graceS, now);
+        placement.stop(graceS);
         Machine machine = machines.get(placement.machine());
         if (!placement.committed()) {
             // Its start was never sent and cannot be: nothing to wait for.
@@ -723,7 +723,7 @@
             Attempt attempt = job.spec().kind() == Kind.GANG
                     ? attempts.computeIfAbsent(job.id(), unused -> job.nextAttempt(decision.task()))
                     : job.nextAttempt(decision.task());
-            Placement placement = job.place(decision.task(), attempt, machine.id(), machine.session(), now);
+            Placement placement = job.place(decision.task(), attempt, machine.id(), machine.session());
             machine.placements().add(placement);
             machine.idleSince(null);
             ledger.changed(job.chunkOf(decision.task()));
@@ -962,11 +962,10 @@
 
     /** Takes in what the cloud lists: machines not yet heard of, their addresses, and failed ones. */
     synchronized void listed(List<Cloud.Listed> list) {
-        Moment now = loop.now();
         for (Cloud.Listed item : list) {
             Machine machine = machines.get(item.id());
             if (machine == null && item.phase() == Cloud.Phase.RUNNING && catalog.type(item.type()) != null) {
-                machine = add(new Machine(item.id(), catalog.type(item.type()), item.zone(), item.spot(), now));
+                machine = add(new Machine(item.id(), catalog.type(item.type()), item.zone(), item.spot()));
             }
             if (machine != null) {
                 if (machine.address() == null) {
--- a/src/main/java/org/meadowhollow/transport/HttpClient.java
+++ b/src/main/java/org/meadowhollow/transport/HttpClient.java
@@ -75,6 +75,8 @@
         private final CompletableFuture<Http.Reply> answer = new CompletableFuture<>();
         private XnioExecutor.Key timer;
         private ClientConnection connection;
+        /** Where this call waits for its connection, until it has it or gives it up. */
+        private Target connecting;
         private boolean sent;
 
         Call(String address, String method, String path, byte[] body) {
@@ -98,32 +100,33 @@
                 return;
             }
             target.open++;
+            connecting = target;
             UndertowClient.getInstance().connect(new ClientCallback<>() {
                 @Override
                 public void completed(ClientConnection made) {
-                    made.getCloseSetter().set(unused -> closed());
-                    if (answer.isDone()) {
+                    if (connecting == null) {
                         IoUtils.safeClose(made);
-                    } else {
-                        use(made);
+                        return;
                     }
+                    connecting = null;
+                    made.getCloseSetter().set(unused -> closed(target));
+                    use(made);
                 }
 
                 @Override
                 public void failed(IOException failure) {
-                    closed();
                     fail("no connection to " + address);
                 }
-
-                private void closed() {
-                    target.open--;
-                    if (target.open == 0 && target.idle.isEmpty()) {
-                        targets.remove(address, target);
-                    }
-                }
             }, URI.create("http://" + address), loop.thread(), buffers, OptionMap.EMPTY);
         }
 
+        private void closed(Target target) {
+            target.open--;
+            if (target.open == 0) {
+                targets.remove(address, target);
+            }
+        }
+
         private void use(ClientConnection free) {
             connection = free;
             sent = true;
@@ -256,12 +259,29 @@
             answer.complete(new Http.Reply(exchange.getResponse().getResponseCode(), bytes, 0));
         }
 
+        /** What one connection suffers its idle neighbours have suffered too; a new call needs a new one. */
+        private void dropIdle() {
+            Target target = targets.get(address);
+            ClientConnection kept;
+            while (target != null && (kept = target.idle.poll()) != null) {
+                IoUtils.safeClose(kept);
+            }
+        }
+
         private void fail(String why) {
             if (answer.isDone()) {
                 return;
             }
             timer.remove();
+            if (connecting != null) {
+                // Given up, it counts no more: behind a cut, attempts that hang would use up all that may be open.
+                closed(connecting);
+                connecting = null;
+            }
             IoUtils.safeClose(connection);
+            if (sent) {
+                dropIdle();
+            }
             answer.completeExceptionally(sent ? new Http.NoAnswer(why) : new Http.NotSent(why));
         }
     }
--- a/src/test/java/org/meadowhollow/story/StoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/StoriesTest.java
@@ -257,6 +257,47 @@
         assertEquals(5, world.starts());
     }
 
+    @Test
+    void aCancelledTaskOnAMachineOutOfReachIsGoneInTime() {
+        JobSpec job = array(1, 1);
+        assertTrue(world.submit(0, job, LONG));
+        world.runS(10);
+        FakeWorker hung = placeOf(job, 0);
+        hung.hang(true);
+        // Direct commands and reports fail from here on; the limit is 48 s, and half of it is waited.
+        assertTrue(world.cancel(1, job.id()));
+        world.runS(2);
+        for (int node = 0; node < 3; node++) {
+            world.crash(node);
+            world.restart(node);
+        }
+        world.runS(30);
+        assertFalse(world.workers().contains(hung), "its lease may last for 48 s after the takeover");
+    }
+
+    @Test
+    void aReplicaIsMovedFromASilentMachineBeforeItsLeaseEnds() {
+        JobSpec job = World.spec(1, Kind.SERVICE, 1, 1);
+        assertTrue(world.submit(0, job, null));
+        world.runS(10);
+        placeOf(job, 0).hang(true);
+        world.runS(16);
+        assertEquals(2, world.starts());
+    }
+
+    @Test
+    void manySilentMachinesAreNotGivenUpAtOnce() {
+        JobSpec job = zoned(World.spec(1, Kind.SERVICE, 4, 8), false, false);
+        assertTrue(world.submit(0, job, null));
+        world.runS(10);
+        int before = world.workers().size();
+        for (int task = 0; task < 4; task++) {
+            placeOf(job, task).hang(true);
+        }
+        world.runS(16);
+        assertEquals(before, world.workers().size(), "the fault may be on this side");
+    }
+
     @Test
     void aTeamNeverUsesMoreThanItsLimit() {
         world.team("small", 0, 3);
--- a/src/test/java/org/meadowhollow/story/World.java
+++ b/src/test/java/org/meadowhollow/story/World.java
@@ -83,8 +83,8 @@
             line = store.new Line();
             FakeStore.Line mine = line;
             Catalog catalog = new Catalog();
-            Platform platform = new Platform(name, 3, List.of("a", "b"), teams, List.of(), Duration.ofSeconds(3),
-                    Duration.ofSeconds(18), Duration.ofSeconds(6), CANCEL, 100, 50, 16 * 1024, 12, 10,
+            Platform platform = new Platform(name, List.of("a", "b"), teams, List.of(), Duration.ofSeconds(3),
+                    Duration.ofSeconds(18), CANCEL, 100, 50, 16 * 1024, 12, 10,
                     Duration.ofSeconds(8));
             node = new Node(loop, mine, new Direct(this), new Offer(), new Hints(this), platform, catalog,
                     new Random(nextSeed++));
