--- a/src/test/java/org/meadowhollow/story/StoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/StoriesTest.java
@@ -181,6 +181,7 @@
         int old = world.leader();
         // Only the old leader reaches the workers, and it alone is refused by the state service.
         world.peersCut(true);
+        world.cloudOut(true);
         for (int node = 0; node < 3; node++) {
             world.cutFromWorkers(node, node != old);
         }
@@ -204,6 +205,21 @@
         assertEquals(6, world.starts());
     }
 
+    @Test
+    void aDeposedLeadersLatePlacementIsNotRecorded() {
+        int old = world.leader();
+        world.line(old).hold(true);
+        assertTrue(world.submit((old + 1) % 3, array(1, 2), LONG));
+        world.runS(2);
+        world.workers().forEach(worker -> worker.hang(true));
+        world.cloudOut(true);
+        world.runS(15);
+        assertTrue(world.leader() != old);
+        world.line(old).hold(false);
+        world.runS(1);
+        assertEquals(0, world.store().size("task/"), "its successor would not know of it");
+    }
+
     @Test
     void aHungMachinesTasksRunElsewhereAndItMayGoOnLater() {
         JobSpec job = World.spec(1, Kind.SERVICE, 1, 1);
