--- a/src/main/java/org/meadowhollow/coordination/Node.java
+++ b/src/main/java/org/meadowhollow/coordination/Node.java
@@ -30,6 +30,7 @@
     private final Leadership leadership;
     private Leader leader;
     private boolean closed;
+    private boolean cloudSilent;
 
     public Node(EventLoop loop, StateStore store, Workers workers, Cloud cloud, Peers peers, Platform platform,
             Catalog catalog, RandomGenerator random) {
@@ -70,6 +71,11 @@
                 return;
             }
             if (failure != null || types.isEmpty()) {
+                if (!cloudSilent) {
+                    LOG.info("the cloud does not name its machine types: {}; trying on",
+                            failure == null ? "it has none" : failure.getMessage());
+                }
+                cloudSilent = true;
                 loop.after(RETRY, this::readTypes);
                 return;
             }
--- a/src/main/java/org/meadowhollow/protocol/state/StateClient.java
+++ b/src/main/java/org/meadowhollow/protocol/state/StateClient.java
@@ -20,11 +20,14 @@
 import org.meadowhollow.protocol.Malformed;
 import org.meadowhollow.protocol.RateBudget;
 import org.meadowhollow.protocol.Wire;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The state service over HTTP: within a budget of requests and of changes, the most urgent first.
  */
 public final class StateClient implements StateStore {
+    private static final Logger LOG = LoggerFactory.getLogger(StateClient.class);
     /** Most answers take a few milliseconds and a few take some hundred; past this the line is dead. */
     private static final Duration ANSWER = Duration.ofMillis(1500);
     /** Room for bursts of users' calls; past it a caller is better told at once to come back. */
@@ -214,7 +217,7 @@
     private void send(Call call) {
         http.send(address, call.method(), call.path(), call.body(), ANSWER).whenComplete((reply, failure) -> {
             if (failure != null) {
-                noteFailure();
+                noteFailure(failure.getMessage());
                 Outcome outcome = failure instanceof Http.NotSent ? Outcome.REFUSED : Outcome.UNKNOWN;
                 call.answer().completeExceptionally(new StateException(outcome, failure.getMessage()));
                 return;
@@ -225,18 +228,24 @@
                 call.answer().complete(checked);
             } catch (StateException refused) {
                 if (reply.status() == 503) {
-                    noteFailure();
+                    noteFailure(refused.getMessage());
                 }
                 call.answer().completeExceptionally(refused);
             }
         });
     }
 
-    private synchronized void noteFailure() {
+    private synchronized void noteFailure(String why) {
+        if (failedAt == null) {
+            LOG.info("the state service at {} does not serve us: {}; trying on", address, why);
+        }
         failedAt = loop.now();
     }
 
     private synchronized void noteSuccess() {
+        if (failedAt != null) {
+            LOG.info("the state service serves us again");
+        }
         failedAt = null;
     }
 
