--- a/src/main/java/org/meadowhollow/transport/XnioLoop.java
+++ b/src/main/java/org/meadowhollow/transport/XnioLoop.java
@@ -19,9 +19,6 @@
  */
 public final class XnioLoop implements EventLoop, AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(XnioLoop.class);
-    /** Bytes; the stacks of callbacks are shallow and memory is short. */
-    private static final long STACK = 256 * 1024;
-
     private final XnioWorker worker;
     private final XnioIoThread thread;
 
@@ -31,7 +28,6 @@
                 .set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1)
                 .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                .set(Options.STACK_SIZE, STACK)
                 .set(Options.THREAD_DAEMON, false)
                 .getMap());
         thread = worker.getIoThread();
