Clean-up: derive the fetches under way, drop a listener call that did nothing

The number of fetches is what the images known on a machine exceed the cached ones by, so they are collected once. Behaviour is unchanged.

--- a/src/main/java/org/meadowhollow/bookkeeping/Ledger.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Ledger.java
@@ -19,9 +19,6 @@
 public final class Ledger {
     /** What the leader must know of its writes. */
     public interface Listener {
-        /** Something was committed, so that starts or forgets may go out. */
-        void committed();
-
         /** The job is over and its end is in the state service. */
         void ended(Job job);
 
@@ -202,7 +199,6 @@
         }
         if (applied) {
             ends.forEach(listener::ended);
-            listener.committed();
             flush();
             return;
         }
--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -250,11 +250,6 @@
 
     // ---- what the ledger tells ----
 
-    @Override
-    public synchronized void committed() {
-        // The next report of each machine is answered with what may now go out.
-    }
-
     @Override
     public synchronized void ended(Job job) {
         jobs.remove(job.id());
@@ -295,7 +290,7 @@
             leadership.heardOf(report.token(), null);
             return new Answer.Elsewhere(leadership.leader());
         }
-        Machine machine = machine(report, now);
+        Machine machine = machine(report);
         if (machine == null || !take(machine, report, now)) {
             return new Answer.Orders(term, List.of());
         }
@@ -305,7 +300,7 @@
         return new Answer.Orders(term, orders);
     }
 
-    private Machine machine(Report report, Moment now) {
+    private Machine machine(Report report) {
         Machine machine = machines.get(report.machine());
         if (machine == null) {
             MachineType type = catalog.type(report.type());
@@ -569,7 +564,7 @@
             return;
         }
         Moment now = loop.now();
-        Machine machine = machine(report, now);
+        Machine machine = machine(report);
         if (machine != null && take(machine, report, now)) {
             machine.heard(now);
             ledger.flush();
@@ -690,10 +685,11 @@
             if (!usable(machine, now)) {
                 continue;
             }
+            Set<String> images = images(machine);
             seats.add(new PlacementRound.Seat(machine.id(), machine.type().name(), machine.zone(),
                     machine.spot(), machine.type().room(), machine.free(), machine.placements().size(),
-                    replicas(machine), images(machine), fetches(machine), machine.type().fetchGbPerS(), risks.get(machine.id()),
-                    largeFor.contains(machine.type().name())));
+                    replicas(machine), images, images.size() - machine.images().size(),
+                    machine.type().fetchGbPerS(), risks.get(machine.id()), largeFor.contains(machine.type().name())));
         }
         List<Job> order = new ArrayList<>();
         for (Job job : jobs.values()) {
@@ -836,16 +832,6 @@
         return count;
     }
 
-    private static int fetches(Machine machine) {
-        Set<String> fetching = new HashSet<>();
-        for (Placement placement : machine.placements()) {
-            if (!machine.images().contains(placement.job().spec().image())) {
-                fetching.add(placement.job().spec().image());
-            }
-        }
-        return fetching.size();
-    }
-
     /** Notes the machine types that a job's tasks need most of, and the size of its image. */
     private void noteLarge(JobSpec spec) {
         largestImageGb = Math.max(largestImageGb, spec.imageGb());
--- a/src/test/java/org/meadowhollow/story/StoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/StoriesTest.java
@@ -131,13 +131,9 @@
         JobSpec job = array(1, 5);
         assertTrue(world.submit(0, job, Duration.ofSeconds(40)));
         world.runS(10);
-        for (int node = 0; node < 3; node++) {
-            world.crash(node);
-        }
+        world.crashAll();
         world.runS(8);
-        for (int node = 0; node < 3; node++) {
-            world.restart(node);
-        }
+        world.restartAll();
         world.runS(60);
         assertEquals(5, world.starts());
         assertEquals(Phase.DONE, phase(job));
@@ -359,13 +355,9 @@
         world.runS(8);
         world.store().out(true);
         world.runS(14);
-        for (int node = 0; node < 3; node++) {
-            world.crash(node);
-        }
+        world.crashAll();
         world.store().out(false);
-        for (int node = 0; node < 3; node++) {
-            world.restart(node);
-        }
+        world.restartAll();
         world.runS(30);
         assertEquals(Phase.DONE, phase(job));
         assertEquals(1, world.starts());
@@ -393,9 +385,7 @@
         world.workers().forEach(worker -> worker.hang(true));
         world.runS(10);
         assertTrue(world.submit(0, job, SHORT));
-        for (int node = 0; node < 3; node++) {
-            world.crash(node);
-        }
+        world.crashAll();
         for (int task = 0; task < 2; task++) {
             world.completed(new TaskId(job.id(), task));
         }
--- a/src/test/java/org/meadowhollow/story/World.java
+++ b/src/test/java/org/meadowhollow/story/World.java
@@ -151,6 +151,18 @@
         }
     }
 
+    void crashAll() {
+        for (int node = 0; node < members.size(); node++) {
+            crash(node);
+        }
+    }
+
+    void restartAll() {
+        for (int node = 0; node < members.size(); node++) {
+            restart(node);
+        }
+    }
+
     void cutFromWorkers(int node, boolean cut) {
         members.get(node).cutFromWorkers = cut;
     }
