Place by when the image will be there, and bring images to more machines

Change: the comparison at equal risk asks when the image will be there, given what is on its way; a replica prefers a machine that is not fetching its image yet; the cache is modelled as least recently used within its size.

--- a/src/main/java/org/meadowhollow/bookkeeping/Job.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Job.java
@@ -141,18 +141,18 @@
         return new Attempt(last + 1);
     }
 
-    public Placement place(int task, Attempt attempt, MachineId machine, Session session) {
+    public Placement place(int task, Attempt attempt, MachineId machine, Session session, Moment now) {
         Chunk chunk = chunkOf(task);
         chunk.attempted(attempt.value());
         Placement placement = new Placement(this, new TaskId(id(), task), attempt, machine, session,
-                chunk.touch());
+                chunk.touch(), now);
         placements.put(task, placement);
         return placement;
     }
 
     /** Takes in a placement that a predecessor committed. */
-    Placement restore(int task, Attempt attempt, MachineId machine, Session session) {
-        Placement placement = new Placement(this, new TaskId(id(), task), attempt, machine, session, 0);
+    Placement restore(int task, Attempt attempt, MachineId machine, Session session, Moment now) {
+        Placement placement = new Placement(this, new TaskId(id(), task), attempt, machine, session, 0, now);
         placements.put(task, placement);
         return placement;
     }
--- a/src/main/java/org/meadowhollow/bookkeeping/Machine.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Machine.java
@@ -32,7 +32,7 @@
     private final List<Placement> placements = new ArrayList<>();
     private final Map<TaskId, Settling> settling = new Object2ObjectOpenHashMap<>();
     private final Set<TaskId> strays = new HashSet<>();
-    private final Set<String> images = new HashSet<>();
+    private final ImageCache images;
     private int lostSinceReport;
 
     public Machine(MachineId id, MachineType type, String zone, boolean spot) {
@@ -40,6 +40,7 @@
         this.type = type;
         this.zone = zone;
         this.spot = spot;
+        this.images = new ImageCache(type.cacheGb());
     }
 
     public MachineId id() {
@@ -143,8 +144,7 @@
         return strays;
     }
 
-    /** Images that were fetched here and are probably still cached. */
-    public Set<String> images() {
+    public ImageCache images() {
         return images;
     }
 
--- a/src/main/java/org/meadowhollow/bookkeeping/Placement.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Placement.java
@@ -8,19 +8,22 @@
     private final MachineId machine;
     private final Session session;
     private final long change;
+    private final Moment since;
     private TaskState state;
     private long startSentSeq = -1;
     private boolean stopping;
     private double graceS;
     private Moment runningSince;
 
-    Placement(Job job, TaskId task, Attempt attempt, MachineId machine, Session session, long change) {
+    Placement(Job job, TaskId task, Attempt attempt, MachineId machine, Session session, long change,
+            Moment since) {
         this.job = job;
         this.task = task;
         this.attempt = attempt;
         this.machine = machine;
         this.session = session;
         this.change = change;
+        this.since = since;
     }
 
     public Job job() {
@@ -43,6 +46,11 @@
         return session;
     }
 
+    /** When it was decided, or taken over from a predecessor. */
+    public Moment since() {
+        return since;
+    }
+
     public boolean committed() {
         return job.chunkOf(task.index()).isSaved(change);
     }
--- a/src/main/java/org/meadowhollow/bookkeeping/Records.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Records.java
@@ -144,7 +144,7 @@
     }
 
     /** Takes a chunk's record in; false if it belongs to no live job and can be removed. */
-    public static boolean load(StateStore.Entry entry, Map<JobId, Job> jobs) {
+    public static boolean load(StateStore.Entry entry, Map<JobId, Job> jobs, Moment now) {
         String path = entry.key().substring(TASKS.length());
         TaskId name = TaskId.parse(path);
         Job job = name == null ? null : jobs.get(name.job());
@@ -161,7 +161,7 @@
         for (Object item : (List<?>) entry.value().get("placed")) {
             List<?> placed = (List<?>) item;
             job.restore(((Number) placed.get(0)).intValue(), new Attempt(((Number) placed.get(1)).intValue()),
-                    new MachineId((String) placed.get(2)), new Session(((Number) placed.get(3)).longValue()));
+                    new MachineId((String) placed.get(2)), new Session(((Number) placed.get(3)).longValue()), now);
         }
         return true;
     }
--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -1,5 +1,6 @@
 package org.meadowhollow.coordination;
 
+import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2IntMap;
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.time.Duration;
@@ -165,7 +166,7 @@
                     return;
                 }
                 for (StateStore.Entry entry : page.entries()) {
-                    if (!Records.load(entry, jobs)) {
+                    if (!Records.load(entry, jobs, loop.now())) {
                         ledger.leftover(entry.key());
                     }
                 }
@@ -354,7 +355,7 @@
                     }
                     placement.state(task.state(), now);
                     if (task.state() != TaskState.FETCHING) {
-                        machine.images().add(placement.job().spec().image());
+                        machine.images().use(placement.job().spec().image(), placement.job().spec().imageGb());
                     }
                 }
             }
@@ -685,10 +686,9 @@
             if (!usable(machine, now)) {
                 continue;
             }
-            Set<String> images = images(machine);
             seats.add(new PlacementRound.Seat(machine.id(), machine.type().name(), machine.zone(),
                     machine.spot(), machine.type().room(), machine.free(), machine.placements().size(),
-                    replicas(machine), images, images.size() - machine.images().size(),
+                    replicas(machine), machine.images(), fetches(machine, now),
                     machine.type().fetchGbPerS(), risks.get(machine.id()), largeFor.contains(machine.type().name())));
         }
         List<Job> order = new ArrayList<>();
@@ -719,7 +719,7 @@
             Attempt attempt = job.spec().kind() == Kind.GANG
                     ? attempts.computeIfAbsent(job.id(), unused -> job.nextAttempt(decision.task()))
                     : job.nextAttempt(decision.task());
-            Placement placement = job.place(decision.task(), attempt, machine.id(), machine.session());
+            Placement placement = job.place(decision.task(), attempt, machine.id(), machine.session(), now);
             machine.placements().add(placement);
             machine.idleSince(null);
             ledger.changed(job.chunkOf(decision.task()));
@@ -766,7 +766,7 @@
         for (Machine machine : machines.values()) {
             if (usable(machine, now) && spec.allowsType(machine.type().name()) && spec.allowsZone(machine.zone())
                     && (spec.spot() || !machine.spot()) && zones.getInt(machine.zone()) < spec.mostPerZone()) {
-                places.add(new Preemption.Place<>(machine.free(), machine.images().contains(spec.image()),
+                places.add(new Preemption.Place<>(machine.free(), machine.images().has(spec.image()),
                         running(machine, used, now)));
             }
         }
@@ -815,13 +815,17 @@
         return withinS == Double.MAX_VALUE ? DESPERATE.toSeconds() : withinS - readyS;
     }
 
-    /** Images cached on a machine or on their way to it. */
-    private static Set<String> images(Machine machine) {
-        Set<String> images = new HashSet<>(machine.images());
+    /** The images on their way to a machine, each with the seconds that it will still take. */
+    private static Object2DoubleOpenHashMap<String> fetches(Machine machine, Moment now) {
+        Object2DoubleOpenHashMap<String> fetches = new Object2DoubleOpenHashMap<>(0);
         for (Placement placement : machine.placements()) {
-            images.add(placement.job().spec().image());
+            JobSpec spec = placement.job().spec();
+            if (!machine.images().has(spec.image())) {
+                double leftS = spec.imageGb() / machine.type().fetchGbPerS() - now.secondsSince(placement.since());
+                fetches.put(spec.image(), Math.max(0, leftS));
+            }
         }
-        return images;
+        return fetches;
     }
 
     private static int replicas(Machine machine) {
--- a/src/main/java/org/meadowhollow/coordination/PlacementRound.java
+++ b/src/main/java/org/meadowhollow/coordination/PlacementRound.java
@@ -1,13 +1,13 @@
 package org.meadowhollow.coordination;
 
+import it.unimi.dsi.fastutil.objects.Object2DoubleMap;
 import it.unimi.dsi.fastutil.objects.Object2IntMap;
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import org.meadowhollow.bookkeeping.ImageCache;
 import org.meadowhollow.bookkeeping.JobId;
 import org.meadowhollow.bookkeeping.JobSpec;
 import org.meadowhollow.bookkeeping.Kind;
@@ -23,6 +23,8 @@
     private static final double LEAST_CHANCE = 0.8;
     /** A task that takes more than this share of a machine has it to itself. */
     private static final double LARGE = 0.5;
+    /** Fetches that differ by less than this end at about the same time, for rates vary by a third. */
+    private static final double FETCH_STEP_S = 5;
 
     /** A machine that can take tasks now. */
     public static final class Seat {
@@ -31,24 +33,25 @@
         private final String zone;
         private final boolean spot;
         private final Resources whole;
-        private final Set<String> images;
+        private final ImageCache cached;
+        private final Object2DoubleMap<String> fetches;
         private final RiskTable risk;
         private final boolean forLarge;
         private final double fetchGbPerS;
         private Resources free;
         private int tasks;
         private int replicas;
-        private int fetches;
 
         /**
          * @param tasks all tasks on the machine
          * @param replicas those of services among them
-         * @param images what is cached here or being fetched
-         * @param fetches how many images are being fetched
+         * @param cached what is probably cached here
+         * @param fetches the images on their way here, each with the seconds that it will still take
          * @param forLarge whether tasks that need most of such a machine are about
          */
         public Seat(MachineId id, String type, String zone, boolean spot, Resources whole, Resources free,
-                int tasks, int replicas, Set<String> images, int fetches, double fetchGbPerS, RiskTable risk,
+                int tasks, int replicas, ImageCache cached, Object2DoubleMap<String> fetches, double fetchGbPerS,
+                RiskTable risk,
                 boolean forLarge) {
             this.id = id;
             this.type = type;
@@ -58,7 +61,7 @@
             this.free = free;
             this.tasks = tasks;
             this.replicas = replicas;
-            this.images = new HashSet<>(images);
+            this.cached = cached;
             this.fetches = fetches;
             this.fetchGbPerS = fetchGbPerS;
             this.risk = risk;
@@ -77,14 +80,19 @@
             free = free.minus(spec.perTask());
             tasks++;
             replicas += spec.kind() == Kind.SERVICE ? 1 : 0;
-            if (images.add(spec.image())) {
-                fetches++;
+            if (!cached.has(spec.image())) {
+                fetches.putIfAbsent(spec.image(), spec.imageGb() / fetchGbPerS);
             }
         }
 
-        /** About how long an image takes to come, on a line that fetches may have to share. */
-        private double fetchS(JobSpec spec) {
-            return Math.rint(spec.imageGb() * (fetches + 1) / fetchGbPerS);
+        /** About how many steps it takes until an image is here, on a line that fetches have to share. */
+        private double fetchSteps(JobSpec spec) {
+            if (cached.has(spec.image())) {
+                return 0;
+            }
+            double aloneS = fetches.containsKey(spec.image()) ? fetches.getDouble(spec.image()) * fetches.size()
+                    : spec.imageGb() / fetchGbPerS * (fetches.size() + 1);
+            return 1 + Math.floor(aloneS / FETCH_STEP_S);
         }
 
         private void giveBack(JobSpec spec) {
@@ -254,37 +262,41 @@
                 roomiest = seat;
             }
         }
-        // An empty bucket is no reason to fetch an image anew that the machine has.
-        String image = job.spec().image();
-        if (best != null && (roomiest == null || best.images.contains(image) || !roomiest.images.contains(image))) {
+        // An empty bucket is no reason to wait longer for an image.
+        if (best != null && (roomiest == null
+                || best.fetchSteps(job.spec()) <= roomiest.fetchSteps(job.spec()))) {
             return new Choice(best, true);
         }
         return roomiest == null ? null : new Choice(roomiest, false);
     }
 
     /**
-     * At equal risk: where the image is; a spot machine for a task that may use one; no machine that a large
-     * task could take whole; where the image comes soonest; then most room.
+     * At equal risk: where the image is; a spot machine for a task that may use one; where the image comes
+     * soonest; for a replica, one more machine that will have its image; no machine that a large task could
+     * take whole; then most room.
      */
     private static boolean better(Seat one, Seat other, JobSpec spec) {
-        boolean cached = one.images.contains(spec.image());
-        if (cached != other.images.contains(spec.image())) {
-            return cached;
+        double steps = one.fetchSteps(spec);
+        double otherSteps = other.fetchSteps(spec);
+        if ((steps == 0) != (otherSteps == 0)) {
+            return steps == 0;
         }
-        boolean keeps = one.keptFrom(spec) != other.keptFrom(spec);
-        if (spec.kind() != Kind.SERVICE && one.spot != other.spot) {
+        boolean service = spec.kind() == Kind.SERVICE;
+        if (!service && one.spot != other.spot) {
             return one.spot;
         }
-        if (spec.kind() != Kind.SERVICE && keeps) {
-            return other.keptFrom(spec);
+        if (steps != otherSteps) {
+            return steps < otherSteps;
         }
-        // Somebody waits for every replica, so its fetch comes before the room that is kept.
-        int fetch = cached ? 0 : Double.compare(one.fetchS(spec), other.fetchS(spec));
-        if (fetch != 0) {
-            return fetch < 0;
+        if (service && steps > 0) {
+            boolean coming = one.fetches.containsKey(spec.image());
+            if (coming != other.fetches.containsKey(spec.image())) {
+                return !coming;
+            }
         }
-        if (keeps) {
-            return other.keptFrom(spec);
+        boolean kept = one.keptFrom(spec);
+        if (kept != other.keptFrom(spec)) {
+            return !kept;
         }
         return one.free.shareOf(one.whole) > other.free.shareOf(other.whole);
     }
--- a/src/test/java/org/meadowhollow/coordination/PlacementRoundTest.java
+++ b/src/test/java/org/meadowhollow/coordination/PlacementRoundTest.java
@@ -3,16 +3,20 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import it.unimi.dsi.fastutil.objects.Object2DoubleMap;
+import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.meadowhollow.bookkeeping.ImageCache;
 import org.meadowhollow.bookkeeping.JobId;
 import org.meadowhollow.bookkeeping.JobSpec;
 import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.Machine;
 import org.meadowhollow.bookkeeping.MachineId;
+import org.meadowhollow.bookkeeping.MachineType;
 import org.meadowhollow.bookkeeping.Moment;
 import org.meadowhollow.bookkeeping.Priority;
 import org.meadowhollow.bookkeeping.Resources;
@@ -20,6 +24,7 @@
 class PlacementRoundTest {
     private static final Resources WHOLE = Resources.of(8, 8, 8);
     private final List<PlacementRound.Seat> seats = new ArrayList<>();
+    private final List<Object2DoubleMap<String>> fetches = new ArrayList<>();
 
     /** A table that has seen 40 reports at the load that one task makes, with so many losses among them. */
     private static RiskTable learned(int losses) {
@@ -31,8 +36,15 @@
     }
 
     private void seat(String name, double used, RiskTable risk, String... images) {
+        Object2DoubleMap<String> coming = new Object2DoubleOpenHashMap<>();
+        fetches.add(coming);
+        MachineType type = new MachineType("type", WHOLE, 50, 1, 1, 1, 1, List.of());
+        ImageCache cache = new Machine(new MachineId(name), type, name.substring(0, 1), false).images();
+        for (String image : images) {
+            cache.use(image, 1);
+        }
         seats.add(new PlacementRound.Seat(new MachineId(name), "type", name.substring(0, 1), false, WHOLE,
-                WHOLE.minus(Resources.of(used, used, used)), 0, 0, Set.of(images), 0, 1, risk, false));
+                WHOLE.minus(Resources.of(used, used, used)), 0, 0, cache, coming, 1, risk, false));
     }
 
     private static JobSpec spec(Kind kind, int tasks, boolean oneZone) {
@@ -40,6 +52,16 @@
                 Resources.of(1, 1, 1), null, null, oneZone, false, false, "image", 1, 1, 0, 0, Double.NaN);
     }
 
+    /** A job whose image takes 30 s to fetch. */
+    private static JobSpec large(Kind kind, int tasks) {
+        return new JobSpec(new JobId("req-1"), "class", "team", kind, Priority.NORMAL, tasks,
+                Resources.of(1, 1, 1), null, null, false, false, false, "image", 30, 1, 0, 0, Double.NaN);
+    }
+
+    private void fetching(int seat, String image, double leftS) {
+        fetches.get(seat).put(image, leftS);
+    }
+
     private List<String> run(JobSpec spec, boolean desperate) {
         int[] tasks = new int[spec.tasks()];
         for (int at = 0; at < tasks.length; at++) {
@@ -87,6 +109,22 @@
         assertEquals(List.of("a1 by room"), run(spec(Kind.ARRAY, 1, false), false));
     }
 
+    @Test
+    void anImageComesSoonerOnALineThatNothingElseUses() {
+        seat("a1", 0, new RiskTable());
+        seat("a2", 2, new RiskTable());
+        fetching(0, "other", 30);
+        JobSpec large = large(Kind.ARRAY, 1);
+        assertEquals(List.of("a2 by room"), run(large, false), "two fetches would share a1's line");
+    }
+
+    @Test
+    void aReplicaBringsItsImageToOneMoreMachine() {
+        seat("a1", 0, new RiskTable());
+        seat("a2", 1, new RiskTable());
+        assertEquals(List.of("a1 by room", "a2 by room"), run(large(Kind.SERVICE, 2), false));
+    }
+
     @Test
     void aGangGoesWholeIntoOneZoneThatHasRoom() {
         seat("a1", 7, new RiskTable());
