A gang that has not begun waits on for a task that gave up or was lost

Others lost one machine while fetching.

Change: a task that only gave up waiting is forgotten and started again in the same answer, under the same committed record; a task that is lost before its gang began is replaced with the attempt's number. Without a replacement within gang_wait_s the attempt ends, so that it holds no machines.

--- a/src/main/java/org/meadowhollow/bookkeeping/Job.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Job.java
@@ -128,15 +128,19 @@
         return cancelled || ended ? 0 : spec.tasks() - done.cardinality() - placements.size();
     }
 
-    /** The number for the next attempt of a task, or of the whole gang. */
+    /** The number for the next attempt of a task. */
     public Attempt nextAttempt(int task) {
+        return new Attempt(chunkOf(task).lastAttempt() + 1);
+    }
+
+    /** The number for the tasks of a gang: that of the attempt which they complete, or else the next one. */
+    public Attempt gangAttempt() {
+        if (!placements.isEmpty()) {
+            return placements.values().iterator().next().attempt();
+        }
         int last = 0;
-        if (spec.kind() == Kind.GANG) {
-            for (Chunk chunk : chunks) {
-                last = Math.max(last, chunk == null ? 0 : chunk.lastAttempt());
-            }
-        } else {
-            last = chunkOf(task).lastAttempt();
+        for (Chunk chunk : chunks) {
+            last = Math.max(last, chunk == null ? 0 : chunk.lastAttempt());
         }
         return new Attempt(last + 1);
     }
--- a/src/main/java/org/meadowhollow/cli/Rehearsal.java
+++ b/src/main/java/org/meadowhollow/cli/Rehearsal.java
@@ -31,7 +31,7 @@
                      "external":{"cloud":"127.0.0.1:9","state":"127.0.0.1:9"},
                      "settings":{"size":1,"zones":["z"],"teams":[{"name":"t"}],
                       "objectives":[{"kind":"wait","class":"c","within_s":1.0}],
-                      "workers":{"report_s":3.0,"lease_s":18.0,"gang_peer_s":6.0,"cancel_s":48.0},
+                      "workers":{"report_s":3.0,"lease_s":18.0,"gang_wait_s":30.0,"gang_peer_s":6.0,"cancel_s":48.0},
                       "state":{"rps":80.0,"write_rps":30.0,"value_kb":16.0,"txn_ops":12},
                       "cloud":{"rps":8.0,"list_lag_s":10.0}}}""");
             try (Controller controller = Controller.builder(Settings.read(file)).start()) {
--- a/src/main/java/org/meadowhollow/cli/Settings.java
+++ b/src/main/java/org/meadowhollow/cli/Settings.java
@@ -83,7 +83,7 @@
             throw new Malformed("cancel_s must be longer than lease_s");
         }
         return new Platform(member, zones == null ? List.of() : zones, teams,
-                objectives, seconds(workers, "report_s"), lease, cancel,
+                objectives, seconds(workers, "report_s"), lease, seconds(workers, "gang_wait_s"), cancel,
                 positive(state, "rps"), positive(state, "write_rps"), (int) (positive(state, "value_kb") * 1024),
                 (int) positive(state, "txn_ops"), positive(cloud, "rps"), seconds(cloud, "list_lag_s"));
     }
--- a/src/main/java/org/meadowhollow/coordination/Fleet.java
+++ b/src/main/java/org/meadowhollow/coordination/Fleet.java
@@ -51,8 +51,8 @@
     /** If more than this share of the machines is silent, the fault is more likely ours than theirs. */
     private static final double MOST_SILENT = 0.25;
 
-    /** Waiting tasks of a job that found no machine. */
-    record Need(JobSpec spec, int tasks) {
+    /** Waiting tasks of a job that found no machine; {@code zone} is the only one that will do, or null. */
+    record Need(JobSpec spec, int tasks, String zone) {
     }
 
     private record Source(String type, String zone, boolean spot) {
@@ -248,7 +248,7 @@
         for (Need need : needs) {
             JobSpec spec = need.spec();
             Map<String, Integer> inZone = new HashMap<>();
-            String only = spec.zone();
+            String only = need.zone();
             int left = need.tasks();
             while (left > 0) {
                 Bin found = null;
--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -347,14 +347,14 @@
             if (report.session().isAfter(placement.session())) {
                 lost(machine, placement, "the worker's lease ran out", now);
             } else if (task != null && task.attempt().equals(placement.attempt())) {
-                if (task.state() == TaskState.EXITED) {
+                if (task.state() == TaskState.EXITED && !mayWaitAgain(placement, task.cause())) {
                     exited(machine, placement, task.cause(), now);
                 } else {
                     if (placement.state() != task.state()) {
                         LOG.debug("task {} on {} is {}", task.id(), machine.id(), task.state());
                     }
                     placement.state(task.state(), now);
-                    if (task.state() != TaskState.FETCHING) {
+                    if (task.state() != TaskState.FETCHING && task.state() != TaskState.EXITED) {
                         machine.images().use(placement.job().spec().image(), placement.job().spec().imageGb());
                     }
                 }
@@ -393,6 +393,11 @@
             if (placement != null) {
                 if (placement.stopping() && (task.state() != TaskState.SAVING || placement.graceS() == 0)) {
                     orders.add(Order.stop(task.id(), task.attempt(), placement.graceS()));
+                } else if (task.state() == TaskState.EXITED && mayStart(placement, machine)) {
+                    // It gave up waiting for its gang, whose fetches go on; its record stands, so it may wait anew.
+                    placement.startSent(report.seq());
+                    orders.add(Order.forget(task.id(), task.attempt()));
+                    orders.add(Order.start(task.id(), task.attempt()));
                 }
             } else if (task.state() != TaskState.EXITED) {
                 // Nobody's record knows of it, so nobody would ever stop it or count it.
@@ -404,7 +409,6 @@
                 }
             }
         }
-        boolean mayStart = leadership.mayStart();
         for (Placement placement : List.copyOf(machine.placements())) {
             Report.Task task = listed.get(placement.task());
             if (task != null && task.attempt().equals(placement.attempt())) {
@@ -412,10 +416,9 @@
             }
             if (placement.stopping() || placement.job().cancelled()) {
                 if (neverStarts(placement, machine, report)) {
-                    remove(machine, placement, now);
+                    remove(machine, placement, now, true);
                 }
-            } else if (mayStart && placement.committed() && !machine.releasing()
-                    && wholeGangCommitted(placement) && orders.size() < MOST_ORDERS) {
+            } else if (orders.size() < MOST_ORDERS && mayStart(placement, machine)) {
                 placement.startSent(report.seq());
                 orders.add(Order.start(placement.task(), placement.attempt()));
             }
@@ -434,6 +437,19 @@
                 && report.seq() > placement.startSentSeq() && machine.heardAt() != null;
     }
 
+    private boolean mayStart(Placement placement, Machine machine) {
+        return leadership.mayStart() && placement.committed() && !machine.releasing()
+                && wholeGangCommitted(placement);
+    }
+
+    /**
+     * Whether a task has only lost patience with its gang. Images differ by more than a gang's patience, and
+     * ending the attempt would give up the fetches of all its other tasks.
+     */
+    private static boolean mayWaitAgain(Placement placement, Cause cause) {
+        return cause == Cause.ALONE && !placement.stopping() && !placement.job().cancelled();
+    }
+
     private static boolean wholeGangCommitted(Placement placement) {
         if (placement.job().spec().kind() != Kind.GANG) {
             return true;
@@ -467,7 +483,7 @@
                 failed(machine, job, cause, now);
             }
         }
-        long change = remove(machine, placement, now);
+        long change = remove(machine, placement, now, true);
         machine.settling().put(placement.task(),
                 new Machine.Settling(placement.attempt(), job.chunkOf(task), change));
         if (job.allDone()) {
@@ -493,10 +509,24 @@
         if (machine != null) {
             machine.lost(1);
         }
-        remove(machine, placement, now);
+        // A gang that has not begun waits on for a replacement with the attempt's number.
+        remove(machine, placement, now, hasBegun(placement.job()) || placement.runningSince() != null);
+    }
+
+    /** Whether a gang's attempt has run or is being stopped, so that it cannot be completed any more. */
+    private static boolean hasBegun(Job gang) {
+        for (Placement placement : gang.placements()) {
+            if (placement.runningSince() != null || placement.stopping()) {
+                return true;
+            }
+        }
+        return false;
     }
 
-    private long remove(Machine machine, Placement placement, Moment now) {
+    /**
+     * @param endsAttempt whether a gang's attempt is over with this task; its others must then be gone before the next
+     */
+    private long remove(Machine machine, Placement placement, Moment now, boolean endsAttempt) {
         if (machine != null) {
             machine.placements().remove(placement);
         }
@@ -504,13 +534,8 @@
         long change = job.remove(placement);
         job.waitingSince(now);
         ledger.changed(job.chunkOf(placement.task().index()));
-        if (job.spec().kind() == Kind.GANG && !job.allDone()) {
-            // An attempt that has lost a task is over; its other tasks must be gone before the next.
-            for (Placement other : List.copyOf(job.placements())) {
-                if (!other.stopping()) {
-                    stop(other, 0, "its gang lost task " + placement.task());
-                }
-            }
+        if (endsAttempt && job.spec().kind() == Kind.GANG && !job.allDone()) {
+            stopOthers(job, placement.task());
         }
         if (job.cancelled() && job.placements().isEmpty()) {
             ledger.ending(job);
@@ -518,6 +543,14 @@
         return change;
     }
 
+    private void stopOthers(Job gang, TaskId lost) {
+        for (Placement other : List.copyOf(gang.placements())) {
+            if (!other.stopping()) {
+                stop(other, 0, "its gang lost task " + lost);
+            }
+        }
+    }
+
     private void stopAll(Job job, double graceS, String why) {
         for (Placement placement : List.copyOf(job.placements())) {
             stop(placement, graceS, why);
@@ -538,7 +571,7 @@
         Machine machine = machines.get(placement.machine());
         if (!placement.committed()) {
             // Its start was never sent and cannot be: nothing to wait for.
-            remove(machine, placement, now);
+            remove(machine, placement, now, true);
             return;
         }
         if (machine != null && machine.address() != null) {
@@ -717,7 +750,7 @@
             Job job = jobs.get(decision.spec().id());
             Machine machine = machines.get(decision.machine());
             Attempt attempt = job.spec().kind() == Kind.GANG
-                    ? attempts.computeIfAbsent(job.id(), unused -> job.nextAttempt(decision.task()))
+                    ? attempts.computeIfAbsent(job.id(), unused -> job.gangAttempt())
                     : job.nextAttempt(decision.task());
             Placement placement = job.place(decision.task(), attempt, machine.id(), machine.session(), now);
             machine.placements().add(placement);
@@ -740,7 +773,8 @@
         for (PlacementRound.Waiting job : waiting) {
             Integer count = outcome.unplaced().get(job.spec().id());
             if (count != null) {
-                needs.add(new Fleet.Need(job.spec(), count));
+                needs.add(new Fleet.Need(job.spec(), count, onlyZone(job)));
+                giveUpIncomplete(jobs.get(job.spec().id()), now);
                 if (preempting < MOST_PREEMPTING && makeRoom(jobs.get(job.spec().id()), job.zones(),
                         guaranteed.getOrDefault(job.spec().id(), false), now)) {
                     preempting++;
@@ -750,6 +784,20 @@
         fleet.needs(needs);
     }
 
+    /** The zone that a job with tasks in place is bound to, or null. */
+    private static String onlyZone(PlacementRound.Waiting job) {
+        return job.spec().oneZone() && !job.zones().isEmpty() ? job.zones().keySet().iterator().next()
+                : job.spec().zone();
+    }
+
+    /** Ends an attempt of a gang that no replacement was found for, so that it does not hold its machines. */
+    private void giveUpIncomplete(Job job, Moment now) {
+        if (job.spec().kind() == Kind.GANG && now.since(job.waitingSince()).compareTo(platform.gangWait()) > 0) {
+            int missing = job.nextWaiting(0);
+            stopOthers(job, new TaskId(job.id(), missing));
+        }
+    }
+
     /**
      * Stops tasks for one that could not be ready in time on a new machine; true if it did. The room goes to
      * it in a later round, for it comes first in the order.
@@ -848,7 +896,7 @@
     }
 
     private int[] waitingTasks(Job job, Map<TaskId, Boolean> strays) {
-        if (job.spec().kind() == Kind.GANG && (!job.placements().isEmpty() || job.doneCount() > 0)) {
+        if (job.spec().kind() == Kind.GANG && (hasBegun(job) || job.doneCount() > 0)) {
             return new int[0];
         }
         int most = job.spec().kind() == Kind.GANG ? Integer.MAX_VALUE : MOST_STARTS;
--- a/src/test/java/org/meadowhollow/story/FakeWorker.java
+++ b/src/test/java/org/meadowhollow/story/FakeWorker.java
@@ -21,7 +21,6 @@
 final class FakeWorker {
     private static final Duration REPORT = Duration.ofSeconds(3);
     private static final Duration LEASE = Duration.ofSeconds(18);
-    private static final Duration FETCH = Duration.ofSeconds(2);
 
     /** A task here; it runs once its image has come. */
     private static final class Task {
@@ -111,6 +110,15 @@
         exit(tasks.get(task), Cause.ERROR);
     }
 
+    /** Makes a task give up waiting for its gang. */
+    void giveUp(TaskId task) {
+        exit(tasks.get(task), Cause.ALONE);
+    }
+
+    boolean holds(TaskId task) {
+        return tasks.containsKey(task);
+    }
+
     /** Makes a task complete, as its gang does. */
     void complete(TaskId task) {
         exit(tasks.get(task), Cause.DONE);
@@ -221,7 +229,7 @@
                         if (task != null && task.state != TaskState.EXITED) {
                             throw new AssertionError("started " + order + " beside another attempt");
                         }
-                        tasks.put(order.task(), new Task(order.attempt(), world.loop().now().plus(FETCH)));
+                        tasks.put(order.task(), new Task(order.attempt(), world.loop().now().plus(world.fetch())));
                     }
                 }
                 case STOP -> {
--- a/src/test/java/org/meadowhollow/story/StoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/StoriesTest.java
@@ -51,6 +51,12 @@
         return null;
     }
 
+    /** The machine that is not hung and has a task in some state. */
+    private FakeWorker holder(TaskId task) {
+        return world.workers().stream().filter(worker -> !worker.hung() && worker.holds(task)).findFirst()
+                .orElseThrow();
+    }
+
     private FakeWorker placeOf(JobSpec spec, int task) {
         List<FakeWorker> places = world.on(new TaskId(spec.id(), task));
         return places.isEmpty() ? null : places.get(0);
@@ -102,6 +108,55 @@
         assertEquals(9, world.starts());
     }
 
+    @Test
+    void aTaskThatGaveUpWaitingForItsGangWaitsAnewInTheSameAttempt() {
+        world.fetch(Duration.ofSeconds(40));
+        JobSpec gang = World.spec(1, Kind.GANG, 3, 8);
+        assertTrue(world.submit(0, gang, LONG));
+        world.runS(10);
+        TaskId first = new TaskId(gang.id(), 0);
+        FakeWorker worker = holder(first);
+        worker.giveUp(first);
+        world.runS(90);
+        assertEquals(3, world.starts());
+        for (int task = 0; task < 3; task++) {
+            TaskId each = new TaskId(gang.id(), task);
+            assertEquals(1, holder(each).attempt(each).value(), "the fetches of the others went on");
+        }
+        assertEquals(worker, holder(first));
+    }
+
+    @Test
+    void aGangThatHasNotBegunGetsAReplacementInTheSameAttempt() {
+        world.fetch(Duration.ofSeconds(40));
+        JobSpec gang = World.spec(1, Kind.GANG, 3, 8);
+        assertTrue(world.submit(0, gang, LONG));
+        world.runS(10);
+        TaskId lost = new TaskId(gang.id(), 1);
+        FakeWorker worker = holder(lost);
+        worker.hang(true);
+        world.runS(80);
+        assertEquals(3, world.starts());
+        assertTrue(holder(lost) != worker);
+        for (int task = 0; task < 3; task++) {
+            TaskId each = new TaskId(gang.id(), task);
+            assertEquals(1, holder(each).attempt(each).value());
+        }
+    }
+
+    @Test
+    void aGangWithoutAReplacementLetsGoOfItsMachines() {
+        world.fetch(Duration.ofMinutes(5));
+        JobSpec gang = World.spec(1, Kind.GANG, 6, 8);
+        assertTrue(world.submit(0, gang, LONG));
+        world.runS(10);
+        world.cloudOut(true);
+        holder(new TaskId(gang.id(), 1)).hang(true);
+        world.runS(70);
+        assertTrue(world.workers().stream().noneMatch(
+                worker -> !worker.hung() && worker.holds(new TaskId(gang.id(), 0))));
+    }
+
     @Test
     void tasksOutliveTheirLeaderAndAreNotStartedAgain() {
         JobSpec job = array(1, 5);
--- a/src/test/java/org/meadowhollow/story/World.java
+++ b/src/test/java/org/meadowhollow/story/World.java
@@ -61,6 +61,7 @@
     private final Map<JobId, Moment> toldCancelled = new HashMap<>();
     private final Set<TaskId> completed = new HashSet<>();
     private final Map<String, Platform.Team> teams = new HashMap<>();
+    private Duration fetch = Duration.ofSeconds(2);
     private boolean cloudOut;
     private boolean peersCut;
     private int nextMachine;
@@ -85,7 +86,7 @@
             FakeStore.Line mine = line;
             Catalog catalog = new Catalog();
             Platform platform = new Platform(name, List.of("a", "b"), teams, List.of(), Duration.ofSeconds(3),
-                    Duration.ofSeconds(18), CANCEL, 100, 50, 16 * 1024, 12, 10,
+                    Duration.ofSeconds(18), Duration.ofSeconds(30), CANCEL, 100, 50, 16 * 1024, 12, 10,
                     Duration.ofSeconds(8));
             node = new Node(loop, mine, new Direct(this), new Offer(), new Hints(this), platform, catalog,
                     new Random(nextSeed++));
@@ -113,6 +114,15 @@
         return this;
     }
 
+    /** How long every image takes to come. */
+    void fetch(Duration span) {
+        fetch = span;
+    }
+
+    Duration fetch() {
+        return fetch;
+    }
+
     VirtualLoop loop() {
         return loop;
     }
