--- a/src/main/java/org/meadowhollow/bookkeeping/Ledger.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Ledger.java
@@ -77,6 +77,11 @@
         leftovers.add(key);
     }
 
+    /** Records that wait to be written. */
+    public int backlog() {
+        return dirty.size();
+    }
+
     public void close() {
         closed = true;
     }
--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -53,8 +53,8 @@
     private static final Duration ROUND = Duration.ofSeconds(1);
     private static final Duration RETRY = Duration.ofMillis(500);
     private static final Duration WATCH = Duration.ofSeconds(20);
-    /** Starts in a round; what a round decides must be written before the next one. */
-    private static final int MOST_STARTS = 100;
+    /** Tasks of one job looked at in a round: more than fit on any fleet at once, and bounded. */
+    private static final int MOST_TASKS = 2000;
     /** A task without a machine that passes goes by room alone after this long (DESIGN's value). */
     private static final Duration DESPERATE = Duration.ofSeconds(30);
     /** Jobs in a round for which others are stopped: what is stopped must be seen to help first. */
@@ -719,7 +719,7 @@
             if (!usable(machine, now)) {
                 continue;
             }
-            seats.add(new PlacementRound.Seat(machine.id(), machine.type().name(), machine.zone(),
+            seats.add(new PlacementRound.Seat(seats.size(), machine.id(), machine.type().name(), machine.zone(),
                     machine.spot(), machine.type().room(), machine.free(), machine.placements().size(),
                     replicas(machine), machine.images(), fetches(machine, now),
                     machine.type().fetchGbPerS(), risks.get(machine.id()), largeFor.contains(machine.type().name())));
@@ -744,7 +744,7 @@
                         now.since(job.waitingSince()).compareTo(DESPERATE) > 0));
             }
         }
-        PlacementRound.Outcome outcome = PlacementRound.run(seats, shares(), waiting, MOST_STARTS);
+        PlacementRound.Outcome outcome = PlacementRound.run(seats, shares(), waiting, mostJobs());
         Map<JobId, Attempt> attempts = new HashMap<>();
         for (PlacementRound.Decision decision : outcome.decisions()) {
             Job job = jobs.get(decision.spec().id());
@@ -784,6 +784,11 @@
         fleet.needs(needs);
     }
 
+    /** Jobs to place in a round: what a round decides should be written before the next one. */
+    private int mostJobs() {
+        return Math.max(0, (int) (platform.stateWriteRps() * ROUND.toSeconds()) - ledger.backlog());
+    }
+
     /** The zone that a job with tasks in place is bound to, or null. */
     private static String onlyZone(PlacementRound.Waiting job) {
         return job.spec().oneZone() && !job.zones().isEmpty() ? job.zones().keySet().iterator().next()
@@ -899,7 +904,7 @@
         if (job.spec().kind() == Kind.GANG && (hasBegun(job) || job.doneCount() > 0)) {
             return new int[0];
         }
-        int most = job.spec().kind() == Kind.GANG ? Integer.MAX_VALUE : MOST_STARTS;
+        int most = job.spec().kind() == Kind.GANG ? Integer.MAX_VALUE : MOST_TASKS;
         int[] tasks = new int[Math.min(most, job.waitingCount())];
         int count = 0;
         for (int task = job.nextWaiting(0); task >= 0 && count < tasks.length; task = job.nextWaiting(task + 1)) {
--- a/src/main/java/org/meadowhollow/coordination/PlacementRound.java
+++ b/src/main/java/org/meadowhollow/coordination/PlacementRound.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 import org.meadowhollow.bookkeeping.ImageCache;
 import org.meadowhollow.bookkeeping.JobId;
 import org.meadowhollow.bookkeeping.JobSpec;
@@ -38,21 +39,30 @@
         private final RiskTable risk;
         private final boolean forLarge;
         private final double fetchGbPerS;
+        private final int order;
         private Resources free;
         private int tasks;
         private int replicas;
+        /** How the seat rates for the job being placed; see {@link #rate}. */
+        private double chance;
+        private double steps;
+        private boolean preferredSpot;
+        private boolean coming;
+        private boolean kept;
+        private double roomShare;
 
         /**
+         * @param order decides between equals
          * @param tasks all tasks on the machine
          * @param replicas those of services among them
          * @param cached what is probably cached here
          * @param fetches the images on their way here, each with the seconds that it will still take
          * @param forLarge whether tasks that need most of such a machine are about
          */
-        public Seat(MachineId id, String type, String zone, boolean spot, Resources whole, Resources free,
+        public Seat(int order, MachineId id, String type, String zone, boolean spot, Resources whole, Resources free,
                 int tasks, int replicas, ImageCache cached, Object2DoubleMap<String> fetches, double fetchGbPerS,
-                RiskTable risk,
-                boolean forLarge) {
+                RiskTable risk, boolean forLarge) {
+            this.order = order;
             this.id = id;
             this.type = type;
             this.zone = zone;
@@ -68,6 +78,25 @@
             this.forLarge = forLarge;
         }
 
+        MachineId id() {
+            return id;
+        }
+
+        String zone() {
+            return zone;
+        }
+
+        /** Works out all that the order of the seats depends on, for one more task of this kind. */
+        private void rate(JobSpec spec) {
+            chance = risk.chanceOfNone(tasks + 1, whole.minus(free).plus(spec.perTask()).shareOf(whole));
+            steps = fetchSteps(spec);
+            // Somebody waits for every replica, so its fetch comes before the price.
+            preferredSpot = spot && spec.kind() != Kind.SERVICE;
+            coming = spec.kind() == Kind.SERVICE && steps > 0 && fetches.containsKey(spec.image());
+            kept = keptFrom(spec);
+            roomShare = free.shareOf(whole);
+        }
+
         /**
          * Whether the machine is better kept whole, since large tasks are about: an empty one is not for short
          * tasks, and one without a replica is not for replicas, which would block it for as long as they run.
@@ -76,13 +105,16 @@
             return forLarge && !isLarge(spec, whole) && (spec.kind() == Kind.SERVICE ? replicas : tasks) == 0;
         }
 
-        private void take(JobSpec spec) {
+        /** Takes a task in; true if its image has to be fetched for it. */
+        private boolean take(JobSpec spec) {
             free = free.minus(spec.perTask());
             tasks++;
             replicas += spec.kind() == Kind.SERVICE ? 1 : 0;
-            if (!cached.has(spec.image())) {
-                fetches.putIfAbsent(spec.image(), spec.imageGb() / fetchGbPerS);
+            if (cached.has(spec.image()) || fetches.containsKey(spec.image())) {
+                return false;
             }
+            fetches.put(spec.image(), spec.imageGb() / fetchGbPerS);
+            return true;
         }
 
         /** About how many steps it takes until an image is here, on a line that fetches have to share. */
@@ -95,9 +127,12 @@
             return 1 + Math.floor(aloneS / FETCH_STEP_S);
         }
 
-        private void giveBack(JobSpec spec) {
+        private void giveBack(JobSpec spec, boolean fetched) {
             free = free.plus(spec.perTask());
             tasks--;
+            if (fetched) {
+                fetches.removeDouble(spec.image());
+            }
         }
     }
 
@@ -145,35 +180,45 @@
     public record Outcome(List<Decision> decisions, Map<JobId, Integer> unplaced) {
     }
 
-    /** Places jobs in the order given. The seats and shares are used up. */
-    public static Outcome run(List<Seat> seats, Map<String, Share> teams, List<Waiting> jobs, int most) {
+    /**
+     * Places jobs in the order given, and decides for the first {@code mostJobs} that find room. The others are
+     * placed only to see who finds none. The seats and shares are used up.
+     */
+    public static Outcome run(List<Seat> seats, Map<String, Share> teams, List<Waiting> jobs, int mostJobs) {
         PlacementRound round = new PlacementRound(seats, teams);
+        int decided = 0;
+        int placed = 0;
         for (Waiting job : jobs) {
-            if (round.decisions.size() >= most) {
-                break;
-            }
+            int before = round.decisions.size();
             if (job.spec().kind() == Kind.GANG) {
                 round.placeGang(job);
             } else {
-                round.placeEach(job, most);
+                round.placeEach(job);
+            }
+            if (round.decisions.size() > before && placed++ < mostJobs) {
+                decided = round.decisions.size();
             }
         }
-        return new Outcome(round.decisions, round.unplaced);
+        return new Outcome(List.copyOf(round.decisions.subList(0, decided)), round.unplaced);
     }
 
-    private void placeEach(Waiting job, int most) {
-        Object2IntOpenHashMap<String> zones = new Object2IntOpenHashMap<>(job.zones());
+    private void placeEach(Waiting job) {
         Share team = teams.get(job.spec().team());
+        if (!team.allows(job.spec().perTask())) {
+            return;
+        }
+        Candidates candidates = new Candidates(seats, job, job.desperate(), false, null);
         for (int at = 0; at < job.tasks().length; at++) {
-            if (decisions.size() >= most || !team.allows(job.spec().perTask())) {
+            if (!team.allows(job.spec().perTask())) {
                 return;
             }
-            Choice choice = choose(job, zones, job.desperate(), false);
+            Choice choice = candidates.next();
             if (choice == null) {
                 unplaced.put(job.spec().id(), job.tasks().length - at);
                 return;
             }
-            take(choice.seat, job.spec(), zones, team);
+            candidates.take(choice);
+            team.used = team.used.plus(job.spec().perTask());
             decisions.add(new Decision(job.spec(), job.tasks()[at], choice.seat.id, choice.byTable));
         }
     }
@@ -181,19 +226,21 @@
     private void placeGang(Waiting job) {
         JobSpec spec = job.spec();
         Share team = teams.get(spec.team());
-        if (!team.allows(spec.perTask().times(job.tasks().length))) {
+        Resources all = spec.perTask().times(job.tasks().length);
+        if (!team.allows(all)) {
             return;
         }
         // All by the table, or all by room alone.
-        if (!placeWhole(job, team, false) && !placeWhole(job, team, true)) {
+        if (placeWhole(job, false) || placeWhole(job, true)) {
+            team.used = team.used.plus(all);
+        } else {
             unplaced.put(spec.id(), job.tasks().length);
         }
     }
 
-    private boolean placeWhole(Waiting job, Share team, boolean roomOnly) {
-        JobSpec spec = job.spec();
+    private boolean placeWhole(Waiting job, boolean roomOnly) {
         List<String> starts = new ArrayList<>();
-        if (spec.oneZone()) {
+        if (job.spec().oneZone()) {
             for (Seat seat : seats) {
                 if (!starts.contains(seat.zone)) {
                     starts.add(seat.zone);
@@ -203,71 +250,99 @@
             starts.add(null);
         }
         for (String zone : starts) {
-            Object2IntOpenHashMap<String> zones = new Object2IntOpenHashMap<>(job.zones());
-            List<Seat> taken = new ArrayList<>();
-            for (int at = 0; at < job.tasks().length; at++) {
-                Choice choice = choose(job, zones, job.desperate() || roomOnly, !roomOnly, zone);
+            Candidates candidates = new Candidates(seats, job, job.desperate() || roomOnly, !roomOnly, zone);
+            List<Choice> taken = new ArrayList<>();
+            List<Boolean> fetched = new ArrayList<>();
+            while (taken.size() < job.tasks().length) {
+                Choice choice = candidates.next();
                 if (choice == null) {
                     break;
                 }
-                take(choice.seat, spec, zones, team);
-                taken.add(choice.seat);
+                fetched.add(candidates.take(choice));
+                taken.add(choice);
             }
             if (taken.size() == job.tasks().length) {
                 for (int at = 0; at < taken.size(); at++) {
-                    decisions.add(new Decision(spec, job.tasks()[at], taken.get(at).id, !roomOnly));
+                    decisions.add(new Decision(job.spec(), job.tasks()[at], taken.get(at).seat.id, !roomOnly));
                 }
                 return true;
             }
-            for (Seat seat : taken) {
-                seat.giveBack(spec);
-                team.used = team.used.minus(spec.perTask());
+            for (int at = 0; at < taken.size(); at++) {
+                taken.get(at).seat.giveBack(job.spec(), fetched.get(at));
             }
         }
         return false;
     }
 
-    private static void take(Seat seat, JobSpec spec, Object2IntOpenHashMap<String> zones, Share team) {
-        seat.take(spec);
-        zones.addTo(seat.zone, 1);
-        team.used = team.used.plus(spec.perTask());
-    }
-
     private record Choice(Seat seat, boolean byTable) {
     }
 
-    private Choice choose(Waiting job, Object2IntMap<String> zones, boolean anyRisk, boolean tableOnly) {
-        return choose(job, zones, anyRisk, tableOnly, null);
-    }
+    /**
+     * The seats that one job's tasks may go to, best first. A task changes only the seat that takes it, so each
+     * seat is rated once for the job and once more for each of its tasks that it takes.
+     */
+    private static final class Candidates {
+        private final JobSpec spec;
+        private final boolean anyRisk;
+        private final boolean tableOnly;
+        private final Object2IntOpenHashMap<String> zones;
+        /** Seats whose risk the policy allows. */
+        private final PriorityQueue<Seat> passing = new PriorityQueue<>(PlacementRound::leastRisk);
+        /** Seats that are judged by room alone. */
+        private final PriorityQueue<Seat> others = new PriorityQueue<>(PlacementRound::better);
 
-    private Choice choose(Waiting job, Object2IntMap<String> zones, boolean anyRisk, boolean tableOnly,
-            String onlyZone) {
-        Seat best = null;
-        double bestChance = 0;
-        Seat roomiest = null;
-        for (Seat seat : seats) {
-            if (!allowed(job.spec(), zones, seat) || onlyZone != null && !onlyZone.equals(seat.zone)) {
-                continue;
-            }
-            double share = seat.whole.minus(seat.free).plus(job.spec().perTask()).shareOf(seat.whole);
-            double chance = seat.risk.chanceOfNone(seat.tasks + 1, share);
-            if (chance >= LEAST_CHANCE) {
-                if (best == null || chance > bestChance
-                        || chance == bestChance && better(seat, best, job.spec())) {
-                    best = seat;
-                    bestChance = chance;
+        Candidates(List<Seat> seats, Waiting job, boolean anyRisk, boolean tableOnly, String onlyZone) {
+            this.spec = job.spec();
+            this.anyRisk = anyRisk;
+            this.tableOnly = tableOnly;
+            this.zones = new Object2IntOpenHashMap<>(job.zones());
+            for (Seat seat : seats) {
+                if (onlyZone == null || onlyZone.equals(seat.zone)) {
+                    offer(seat);
                 }
-            } else if (!tableOnly && (Double.isNaN(chance) || anyRisk)
-                    && (roomiest == null || better(seat, roomiest, job.spec()))) {
-                roomiest = seat;
             }
         }
-        // An empty bucket is no reason to wait longer for an image.
-        if (best != null && (roomiest == null
-                || best.fetchSteps(job.spec()) <= roomiest.fetchSteps(job.spec()))) {
-            return new Choice(best, true);
+
+        private void offer(Seat seat) {
+            if (!allowed(spec, zones, seat)) {
+                return;
+            }
+            seat.rate(spec);
+            if (seat.chance >= LEAST_CHANCE) {
+                passing.add(seat);
+            } else if (!tableOnly && (Double.isNaN(seat.chance) || anyRisk)) {
+                others.add(seat);
+            }
+        }
+
+        /** The best seat, or null if there is none. */
+        Choice next() {
+            Seat best = first(passing);
+            Seat roomiest = first(others);
+            // An empty bucket is no reason to wait longer for an image.
+            if (best != null && (roomiest == null || best.steps <= roomiest.steps)) {
+                return new Choice(best, true);
+            }
+            return roomiest == null ? null : new Choice(roomiest, false);
+        }
+
+        /** The tasks placed since may have filled a seat's zone; for this job it stays filled. */
+        private Seat first(PriorityQueue<Seat> queue) {
+            Seat seat;
+            while ((seat = queue.peek()) != null && !allowed(spec, zones, seat)) {
+                queue.poll();
+            }
+            return seat;
+        }
+
+        /** Takes the seat that came next; true if the image has to be fetched for it. */
+        boolean take(Choice choice) {
+            (choice.byTable ? passing : others).poll();
+            boolean fetched = choice.seat.take(spec);
+            zones.addTo(choice.seat.zone, 1);
+            offer(choice.seat);
+            return fetched;
         }
-        return roomiest == null ? null : new Choice(roomiest, false);
     }
 
     /**
@@ -275,30 +350,30 @@
      * soonest; for a replica, one more machine that will have its image; no machine that a large task could
      * take whole; then most room.
      */
-    private static boolean better(Seat one, Seat other, JobSpec spec) {
-        double steps = one.fetchSteps(spec);
-        double otherSteps = other.fetchSteps(spec);
-        if ((steps == 0) != (otherSteps == 0)) {
-            return steps == 0;
+    private static int better(Seat one, Seat other) {
+        int order = Boolean.compare(one.steps > 0, other.steps > 0);
+        if (order == 0) {
+            order = Boolean.compare(other.preferredSpot, one.preferredSpot);
         }
-        boolean service = spec.kind() == Kind.SERVICE;
-        if (!service && one.spot != other.spot) {
-            return one.spot;
+        if (order == 0) {
+            order = Double.compare(one.steps, other.steps);
         }
-        if (steps != otherSteps) {
-            return steps < otherSteps;
+        if (order == 0) {
+            order = Boolean.compare(one.coming, other.coming);
         }
-        if (service && steps > 0) {
-            boolean coming = one.fetches.containsKey(spec.image());
-            if (coming != other.fetches.containsKey(spec.image())) {
-                return !coming;
-            }
+        if (order == 0) {
+            order = Boolean.compare(one.kept, other.kept);
         }
-        boolean kept = one.keptFrom(spec);
-        if (kept != other.keptFrom(spec)) {
-            return !kept;
+        if (order == 0) {
+            order = Double.compare(other.roomShare, one.roomShare);
         }
-        return one.free.shareOf(one.whole) > other.free.shareOf(other.whole);
+        return order != 0 ? order : Integer.compare(one.order, other.order);
+    }
+
+    /** The paper's order: least risk, then what is better at equal risk. */
+    private static int leastRisk(Seat one, Seat other) {
+        int order = Double.compare(other.chance, one.chance);
+        return order != 0 ? order : better(one, other);
     }
 
     /** Whether a task needs so much of a machine that no second one fits beside it. */
--- /dev/null
+++ b/src/test/java/org/meadowhollow/coordination/PlacementOrderTest.java
@@ -0,0 +1,124 @@
+package org.meadowhollow.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import it.unimi.dsi.fastutil.objects.Object2DoubleMap;
+import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.stream.LongStream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.meadowhollow.bookkeeping.JobId;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.Machine;
+import org.meadowhollow.bookkeeping.MachineId;
+import org.meadowhollow.bookkeeping.MachineType;
+import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.Priority;
+import org.meadowhollow.bookkeeping.Resources;
+
+/**
+ * The round rates each machine once for a job. It must place a job's tasks together as it places them one
+ * after the other, when it rates all machines anew for each.
+ */
+class PlacementOrderTest {
+    private static final int MACHINES = 40;
+    private static final Resources WHOLE = Resources.of(8, 8, 8);
+    private static final List<String> ZONES = List.of("a", "b", "c");
+
+    private static LongStream seeds() {
+        return LongStream.rangeClosed(1, 200);
+    }
+
+    private static List<PlacementRound.Seat> seats(long seed) {
+        Random random = new Random(seed);
+        List<PlacementRound.Seat> seats = new ArrayList<>();
+        boolean forLarge = random.nextBoolean();
+        for (int at = 0; at < MACHINES; at++) {
+            MachineId id = new MachineId("vm-" + at);
+            String zone = ZONES.get(random.nextInt(ZONES.size()));
+            boolean spot = random.nextInt(3) == 0;
+            MachineType type = new MachineType("type", WHOLE, 50, 1, 1, 1, 1, ZONES);
+            Machine machine = new Machine(id, type, zone, spot);
+            Object2DoubleMap<String> fetches = new Object2DoubleOpenHashMap<>();
+            for (int image = 0; image < 3; image++) {
+                if (random.nextInt(3) == 0) {
+                    machine.images().use("image-" + image, 12);
+                } else if (random.nextInt(3) == 0) {
+                    fetches.put("image-" + image, random.nextInt(12));
+                }
+            }
+            RiskTable risk = new RiskTable();
+            for (int sample = 0, samples = random.nextInt(60); sample < samples; sample++) {
+                risk.add(random.nextInt(8), random.nextDouble(), random.nextInt(6) == 0 ? 1 : 0,
+                        new Moment(sample * 1_000_000_000L));
+            }
+            int used = random.nextInt(8);
+            seats.add(new PlacementRound.Seat(at, id, "type", zone, spot, WHOLE,
+                    WHOLE.minus(Resources.of(used, used, used)), used, random.nextInt(used + 1), machine.images(),
+                    fetches, 1, risk, forLarge));
+        }
+        return seats;
+    }
+
+    private static JobSpec spec(long seed, Kind kind) {
+        Random random = new Random(seed);
+        boolean oneZone = kind == Kind.ARRAY && random.nextInt(4) == 0;
+        return new JobSpec(new JobId("req-1"), "class", "team", kind, Priority.NORMAL, 1 + random.nextInt(30),
+                Resources.of(1 + random.nextInt(2), 1, 1), null, null, oneZone, random.nextInt(3) == 0 && !oneZone,
+                random.nextBoolean(), "image-" + random.nextInt(3), 12, 1, 0, 0, Double.NaN);
+    }
+
+    private static Map<String, PlacementRound.Share> teams() {
+        return Map.of("team", new PlacementRound.Share(Resources.NONE, Resources.NONE));
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void tasksPlacedTogetherGoWhereTheyGoOneByOne(long seed) {
+        JobSpec spec = spec(seed, seed % 2 == 0 ? Kind.ARRAY : Kind.SERVICE);
+        boolean desperate = seed % 3 == 0;
+        int[] tasks = new int[spec.tasks()];
+        for (int task = 0; task < tasks.length; task++) {
+            tasks[task] = task;
+        }
+        List<PlacementRound.Decision> together = PlacementRound.run(seats(seed), teams(), List.of(
+                new PlacementRound.Waiting(spec, tasks, new Object2IntOpenHashMap<>(), desperate)), 1).decisions();
+
+        List<PlacementRound.Seat> seats = seats(seed);
+        List<PlacementRound.Decision> oneByOne = new ArrayList<>();
+        Object2IntOpenHashMap<String> zones = new Object2IntOpenHashMap<>();
+        for (int task : tasks) {
+            List<PlacementRound.Decision> next = PlacementRound.run(seats, teams(), List.of(
+                    new PlacementRound.Waiting(spec, new int[] {task}, zones, desperate)), 1).decisions();
+            for (PlacementRound.Decision decision : next) {
+                seats.stream().filter(seat -> seat.id().equals(decision.machine()))
+                        .forEach(seat -> zones.addTo(seat.zone(), 1));
+            }
+            oneByOne.addAll(next);
+        }
+        assertEquals(oneByOne, together);
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void aGangThatFindsNoRoomLeavesEverythingAsItWas(long seed) {
+        JobSpec gang = spec(seed, Kind.GANG);
+        JobSpec array = spec(seed + 1, Kind.ARRAY);
+        int[] tooMany = new int[MACHINES * 8 + 1];
+        int[] tasks = new int[array.tasks()];
+        var waiting = new PlacementRound.Waiting(array, tasks, new Object2IntOpenHashMap<>(), false);
+        List<PlacementRound.Decision> alone =
+                PlacementRound.run(seats(seed), teams(), List.of(waiting), 1).decisions();
+        var outcome = PlacementRound.run(seats(seed), teams(), List.of(
+                new PlacementRound.Waiting(gang, tooMany, new Object2IntOpenHashMap<>(), false), waiting), 1);
+        assertEquals(alone, outcome.decisions());
+        assertTrue(outcome.unplaced().containsKey(gang.id()));
+    }
+}
--- a/src/test/java/org/meadowhollow/coordination/PlacementRoundTest.java
+++ b/src/test/java/org/meadowhollow/coordination/PlacementRoundTest.java
@@ -43,7 +43,7 @@
         for (String image : images) {
             cache.use(image, 1);
         }
-        seats.add(new PlacementRound.Seat(new MachineId(name), "type", name.substring(0, 1), false, WHOLE,
+        seats.add(new PlacementRound.Seat(seats.size(), new MachineId(name), "type", name.substring(0, 1), false, WHOLE,
                 WHOLE.minus(Resources.of(used, used, used)), 0, 0, cache, coming, 1, risk, false));
     }
 
