Note in the state service which machines have which image

Cause: no report tells what a machine has cached, so a new leader knew only the images of running tasks.

Change: the leader notes for each image which machines have it, at most every ten seconds, within one transaction and behind everything else; a successor reads the notes before its first round. They are hints: a wrong one costs a fetch.

--- a/src/main/java/org/meadowhollow/bookkeeping/Records.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Records.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /** The keys and values under which everything is kept in the state service. */
 public final class Records {
@@ -13,6 +14,11 @@
     public static final String TYPES = "meta/types";
     public static final String JOBS = "job/";
     public static final String TASKS = "task/";
+    public static final String IMAGES = "image/";
+    /** Image names that can be part of a key as they are. */
+    private static final Pattern IMAGE_KEY = Pattern.compile("[A-Za-z0-9._:/-]{1,150}");
+    /** Bytes around a machine's name in a list, and around the list. */
+    private static final int FRAMING = 8;
     /** Bytes that one task's entry takes in a chunk's record at most. */
     private static final int ENTRY = 64;
     /** Tasks in a chunk at most: a round's changes to a job then mostly fit into one record. */
@@ -166,6 +172,51 @@
         return true;
     }
 
+    /** Which machines have an image, and about how large that is in the state service. */
+    public record ImageRecord(Map<String, Object> map, int bytes) {
+    }
+
+    public static boolean isImageKey(String image) {
+        return IMAGE_KEY.matcher(image).matches();
+    }
+
+    public static String imageKey(String image) {
+        return IMAGES + image;
+    }
+
+    public static String imageOfKey(String key) {
+        return key.substring(IMAGES.length());
+    }
+
+    /** The latest machines come last in a list and are kept if not all fit into a value. */
+    public static ImageRecord image(double gb, List<MachineId> machines, int valueBytes) {
+        List<Object> names = new ArrayList<>();
+        int bytes = 4 * FRAMING;
+        for (int at = machines.size() - 1; at >= 0; at--) {
+            bytes += machines.get(at).value().length() + FRAMING;
+            if (bytes > valueBytes) {
+                break;
+            }
+            names.add(machines.get(at).value());
+        }
+        Map<String, Object> map = new LinkedHashMap<>();
+        map.put("gb", gb);
+        map.put("machines", names);
+        return new ImageRecord(map, bytes);
+    }
+
+    public static double imageGb(Map<String, Object> record) {
+        return number(record, "gb").doubleValue();
+    }
+
+    public static List<MachineId> imageMachines(Map<String, Object> record) {
+        List<MachineId> machines = new ArrayList<>();
+        for (Object name : (List<?>) record.get("machines")) {
+            machines.add(new MachineId((String) name));
+        }
+        return machines;
+    }
+
     public static Map<String, Object> types(List<MachineType> types) {
         List<Object> list = new ArrayList<>();
         for (MachineType type : types) {
--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -82,6 +82,7 @@
     private final Leadership leadership;
     private final Fleet fleet;
     private final Ledger ledger;
+    private final ImageNotes images;
     private final Term term;
     private final Moment begunAt;
     private final Map<JobId, Job> jobs = new TreeMap<>();
@@ -108,6 +109,7 @@
         this.term = term;
         this.begunAt = loop.now();
         this.ledger = new Ledger(store, loop, platform.txnOps(), leaderVersion, this);
+        this.images = new ImageNotes(store, leaderVersion, platform);
         this.fleet = new Fleet(this, cloud, platform, catalog, loop, term);
     }
 
@@ -174,6 +176,27 @@
                     loadTasks(page.entries().get(page.entries().size() - 1).key(), watchFrom);
                     return;
                 }
+                loadImages(null, watchFrom);
+            }
+        });
+    }
+
+    private void loadImages(String after, Version watchFrom) {
+        store.list(Records.IMAGES, after, Urgency.PLACEMENT).whenComplete((page, failure) -> {
+            synchronized (this) {
+                if (closed) {
+                    return;
+                }
+                if (failure != null) {
+                    loop.after(RETRY, () -> loadImages(after, watchFrom));
+                    return;
+                }
+                images.load(page.entries(), loop.now());
+                if (page.more()) {
+                    loadImages(page.entries().get(page.entries().size() - 1).key(), watchFrom);
+                    return;
+                }
+                machines.values().forEach(images::met);
                 loaded(watchFrom);
             }
         });
@@ -317,6 +340,7 @@
     private Machine add(Machine machine) {
         machines.put(machine.id(), machine);
         risks.put(machine.id(), new RiskTable());
+        images.met(machine);
         List<Placement> known = unseenMachines.remove(machine.id());
         if (known != null) {
             machine.placements().addAll(known);
@@ -355,7 +379,8 @@
                     }
                     placement.state(task.state(), now);
                     if (task.state() != TaskState.FETCHING && task.state() != TaskState.EXITED) {
-                        machine.images().use(placement.job().spec().image(), placement.job().spec().imageGb());
+                        images.has(machine, placement.job().spec().image(),
+                                placement.job().spec().imageGb());
                     }
                 }
             }
@@ -625,6 +650,7 @@
                 place(now);
             }
             ledger.flush();
+            images.write(machines.values(), now);
         }
         fleet.act();
     }
--- a/src/test/java/org/meadowhollow/story/StoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/StoriesTest.java
@@ -41,6 +41,12 @@
         return World.spec(number, Kind.ARRAY, tasks, 1);
     }
 
+    private static JobSpec inZone(JobSpec spec, String zone) {
+        return new JobSpec(spec.id(), spec.jobClass(), spec.team(), spec.kind(), spec.priority(), spec.tasks(),
+                spec.perTask(), spec.types(), zone, spec.oneZone(), spec.spread(), spec.spot(), spec.image(),
+                spec.imageGb(), spec.estimateS(), spec.checkpointS(), spec.saveS(), spec.deadlineS());
+    }
+
     private Phase phase(JobSpec spec) {
         for (int node = 0; node < 3; node++) {
             var state = world.poll(node, spec.id());
@@ -108,6 +114,22 @@
         assertEquals(9, world.starts());
     }
 
+    @Test
+    void aSuccessorKnowsWhereAnImageIsCached() {
+        // Among equal machines the first would be chosen, which is in the other zone.
+        JobSpec first = inZone(array(1, 1), "b");
+        assertTrue(world.submit(0, first, SHORT));
+        world.runS(6);
+        FakeWorker cached = placeOf(first, 0);
+        world.runS(25);
+        world.crash(world.leader());
+        world.runS(15);
+        JobSpec again = array(3, 1);
+        assertTrue(world.submit(world.leader(), again, LONG));
+        world.runS(8);
+        assertEquals(cached, placeOf(again, 0));
+    }
+
     @Test
     void aTaskThatGaveUpWaitingForItsGangWaitsAnewInTheSameAttempt() {
         world.fetch(Duration.ofSeconds(40));
