--- a/src/main/java/org/meadowhollow/coordination/ImageNotes.java
+++ b/src/main/java/org/meadowhollow/coordination/ImageNotes.java
@@ -35,7 +35,7 @@
     private final Map<String, Double> sizes = new HashMap<>();
     private final Set<String> changed = new LinkedHashSet<>();
     /** What a predecessor noted of machines that this leader has not met yet. */
-    private final Map<MachineId, List<String>> noted = new HashMap<>();
+    private final Map<MachineId, Map<String, Double>> noted = new HashMap<>();
     private Moment writtenAt;
     private boolean writing;
 
@@ -52,19 +52,20 @@
         writtenAt = now;
         for (StateStore.Entry entry : entries) {
             String image = Records.imageOfKey(entry.key());
-            sizes.put(image, Records.imageGb(entry.value()));
+            double gb = Records.imageGb(entry.value());
+            sizes.put(image, gb);
             changed.add(image);
             for (MachineId machine : Records.imageMachines(entry.value())) {
-                noted.computeIfAbsent(machine, unused -> new ArrayList<>()).add(image);
+                noted.computeIfAbsent(machine, unused -> new HashMap<>()).put(image, gb);
             }
         }
     }
 
     /** Fills in what was noted of a machine that is new to this leader. */
     void met(Machine machine) {
-        List<String> images = noted.remove(machine.id());
+        Map<String, Double> images = noted.remove(machine.id());
         if (images != null) {
-            images.forEach(image -> machine.images().use(image, sizes.get(image)));
+            images.forEach((image, gb) -> has(machine, image, gb));
         }
     }
 
