Hold the report of a machine with room, so that a start reaches it at once

Direct starts were ruled out: one that is delayed by a cut would have to be waited for until the worker's session ends.

Change: the report of a machine that has room and needs no order is answered when one of its starts is committed, or after 0.6 of the report interval, at most 2.5 s; a worker waits 4 s. What was reported is taken in at once. A deposed leader lets all of them go without renewing a lease. Users' requests are never held.

--- a/src/main/java/org/meadowhollow/bookkeeping/Ledger.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Ledger.java
@@ -22,6 +22,9 @@
         /** The job is over and its end is in the state service. */
         void ended(Job job);
 
+        /** Changes of the job's tasks are in the state service. */
+        void saved(Job job);
+
         /** The job's record was changed by somebody else. */
         void changedElsewhere(JobId job);
 
@@ -204,6 +207,7 @@
         }
         if (applied) {
             ends.forEach(listener::ended);
+            saves.forEach(saving -> listener.saved(saving.chunk().job()));
             flush();
             return;
         }
--- a/src/main/java/org/meadowhollow/bookkeeping/Machine.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Machine.java
@@ -167,6 +167,14 @@
         return sum;
     }
 
+    /** Whether something of everything is free. */
+    public boolean hasRoom() {
+        Resources free = free();
+        Resources room = type.room();
+        return (free.cpu() > 0 || room.cpu() == 0) && (free.gpu() > 0 || room.gpu() == 0)
+                && (free.memory() > 0 || room.memory() == 0);
+    }
+
     public Resources free() {
         return type.room().minus(booked());
     }
--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
 import org.meadowhollow.bookkeeping.Attempt;
 import org.meadowhollow.bookkeeping.Catalog;
 import org.meadowhollow.bookkeeping.Cause;
@@ -63,6 +64,13 @@
     private static final Duration PREEMPT_AGAIN = Duration.ofSeconds(10);
     /** Orders in one answer; keeps it below the protocol's 64 KiB. */
     private static final int MOST_ORDERS = 400;
+    /**
+     * How long a report of a machine with room is held: less than the three quarters of a report's interval after
+     * which the next goes out, and well below the 4 s that a worker waits for its answer.
+     */
+    private static final double HOLD_REPORTS = 0.6;
+    private static final Duration MOST_HOLD = Duration.ofMillis(2500);
+    private static final Duration HOLD_SWEEP = Duration.ofMillis(250);
     /** Clock drift and timer steps on top of a worker's lease. */
     private static final double LEASE_SLACK = 1.001;
     private static final Duration LEASE_MARGIN = Duration.ofMillis(500);
@@ -83,6 +91,7 @@
     private final Fleet fleet;
     private final Ledger ledger;
     private final ImageNotes images;
+    private final HeldReports held = new HeldReports();
     private final Term term;
     private final Moment begunAt;
     private final Map<JobId, Job> jobs = new TreeMap<>();
@@ -118,12 +127,19 @@
         loadJobs(null, null);
         fleet.start();
         loop.after(ROUND, this::round);
+        loop.after(HOLD_SWEEP, this::sweepHeld);
     }
 
-    public synchronized void close() {
-        closed = true;
-        ledger.close();
-        fleet.close();
+    public void close() {
+        List<HeldReports.Held> unanswered;
+        synchronized (this) {
+            closed = true;
+            ledger.close();
+            fleet.close();
+            unanswered = held.takeAll();
+        }
+        // Whoever leads now may renew their leases; this leader must not.
+        unanswered.forEach(each -> each.answer().complete(new Answer.Elsewhere(null)));
     }
 
     synchronized boolean isClosed() {
@@ -307,21 +323,68 @@
 
     // ---- reports ----
 
-    /** Answers a worker's report, at once, so that its lease is kept. */
-    public synchronized Answer report(Report report) {
+    /** Answers a worker's report, so that its lease is kept: at once, or a little later if it has room. */
+    public synchronized CompletableFuture<Answer> report(Report report) {
         Moment now = loop.now();
+        // A worker has one report in flight, so nobody waits for the answer to an earlier one any more.
+        held.take(report.machine());
         if (report.token().isAfter(term)) {
             leadership.heardOf(report.token(), null);
-            return new Answer.Elsewhere(leadership.leader());
+            return CompletableFuture.completedFuture(new Answer.Elsewhere(leadership.leader()));
         }
         Machine machine = machine(report);
         if (machine == null || !take(machine, report, now)) {
-            return new Answer.Orders(term, List.of());
+            return CompletableFuture.completedFuture(new Answer.Orders(term, List.of()));
         }
         machine.heard(now);
         List<Order> orders = loaded ? orders(machine, report, now) : List.of();
         ledger.flush();
-        return new Answer.Orders(term, orders);
+        if (orders.isEmpty() && loaded && leadership.mayStart() && machine.hasRoom() && !machine.draining()) {
+            return held.hold(report, now.plus(holdFor()));
+        }
+        return CompletableFuture.completedFuture(new Answer.Orders(term, orders));
+    }
+
+    private Duration holdFor() {
+        Duration share = Duration.ofNanos((long) (platform.reportEvery().toNanos() * HOLD_REPORTS));
+        return share.compareTo(MOST_HOLD) < 0 ? share : MOST_HOLD;
+    }
+
+    private void sweepHeld() {
+        List<HeldReports.Held> due;
+        synchronized (this) {
+            if (closed) {
+                return;
+            }
+            due = held.due(loop.now());
+        }
+        loop.after(HOLD_SWEEP, this::sweepHeld);
+        due.forEach(this::answer);
+    }
+
+    /** Answers a report that was held, with the orders that there are by now. */
+    private void answer(HeldReports.Held late) {
+        Answer.Orders answer;
+        synchronized (this) {
+            Machine machine = machines.get(late.report().machine());
+            answer = new Answer.Orders(term, closed || machine == null ? List.of()
+                    : orders(machine, late.report(), loop.now()));
+            ledger.flush();
+        }
+        late.answer().complete(answer);
+    }
+
+    @Override
+    public void saved(Job job) {
+        List<HeldReports.Held> waiting = new ArrayList<>();
+        synchronized (this) {
+            for (Placement placement : job.placements()) {
+                if (placement.startSentSeq() < 0 && placement.committed() && held.has(placement.machine())) {
+                    waiting.add(held.take(placement.machine()));
+                }
+            }
+        }
+        waiting.forEach(this::answer);
     }
 
     private Machine machine(Report report) {
--- a/src/main/java/org/meadowhollow/coordination/Node.java
+++ b/src/main/java/org/meadowhollow/coordination/Node.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import org.meadowhollow.bookkeeping.Catalog;
 import org.meadowhollow.bookkeeping.EventLoop;
@@ -111,14 +112,15 @@
         return leader;
     }
 
-    public Answer report(Report report) {
+    public CompletableFuture<Answer> report(Report report) {
         Leader now = leader();
         if (now != null && leadership.mayAnswer()) {
             return now.report(report);
         }
         leadership.heardOf(report.token(), null);
         String other = leadership.leader();
-        return new Answer.Elsewhere(platform.member().equals(other) ? null : other);
+        return CompletableFuture.completedFuture(
+                new Answer.Elsewhere(platform.member().equals(other) ? null : other));
     }
 
     public void heardOf(Term term, String member) {
--- a/src/main/java/org/meadowhollow/protocol/NodeApi.java
+++ b/src/main/java/org/meadowhollow/protocol/NodeApi.java
@@ -23,7 +23,7 @@
     @Override
     public CompletableFuture<Http.Reply> handle(String method, String path, byte[] body) {
         if (path.equals("/hello")) {
-            return method.equals("POST") ? now(workers.hello(body)) : wrongMethod();
+            return method.equals("POST") ? workers.hello(body) : wrongMethod();
         }
         if (path.equals("/ready")) {
             return !method.equals("GET") ? wrongMethod() : now(ready.getAsBoolean()
--- a/src/main/java/org/meadowhollow/protocol/workers/WorkerApi.java
+++ b/src/main/java/org/meadowhollow/protocol/workers/WorkerApi.java
@@ -1,5 +1,6 @@
 package org.meadowhollow.protocol.workers;
 
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import org.meadowhollow.bookkeeping.Report;
 import org.meadowhollow.coordination.Answer;
@@ -9,20 +10,23 @@
 
 /** Takes workers' reports and answers them. */
 public final class WorkerApi {
-    private final Function<Report, Answer> reports;
+    private final Function<Report, CompletableFuture<Answer>> reports;
 
-    public WorkerApi(Function<Report, Answer> reports) {
+    public WorkerApi(Function<Report, CompletableFuture<Answer>> reports) {
         this.reports = reports;
     }
 
-    public Http.Reply hello(byte[] body) {
+    public CompletableFuture<Http.Reply> hello(byte[] body) {
         Report report;
         try {
             report = WorkerCodec.report(Fields.decode(body));
         } catch (Malformed broken) {
-            return Http.Reply.error(400, broken.getMessage());
+            return CompletableFuture.completedFuture(Http.Reply.error(400, broken.getMessage()));
         }
-        Answer answer = reports.apply(report);
+        return reports.apply(report).thenApply(WorkerApi::reply);
+    }
+
+    private static Http.Reply reply(Answer answer) {
         if (answer instanceof Answer.Orders orders) {
             return Http.Reply.of(200, Fields.of("baton", orders.token().value(),
                     "orders", WorkerCodec.orders(orders.orders())));
--- a/src/test/java/org/meadowhollow/story/FakeWorker.java
+++ b/src/test/java/org/meadowhollow/story/FakeWorker.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import org.meadowhollow.bookkeeping.Attempt;
 import org.meadowhollow.bookkeeping.Cause;
 import org.meadowhollow.bookkeeping.MachineId;
@@ -21,6 +22,10 @@
 final class FakeWorker {
     private static final Duration REPORT = Duration.ofSeconds(3);
     private static final Duration LEASE = Duration.ofSeconds(18);
+    /** How long it takes until the next node is tried. */
+    private static final Duration NEXT = Duration.ofSeconds(1);
+    /** How long an answer is waited for. */
+    private static final Duration ANSWER = Duration.ofSeconds(4);
 
     /** A task here; it runs once its image has come. */
     private static final class Task {
@@ -45,6 +50,7 @@
     private Term token = Term.NONE;
     private Moment answeredSentAt;
     private int node;
+    private CompletableFuture<Answer> inFlight;
     private boolean hung;
     private boolean gone;
     private boolean deaf;
@@ -187,12 +193,51 @@
     }
 
     private void report() {
+        if (inFlight != null) {
+            return;
+        }
         Report report = snapshot();
         Moment sentAt = world.loop().now();
-        Answer answer = world.deliver(node, report);
-        if (answer == null || answer instanceof Answer.Elsewhere) {
-            String member = answer == null ? null : ((Answer.Elsewhere) answer).member();
-            node = member == null ? (node + 1) % world.nodeCount() : world.indexOf(member);
+        Session reporting = session;
+        CompletableFuture<Answer> answer = world.deliver(node, report);
+        if (answer == null) {
+            tryNext();
+            return;
+        }
+        inFlight = answer;
+        world.loop().after(ANSWER, () -> {
+            if (inFlight == answer) {
+                inFlight = null;
+                tryNext();
+            }
+        });
+        answer.thenAccept(given -> {
+            if (inFlight == answer) {
+                inFlight = null;
+                if (!hung && !gone && session.equals(reporting)) {
+                    answered(given, sentAt);
+                }
+            }
+        });
+    }
+
+    private void tryNext() {
+        node = (node + 1) % world.nodeCount();
+        world.loop().after(NEXT, () -> {
+            if (!hung && !gone) {
+                advance();
+                report();
+            }
+        });
+    }
+
+    private void answered(Answer answer, Moment sentAt) {
+        if (answer instanceof Answer.Elsewhere elsewhere) {
+            if (elsewhere.member() == null) {
+                tryNext();
+            } else {
+                node = world.indexOf(elsewhere.member());
+            }
             return;
         }
         Answer.Orders orders = (Answer.Orders) answer;
--- a/src/test/java/org/meadowhollow/story/StoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/StoriesTest.java
@@ -114,6 +114,16 @@
         assertEquals(9, world.starts());
     }
 
+    @Test
+    void aStartNeedNotWaitForTheNextReport() {
+        // All machines report every 3 s from the same moment on, and have just done so.
+        world.runS(3.25);
+        JobSpec job = array(1, 6);
+        assertTrue(world.submit(0, job, LONG));
+        world.runS(1.5);
+        assertTrue(world.workers().stream().anyMatch(worker -> worker.holds(new TaskId(job.id(), 0))));
+    }
+
     @Test
     void aSuccessorKnowsWhereAnImageIsCached() {
         // Among equal machines the first would be chosen, which is in the other zone.
--- a/src/test/java/org/meadowhollow/story/World.java
+++ b/src/test/java/org/meadowhollow/story/World.java
@@ -352,9 +352,19 @@
     // ---- the network ----
 
     /** Hands a report to a node; null when there is no answer. */
-    Answer deliver(int node, Report report) {
+    CompletableFuture<Answer> deliver(int node, Report report) {
         Member member = members.get(node);
-        return member.node == null || member.cutFromWorkers ? null : member.node.report(report);
+        if (member.node == null || member.cutFromWorkers) {
+            return null;
+        }
+        Node asked = member.node;
+        CompletableFuture<Answer> answer = new CompletableFuture<>();
+        asked.report(report).thenAccept(given -> {
+            if (member.node == asked && !member.cutFromWorkers) {
+                answer.complete(given);
+            }
+        });
+        return answer;
     }
 
     private final class Direct implements Workers {
