--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -274,8 +274,9 @@
             job.waitingSince(now);
             jobs.put(id, job);
             noteLarge(job.spec());
-            LOG.info("job {}: {} of {} tasks for team {}, class {}", id, job.spec().kind(), job.spec().tasks(),
-                    job.spec().team(), job.spec().jobClass());
+            LOG.info("job {}: {} of {} tasks of about {} s for team {}, class {}, due in {} s", id, job.spec().kind(),
+                    job.spec().tasks(), job.spec().estimateS(), job.spec().team(), job.spec().jobClass(),
+                    job.spec().deadlineS());
             return;
         }
         if (!version.isAfter(job.version())) {
