--- a/src/main/java/org/meadowhollow/cli/Controller.java
+++ b/src/main/java/org/meadowhollow/cli/Controller.java
@@ -35,9 +35,9 @@
     private final HttpServer back;
     private final Node node;
 
-    private Controller(Settings settings, RandomGenerator random) throws IOException {
+    private Controller(XnioLoop loop, Settings settings, RandomGenerator random) {
+        this.loop = loop;
         Platform platform = settings.platform();
-        loop = new XnioLoop();
         DefaultByteBufferPool buffers = new DefaultByteBufferPool(false, BUFFER, MOST_BUFFERS, 0);
         HttpClient http = new HttpClient(loop, buffers);
         StateClient state = new StateClient(http, settings.state(), loop, budget(platform.stateRps()),
@@ -77,7 +77,14 @@
         }
 
         public Controller start() throws IOException {
-            return new Controller(settings, random);
+            XnioLoop loop = new XnioLoop();
+            try {
+                // Built where it runs, so that one thread alone loads classes and reads files while it starts.
+                return loop.call(() -> new Controller(loop, settings, random));
+            } catch (RuntimeException failure) {
+                loop.close();
+                throw failure;
+            }
         }
     }
 
--- a/src/main/java/org/meadowhollow/transport/XnioLoop.java
+++ b/src/main/java/org/meadowhollow/transport/XnioLoop.java
@@ -2,7 +2,10 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.meadowhollow.bookkeeping.EventLoop;
 import org.meadowhollow.bookkeeping.Moment;
 import org.slf4j.Logger;
@@ -41,6 +44,23 @@
         return thread;
     }
 
+    /** Does some work on the loop's thread and waits for its result. */
+    public <T> T call(Supplier<T> work) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        thread.execute(() -> {
+            try {
+                result.complete(work.get());
+            } catch (RuntimeException failure) {
+                result.completeExceptionally(failure);
+            }
+        });
+        try {
+            return result.join();
+        } catch (CompletionException failed) {
+            throw (RuntimeException) failed.getCause();
+        }
+    }
+
     @Override
     public Moment now() {
         return new Moment(System.nanoTime());
