Rent dear machines only for arrays that would be late, and keep room for gangs

Change: an array task that can start in time on a place that another leaves, by the owners' estimates with a margin, is not rented a machine that costs more than twice the cheapest kind. Gangs then miss the idle machines, so room is kept and rented for as many large tasks as came within twice the time that a new machine takes.

--- a/src/main/java/org/meadowhollow/coordination/Fleet.java
+++ b/src/main/java/org/meadowhollow/coordination/Fleet.java
@@ -48,11 +48,18 @@
      * quarter late each), and time for a direct question. Its return proves its tasks gone before its lease does.
      */
     private static final double GIVE_UP_REPORTS = 2.7;
+    /** A machine that costs this much more for a task than the cheapest kind is rented only for what would be late. */
+    private static final double DEAR = 2;
     /** If more than this share of the machines is silent, the fault is more likely ours than theirs. */
     private static final double MOST_SILENT = 0.25;
 
-    /** Waiting tasks of a job that found no machine; {@code zone} is the only one that will do, or null. */
-    record Need(JobSpec spec, int tasks, String zone) {
+    /**
+     * Waiting tasks of a job that found no machine.
+     *
+     * @param zone the only one that will do, or null
+     * @param agedS how long ago the job was submitted
+     */
+    record Need(JobSpec spec, int tasks, String zone, double agedS) {
     }
 
     private record Source(String type, String zone, boolean spot) {
@@ -77,6 +84,7 @@
     /** Returned machines, for as long as a late list or report may still name them. */
     private final Map<MachineId, Moment> released = new LinkedHashMap<>();
     private List<Need> needs = List.of();
+    private Set<MachineId> reserved = Set.of();
     private int counter;
     private int renting;
     private boolean releasing;
@@ -99,8 +107,10 @@
         closed = true;
     }
 
-    synchronized void needs(List<Need> now) {
+    /** Takes in what a round found: what to rent for, and the machines to keep for what is likely to come. */
+    synchronized void needs(List<Need> now, Set<MachineId> keep) {
         needs = now;
+        reserved = keep;
     }
 
     /** Whether a machine was returned for certain, so that a late report of it means nothing. */
@@ -221,7 +231,8 @@
         if (machine.idleSince() == null || machine.heardAt() == null) {
             return false;
         }
-        return machine.draining() || now.secondsSince(machine.idleSince()) > keepS(machine.type());
+        return machine.draining() || !reserved.contains(machine.id())
+                && now.secondsSince(machine.idleSince()) > keepS(machine.type());
     }
 
     /**
@@ -234,12 +245,14 @@
 
     /** What to rent: the needs that neither the machines that are booting nor each other's new ones take. */
     private Map<Source, Integer> wanted(List<Machine> machines, Moment now) {
-        record Bin(Source source, Resources[] free) {
+        record Bin(Source source, Resources[] free, double readyInS) {
         }
         List<Bin> bins = new ArrayList<>();
         booting.values().forEach(rental -> bins.add(new Bin(
                 new Source(rental.type().name(), rental.zone(), rental.spot()),
-                new Resources[] {rental.type().room()})));
+                new Resources[] {rental.type().room()},
+                Math.max(0, rental.type().bootS() - now.secondsSince(rental.sentAt())))));
+        Turnover turnover = new Turnover(machines, now);
         Map<String, Integer> perZone = new HashMap<>();
         for (Machine machine : machines) {
             perZone.merge(machine.zone(), 1, Integer::sum);
@@ -250,6 +263,7 @@
             Map<String, Integer> inZone = new HashMap<>();
             String only = need.zone();
             int left = need.tasks();
+            boolean mayFollow = spec.kind() == Kind.ARRAY;
             while (left > 0) {
                 Bin found = null;
                 for (Bin bin : bins) {
@@ -261,16 +275,27 @@
                 }
                 if (found == null) {
                     Source source = source(spec, only, inZone, perZone, now);
+                    if (mayFollow && (source == null || isDear(spec, source))) {
+                        mayFollow = false;
+                        left -= turnover.take(spec, left, need.agedS(), leader.readyS(spec));
+                        continue;
+                    }
                     if (source == null) {
                         break;
                     }
-                    found = new Bin(source, new Resources[] {catalog.type(source.type()).room()});
+                    MachineType type = catalog.type(source.type());
+                    found = new Bin(source, new Resources[] {type.room()}, type.bootS());
                     bins.add(found);
                     wanted.merge(source, 1, Integer::sum);
                     perZone.merge(source.zone(), 1, Integer::sum);
                 }
                 found.free()[0] = found.free()[0].minus(spec.perTask());
                 inZone.merge(found.source().zone(), 1, Integer::sum);
+                if (spec.kind() == Kind.ARRAY) {
+                    MachineType type = catalog.type(found.source().type());
+                    turnover.follows(spec, type, found.source().zone(), found.source().spot(),
+                            found.readyInS() + spec.imageGb() / type.fetchGbPerS());
+                }
                 if (spec.oneZone()) {
                     only = found.source().zone();
                 }
@@ -280,6 +305,22 @@
         return wanted;
     }
 
+    private boolean isDear(JobSpec spec, Source source) {
+        double cheapest = Double.MAX_VALUE;
+        for (MachineType type : catalog.types()) {
+            if (spec.allowsType(type.name()) && spec.perTask().fitsIn(type.room())) {
+                cheapest = Math.min(cheapest, costOf(spec, type, spec.spot()));
+            }
+        }
+        return costOf(spec, catalog.type(source.type()), source.spot()) > cheapest * DEAR;
+    }
+
+    /** The hourly cost of a task on a machine that it shares with others of its kind. */
+    private static double costOf(JobSpec spec, MachineType type, boolean spot) {
+        int each = spec.kind() == Kind.GANG ? 1 : spec.perTask().countIn(type.room(), MOST_RENTED);
+        return (spot ? type.spotPrice() : type.price()) / Math.max(1, each);
+    }
+
     private boolean fits(JobSpec spec, Source source, String zone) {
         return spec.allowsType(source.type()) && (!source.spot() || spec.spot())
                 && (zone == null || zone.equals(source.zone()))
@@ -300,9 +341,7 @@
                             || inZone.getOrDefault(zone, 0) >= spec.mostPerZone()) {
                         continue;
                     }
-                    int each = spec.kind() == Kind.GANG ? 1 : spec.perTask().countIn(type.room(), MOST_RENTED);
-                    double cost = (spot ? type.spotPrice() : type.price()) / Math.max(1, each) * ZONE_WEIGHT
-                            + perZone.getOrDefault(zone, 0);
+                    double cost = costOf(spec, type, spot) * ZONE_WEIGHT + perZone.getOrDefault(zone, 0);
                     if (best == null || cost < bestCost) {
                         best = source;
                         bestCost = cost;
--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -101,6 +101,7 @@
     private final Map<MachineId, Moment> probedAt = new HashMap<>();
     private final Object2IntOpenHashMap<MachineId> faults = new Object2IntOpenHashMap<>();
     private final Set<String> largeFor = new HashSet<>();
+    private final Expected expected = new Expected();
     private double largestImageGb;
     private boolean loaded;
     private boolean closed;
@@ -277,6 +278,7 @@
             LOG.info("job {}: {} of {} tasks of about {} s for team {}, class {}, due in {} s", id, job.spec().kind(),
                     job.spec().tasks(), job.spec().estimateS(), job.spec().team(), job.spec().jobClass(),
                     job.spec().deadlineS());
+            noteExpected(job, now);
             return;
         }
         if (!version.isAfter(job.version())) {
@@ -834,7 +836,8 @@
                         now.since(job.waitingSince()).compareTo(DESPERATE) > 0));
             }
         }
-        PlacementRound.Outcome outcome = PlacementRound.run(seats, shares(), waiting, mostJobs());
+        Map<String, PlacementRound.Share> shares = shares();
+        PlacementRound.Outcome outcome = PlacementRound.run(seats, shares, waiting, mostJobs());
         Map<JobId, Attempt> attempts = new HashMap<>();
         for (PlacementRound.Decision decision : outcome.decisions()) {
             Job job = jobs.get(decision.spec().id());
@@ -863,7 +866,8 @@
         for (PlacementRound.Waiting job : waiting) {
             Integer count = outcome.unplaced().get(job.spec().id());
             if (count != null) {
-                needs.add(new Fleet.Need(job.spec(), count, onlyZone(job)));
+                needs.add(new Fleet.Need(job.spec(), count, onlyZone(job),
+                        (loop.wallMillis() - jobs.get(job.spec().id()).acceptedAtMillis()) / 1000.0));
                 giveUpIncomplete(jobs.get(job.spec().id()), now);
                 if (preempting < MOST_PREEMPTING && makeRoom(jobs.get(job.spec().id()), job.zones(),
                         guaranteed.getOrDefault(job.spec().id(), false), now)) {
@@ -871,7 +875,30 @@
                 }
             }
         }
-        fleet.needs(needs);
+        fleet.needs(needs, reserve(seats, shares, needs, now));
+    }
+
+    /**
+     * Looks for room for the jobs that are likely to come, after all that wait; what finds none is rented for.
+     * Returns the machines that it would take, which are not to be returned.
+     */
+    private Set<MachineId> reserve(List<PlacementRound.Seat> seats, Map<String, PlacementRound.Share> shares,
+            List<Fleet.Need> needs, Moment now) {
+        List<PlacementRound.Waiting> likely = new ArrayList<>();
+        for (JobSpec spec : expected.likely(now)) {
+            int[] tasks = new int[spec.tasks()];
+            likely.add(new PlacementRound.Waiting(spec, tasks, new Object2IntOpenHashMap<>(), true));
+        }
+        PlacementRound.Outcome outcome = PlacementRound.run(seats, shares, likely, likely.size());
+        Set<MachineId> reserved = new HashSet<>();
+        outcome.decisions().forEach(decision -> reserved.add(decision.machine()));
+        for (PlacementRound.Waiting job : likely) {
+            Integer count = outcome.unplaced().get(job.spec().id());
+            if (count != null) {
+                needs.add(new Fleet.Need(job.spec(), count, job.spec().zone(), 0));
+            }
+        }
+        return reserved;
     }
 
     /** Jobs to place in a round: what a round decides should be written before the next one. */
@@ -949,13 +976,33 @@
                 withinS = Math.min(withinS, objective.withinS());
             }
         }
+        return withinS == Double.MAX_VALUE ? DESPERATE.toSeconds() : withinS - readyS(spec);
+    }
+
+    /** How long a new machine takes at best until it can run one of the job's tasks. */
+    double readyS(JobSpec spec) {
         double readyS = Double.MAX_VALUE;
         for (MachineType type : catalog.types()) {
             if (spec.allowsType(type.name()) && spec.perTask().fitsIn(type.room())) {
                 readyS = Math.min(readyS, type.bootS() + spec.imageGb() / type.fetchGbPerS());
             }
         }
-        return withinS == Double.MAX_VALUE ? DESPERATE.toSeconds() : withinS - readyS;
+        return readyS;
+    }
+
+    /** Notes a job of large tasks that no new machine could serve in time, for others like it will come. */
+    private void noteExpected(Job job, Moment now) {
+        JobSpec spec = job.spec();
+        boolean large = false;
+        for (MachineType type : catalog.types()) {
+            large |= spec.allowsType(type.name()) && spec.perTask().fitsIn(type.room())
+                    && PlacementRound.isLarge(spec, type.room());
+        }
+        if (large && spec.kind() != Kind.SERVICE && patienceS(spec, false) < 0) {
+            long ageMillis = Math.max(0, loop.wallMillis() - job.acceptedAtMillis());
+            expected.came(spec, new Moment(now.nanos() - ageMillis * 1_000_000),
+                    Duration.ofMillis((long) (readyS(spec) * 1000)));
+        }
     }
 
     /** The images on their way to a machine, each with the seconds that it will still take. */
--- /dev/null
+++ b/src/test/java/org/meadowhollow/coordination/TurnoverTest.java
@@ -0,0 +1,52 @@
+package org.meadowhollow.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.meadowhollow.bookkeeping.JobId;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.MachineType;
+import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.Priority;
+import org.meadowhollow.bookkeeping.Resources;
+
+/** A place is taken by a task that would run for 10 s, with a margin 13 s. */
+class TurnoverTest {
+    private static final Resources ONE = Resources.of(1, 1, 1);
+    private static final MachineType TYPE = new MachineType("type", ONE, 50, 1, 1, 1, 40, List.of("a"));
+    private static final double READY_S = 40;
+
+    private final Turnover turnover = new Turnover(List.of(), new Moment(0));
+
+    private static JobSpec array(double deadlineS, boolean spot) {
+        return new JobSpec(new JobId("req-1"), "class", "team", Kind.ARRAY, Priority.NORMAL, 9, ONE, null, null,
+                false, false, spot, "image", 1, 10, 0, 0, deadlineS);
+    }
+
+    private void place(double leftInS, boolean spot) {
+        turnover.follows(array(Double.NaN, spot), TYPE, "a", spot, leftInS - 13);
+    }
+
+    @Test
+    void aPlaceServesOneTaskAfterTheOtherWhileTheyAreInTime() {
+        place(5, false);
+        // The last start in time is at 80 - 13 s: at 5, 18, 31, 44 and 57 s.
+        assertEquals(5, turnover.take(array(80, false), 9, 0, READY_S));
+        assertEquals(0, turnover.take(array(80, false), 9, 0, READY_S), "the next would start at 70 s");
+    }
+
+    @Test
+    void whatANewMachineCannotServeInTimeWaitsForAsLongAsItWouldTake() {
+        place(35, false);
+        assertEquals(1, turnover.take(array(30, false), 9, 0, READY_S));
+    }
+
+    @Test
+    void aPlaceOnASpotMachineIsOnlyForThoseThatMayUseIt() {
+        place(5, true);
+        assertEquals(0, turnover.take(array(80, false), 9, 0, READY_S));
+        assertEquals(1, turnover.take(array(80, true), 1, 0, READY_S));
+    }
+}
