--- a/src/main/java/org/meadowhollow/bookkeeping/Job.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Job.java
@@ -110,6 +110,16 @@
         return placements.values();
     }
 
+    /** Whether a gang's attempt has run or is being stopped, so that it cannot be completed any more. */
+    public boolean hasBegun() {
+        for (Placement placement : placements.values()) {
+            if (placement.runningSince() != null || placement.stopping()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     public Placement placement(int task) {
         return placements.get(task);
     }
--- /dev/null
+++ b/src/main/java/org/meadowhollow/coordination/Aims.java
@@ -0,0 +1,84 @@
+package org.meadowhollow.coordination;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import org.meadowhollow.bookkeeping.Catalog;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.MachineType;
+
+/** What the objectives and the machine types mean for the jobs that have come so far. */
+final class Aims {
+    /** A task without a machine that passes goes by room alone after this long (DESIGN's value). */
+    static final Duration DESPERATE = Duration.ofSeconds(30);
+
+    private final Platform platform;
+    private final Catalog catalog;
+    private final Set<String> largeFor = new HashSet<>();
+    private double largestImageGb;
+
+    Aims(Platform platform, Catalog catalog) {
+        this.platform = platform;
+        this.catalog = catalog;
+    }
+
+    /** Notes the machine types that a job's tasks need most of, and the size of its image. */
+    void note(JobSpec spec) {
+        largestImageGb = Math.max(largestImageGb, spec.imageGb());
+        for (MachineType type : catalog.types()) {
+            if (isLarge(spec, type)) {
+                largeFor.add(type.name());
+            }
+        }
+    }
+
+    private static boolean fits(JobSpec spec, MachineType type) {
+        return spec.allowsType(type.name()) && spec.perTask().fitsIn(type.room());
+    }
+
+    private static boolean isLarge(JobSpec spec, MachineType type) {
+        return fits(spec, type) && PlacementRound.isLarge(spec, type.room());
+    }
+
+    /** Whether tasks that need most of such a machine are about. */
+    boolean isForLarge(MachineType type) {
+        return largeFor.contains(type.name());
+    }
+
+    double largestImageGb() {
+        return largestImageGb;
+    }
+
+    /** How long a job can wait before only a running task's place can still serve it in time. */
+    double patienceS(JobSpec spec, boolean guaranteed) {
+        double withinS = Double.MAX_VALUE;
+        for (Platform.Objective objective : platform.objectives()) {
+            if (objective.kind().equals("wait") && spec.jobClass().equals(objective.jobClass())
+                    || objective.kind().equals("guarantee") && guaranteed) {
+                withinS = Math.min(withinS, objective.withinS());
+            }
+        }
+        return withinS == Double.MAX_VALUE ? DESPERATE.toSeconds() : withinS - readyS(spec);
+    }
+
+    /** How long a new machine takes at best until it can run one of the job's tasks. */
+    double readyS(JobSpec spec) {
+        double readyS = Double.MAX_VALUE;
+        for (MachineType type : catalog.types()) {
+            if (fits(spec, type)) {
+                readyS = Math.min(readyS, type.bootS() + spec.imageGb() / type.fetchGbPerS());
+            }
+        }
+        return readyS;
+    }
+
+    /** Whether a job needs machines of its own and could not be started in time on new ones. */
+    boolean needsReserve(JobSpec spec) {
+        boolean large = false;
+        for (MachineType type : catalog.types()) {
+            large |= isLarge(spec, type);
+        }
+        return large && spec.kind() != Kind.SERVICE && patienceS(spec, false) < 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/meadowhollow/coordination/Cluster.java
@@ -0,0 +1,117 @@
+package org.meadowhollow.coordination;
+
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.meadowhollow.bookkeeping.Job;
+import org.meadowhollow.bookkeeping.JobId;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Machine;
+import org.meadowhollow.bookkeeping.MachineId;
+import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.Placement;
+import org.meadowhollow.bookkeeping.Resources;
+import org.meadowhollow.bookkeeping.Term;
+
+/** The jobs and machines of one leadership, as far as it knows them; guarded by the leader's lock. */
+final class Cluster {
+    /** Reports missed in a row before a machine counts as silent. */
+    static final double SILENT_REPORTS = 2.0;
+
+    private final Platform platform;
+    private final Term term;
+    private final Map<JobId, Job> jobs = new TreeMap<>();
+    private final Map<MachineId, Machine> machines = new TreeMap<>();
+    private final Map<MachineId, RiskTable> risks = new HashMap<>();
+    private final Map<MachineId, List<Placement>> unseen = new HashMap<>();
+
+    Cluster(Platform platform, Term term) {
+        this.platform = platform;
+        this.term = term;
+    }
+
+    Map<JobId, Job> jobs() {
+        return jobs;
+    }
+
+    Map<MachineId, Machine> machines() {
+        return machines;
+    }
+
+    /** What each machine's past says of it. */
+    Map<MachineId, RiskTable> risks() {
+        return risks;
+    }
+
+    /** What may be running on machines that neither a list nor a report has shown. */
+    Map<MachineId, List<Placement>> unseen() {
+        return unseen;
+    }
+
+    void add(Machine machine) {
+        machines.put(machine.id(), machine);
+        risks.put(machine.id(), new RiskTable());
+        List<Placement> known = unseen.remove(machine.id());
+        if (known != null) {
+            machine.placements().addAll(known);
+        }
+    }
+
+    /** Takes in what a predecessor committed. */
+    void restore(Placement placement) {
+        Machine machine = machines.get(placement.machine());
+        if (machine != null) {
+            machine.placements().add(placement);
+        } else {
+            unseen.computeIfAbsent(placement.machine(), unused -> new ArrayList<>()).add(placement);
+        }
+    }
+
+    /** Whether a machine can be told to start tasks now. */
+    boolean usable(Machine machine, Moment now) {
+        return !machine.draining() && machine.heardAt() != null && machine.shown().equals(term)
+                && machine.session() != null
+                && now.secondsSince(machine.heardAt()) < SILENT_REPORTS * platform.reportEvery().toNanos() / 1e9;
+    }
+
+    /** Whether a machine can take tasks of a job now, if it has room. */
+    boolean mayTake(Machine machine, JobSpec spec, Moment now) {
+        return usable(machine, now) && spec.allowsType(machine.type().name()) && spec.allowsZone(machine.zone())
+                && (spec.spot() || !machine.spot());
+    }
+
+    /** How many of a job's tasks may be in each zone. */
+    Object2IntOpenHashMap<String> zonesOf(Job job) {
+        Object2IntOpenHashMap<String> zones = new Object2IntOpenHashMap<>();
+        for (Placement placement : job.placements()) {
+            Machine machine = machines.get(placement.machine());
+            // A machine not seen yet may be in any zone, so it counts in all of them.
+            if (machine != null) {
+                zones.addTo(machine.zone(), 1);
+            } else {
+                platform.zones().forEach(zone -> zones.addTo(zone, 1));
+            }
+        }
+        return zones;
+    }
+
+    /** What each team's tasks use. */
+    Map<String, Resources> used() {
+        Map<String, Resources> used = new HashMap<>();
+        // By machine, not by job: a task counts until it is proven gone, even when its job is over.
+        for (Machine machine : machines.values()) {
+            countUse(machine.placements(), used);
+        }
+        unseen.values().forEach(placements -> countUse(placements, used));
+        return used;
+    }
+
+    private static void countUse(List<Placement> placements, Map<String, Resources> used) {
+        for (Placement placement : placements) {
+            used.merge(placement.job().spec().team(), placement.job().spec().perTask(), Resources::plus);
+        }
+    }
+}
--- a/src/main/java/org/meadowhollow/coordination/Fleet.java
+++ b/src/main/java/org/meadowhollow/coordination/Fleet.java
@@ -361,8 +361,8 @@
         }
         Moment sentAt = loop.now();
         int most = Math.min(MOST_RENTED, count);
-        LOG.info("renting {} {} {} in {} as {}", most, source.spot() ? "spot" : "ordinary", source.type(), source.zone(),
-                request);
+        LOG.info("renting {} {} {} in {} as {}", most, source.spot() ? "spot" : "ordinary", source.type(),
+                source.zone(), request);
         cloud.rent(request, source.type(), source.zone(), source.spot(), most).whenComplete((rented, failure) -> {
             synchronized (this) {
                 renting--;
--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -1,19 +1,16 @@
 package org.meadowhollow.coordination;
 
-import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
-import it.unimi.dsi.fastutil.objects.Object2IntMap;
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import org.meadowhollow.bookkeeping.Attempt;
 import org.meadowhollow.bookkeeping.Catalog;
 import org.meadowhollow.bookkeeping.Cause;
@@ -31,7 +28,6 @@
 import org.meadowhollow.bookkeeping.Placement;
 import org.meadowhollow.bookkeeping.Records;
 import org.meadowhollow.bookkeeping.Report;
-import org.meadowhollow.bookkeeping.Resources;
 import org.meadowhollow.bookkeeping.Session;
 import org.meadowhollow.bookkeeping.StateException;
 import org.meadowhollow.bookkeeping.StateException.Outcome;
@@ -54,14 +50,8 @@
     private static final Duration ROUND = Duration.ofSeconds(1);
     private static final Duration RETRY = Duration.ofMillis(500);
     private static final Duration WATCH = Duration.ofSeconds(20);
-    /** Tasks of one job looked at in a round: more than fit on any fleet at once, and bounded. */
-    private static final int MOST_TASKS = 2000;
-    /** A task without a machine that passes goes by room alone after this long (DESIGN's value). */
-    private static final Duration DESPERATE = Duration.ofSeconds(30);
     /** Jobs in a round for which others are stopped: what is stopped must be seen to help first. */
     private static final int MOST_PREEMPTING = 4;
-    /** Time for a stop to take effect and the room to be used before more is stopped for the same job. */
-    private static final Duration PREEMPT_AGAIN = Duration.ofSeconds(10);
     /** Orders in one answer; keeps it below the protocol's 64 KiB. */
     private static final int MOST_ORDERS = 400;
     /**
@@ -74,8 +64,6 @@
     /** Clock drift and timer steps on top of a worker's lease. */
     private static final double LEASE_SLACK = 1.001;
     private static final Duration LEASE_MARGIN = Duration.ofMillis(500);
-    /** Reports missed in a row before a machine is asked directly. */
-    private static final double PROBE_AFTER_REPORTS = 2.0;
     /** Failures of a job's tasks after which it has to wait before the next start. */
     private static final int FAILURES_BEFORE_HOLD = 3;
     private static final int MOST_HOLD_S = 60;
@@ -94,15 +82,14 @@
     private final HeldReports held = new HeldReports();
     private final Term term;
     private final Moment begunAt;
-    private final Map<JobId, Job> jobs = new TreeMap<>();
-    private final Map<MachineId, Machine> machines = new TreeMap<>();
-    private final Map<MachineId, RiskTable> risks = new HashMap<>();
-    private final Map<MachineId, List<Placement>> unseenMachines = new HashMap<>();
+    private final Cluster cluster;
+    private final Map<JobId, Job> jobs;
+    private final Map<MachineId, Machine> machines;
+    private final Aims aims;
+    private final RoomMaker rooms;
     private final Map<MachineId, Moment> probedAt = new HashMap<>();
     private final Object2IntOpenHashMap<MachineId> faults = new Object2IntOpenHashMap<>();
-    private final Set<String> largeFor = new HashSet<>();
     private final Expected expected = new Expected();
-    private double largestImageGb;
     private boolean loaded;
     private boolean closed;
     private long byTable;
@@ -118,6 +105,11 @@
         this.leadership = leadership;
         this.term = term;
         this.begunAt = loop.now();
+        this.cluster = new Cluster(platform, term);
+        this.jobs = cluster.jobs();
+        this.machines = cluster.machines();
+        this.aims = new Aims(platform, catalog);
+        this.rooms = new RoomMaker(cluster, platform, aims);
         this.ledger = new Ledger(store, loop, platform.txnOps(), leaderVersion, this);
         this.images = new ImageNotes(store, leaderVersion, platform);
         this.fleet = new Fleet(this, cloud, platform, catalog, loop, term);
@@ -125,7 +117,7 @@
 
     /** Loads all live jobs, then begins its rounds. */
     public void start() {
-        loadJobs(null, null);
+        loadJobs(this::loadTasks);
         fleet.start();
         loop.after(ROUND, this::round);
         loop.after(HOLD_SWEEP, this::sweepHeld);
@@ -149,73 +141,46 @@
 
     // ---- loading ----
 
-    private void loadJobs(String after, Version firstRevision) {
-        store.list(Records.JOBS, after, Urgency.PLACEMENT).whenComplete((page, failure) -> {
+    /** Reads all records under a prefix, page by page, then goes on with the revision of the first page. */
+    private void read(String prefix, String after, Version first, Consumer<List<StateStore.Entry>> take,
+            Consumer<Version> then) {
+        store.list(prefix, after, Urgency.PLACEMENT).whenComplete((page, failure) -> {
             synchronized (this) {
                 if (closed) {
                     return;
                 }
                 if (failure != null) {
-                    loop.after(RETRY, () -> loadJobs(after, firstRevision));
+                    loop.after(RETRY, () -> read(prefix, after, first, take, then));
                     return;
                 }
-                for (StateStore.Entry entry : page.entries()) {
-                    takeJob(entry.key(), entry.value(), entry.version());
-                }
-                Version from = firstRevision == null ? page.revision() : firstRevision;
+                take.accept(page.entries());
+                Version from = first == null ? page.revision() : first;
                 if (page.more()) {
-                    loadJobs(page.entries().get(page.entries().size() - 1).key(), from);
-                } else if (loaded) {
-                    watch(from);
+                    read(prefix, page.entries().get(page.entries().size() - 1).key(), from, take, then);
                 } else {
-                    loadTasks(null, from);
+                    then.accept(from);
                 }
             }
         });
     }
 
-    private void loadTasks(String after, Version watchFrom) {
-        store.list(Records.TASKS, after, Urgency.PLACEMENT).whenComplete((page, failure) -> {
-            synchronized (this) {
-                if (closed) {
-                    return;
-                }
-                if (failure != null) {
-                    loop.after(RETRY, () -> loadTasks(after, watchFrom));
-                    return;
-                }
-                for (StateStore.Entry entry : page.entries()) {
-                    if (!Records.load(entry, jobs, loop.now())) {
-                        ledger.leftover(entry.key());
-                    }
-                }
-                if (page.more()) {
-                    loadTasks(page.entries().get(page.entries().size() - 1).key(), watchFrom);
-                    return;
-                }
-                loadImages(null, watchFrom);
-            }
-        });
+    private void loadJobs(Consumer<Version> then) {
+        read(Records.JOBS, null, null, jobRecords -> jobRecords.forEach(
+                entry -> takeJob(entry.key(), entry.value(), entry.version())), then);
     }
 
-    private void loadImages(String after, Version watchFrom) {
-        store.list(Records.IMAGES, after, Urgency.PLACEMENT).whenComplete((page, failure) -> {
-            synchronized (this) {
-                if (closed) {
-                    return;
-                }
-                if (failure != null) {
-                    loop.after(RETRY, () -> loadImages(after, watchFrom));
-                    return;
-                }
-                images.load(page.entries(), loop.now());
-                if (page.more()) {
-                    loadImages(page.entries().get(page.entries().size() - 1).key(), watchFrom);
-                    return;
-                }
-                machines.values().forEach(images::met);
-                loaded(watchFrom);
+    private void loadTasks(Version watchFrom) {
+        read(Records.TASKS, null, null, tasks -> tasks.forEach(entry -> {
+            if (!Records.load(entry, jobs, loop.now())) {
+                ledger.leftover(entry.key());
             }
+        }), unused -> loadImages(watchFrom));
+    }
+
+    private void loadImages(Version watchFrom) {
+        read(Records.IMAGES, null, null, notes -> images.load(notes, loop.now()), unused -> {
+            machines.values().forEach(images::met);
+            loaded(watchFrom);
         });
     }
 
@@ -223,13 +188,7 @@
         int placed = 0;
         for (Job job : jobs.values()) {
             for (Placement placement : job.placements()) {
-                Machine machine = machines.get(placement.machine());
-                if (machine != null) {
-                    machine.placements().add(placement);
-                } else {
-                    unseenMachines.computeIfAbsent(placement.machine(), unused -> new ArrayList<>())
-                            .add(placement);
-                }
+                cluster.restore(placement);
                 placed++;
             }
             if (job.cancelled()) {
@@ -258,7 +217,7 @@
                     }
                     watch(changes.revision());
                 } else if (StateException.of(failure) == Outcome.TOO_OLD) {
-                    loadJobs(null, null);
+                    loadJobs(this::watch);
                 } else {
                     loop.after(RETRY, () -> watch(after));
                 }
@@ -274,11 +233,15 @@
             job = Records.job(id, record, version, now);
             job.waitingSince(now);
             jobs.put(id, job);
-            noteLarge(job.spec());
+            aims.note(job.spec());
             LOG.info("job {}: {} of {} tasks of about {} s for team {}, class {}, due in {} s", id, job.spec().kind(),
                     job.spec().tasks(), job.spec().estimateS(), job.spec().team(), job.spec().jobClass(),
                     job.spec().deadlineS());
-            noteExpected(job, now);
+            if (aims.needsReserve(job.spec())) {
+                long ageMillis = Math.max(0, loop.wallMillis() - job.acceptedAtMillis());
+                expected.came(job.spec(), new Moment(now.nanos() - ageMillis * 1_000_000),
+                        Duration.ofMillis((long) (aims.readyS(job.spec()) * 1000)));
+            }
             return;
         }
         if (!version.isAfter(job.version())) {
@@ -404,13 +367,8 @@
     }
 
     private Machine add(Machine machine) {
-        machines.put(machine.id(), machine);
-        risks.put(machine.id(), new RiskTable());
+        cluster.add(machine);
         images.met(machine);
-        List<Placement> known = unseenMachines.remove(machine.id());
-        if (known != null) {
-            machine.placements().addAll(known);
-        }
         return machine;
     }
 
@@ -458,7 +416,7 @@
             }
         }
         machine.settling().keySet().removeIf(task -> !listed.containsKey(task));
-        risks.get(machine.id()).add(machine.placements().size(),
+        cluster.risks().get(machine.id()).add(machine.placements().size(),
                 machine.booked().shareOf(machine.type().room()), machine.takeLost(), now);
         return true;
     }
@@ -601,17 +559,7 @@
             machine.lost(1);
         }
         // A gang that has not begun waits on for a replacement with the attempt's number.
-        remove(machine, placement, now, hasBegun(placement.job()) || placement.runningSince() != null);
-    }
-
-    /** Whether a gang's attempt has run or is being stopped, so that it cannot be completed any more. */
-    private static boolean hasBegun(Job gang) {
-        for (Placement placement : gang.placements()) {
-            if (placement.runningSince() != null || placement.stopping()) {
-                return true;
-            }
-        }
-        return false;
+        remove(machine, placement, now, placement.job().hasBegun() || placement.runningSince() != null);
     }
 
     /**
@@ -726,7 +674,7 @@
         Moment lastHeard = machine.heardAt() == null ? begunAt : machine.heardAt();
         double silentS = now.secondsSince(lastHeard);
         double reportS = platform.reportEvery().toNanos() / 1e9;
-        if (silentS > PROBE_AFTER_REPORTS * reportS && machine.address() != null
+        if (silentS > Cluster.SILENT_REPORTS * reportS && machine.address() != null
                 || machine.heardAt() == null && machine.address() != null) {
             Moment probed = probedAt.get(machine.id());
             if (probed == null || now.secondsSince(probed) > reportS) {
@@ -790,56 +738,48 @@
 
     /** Placements on machines that neither the cloud's list nor any report has shown. */
     private void expireUnseen(Moment now) {
-        if (!unseenMachines.isEmpty() && now.since(begunAt).compareTo(slack(platform.cancelWithin())) > 0) {
-            for (List<Placement> placements : List.copyOf(unseenMachines.values())) {
+        if (!cluster.unseen().isEmpty() && now.since(begunAt).compareTo(slack(platform.cancelWithin())) > 0) {
+            for (List<Placement> placements : List.copyOf(cluster.unseen().values())) {
                 for (Placement placement : List.copyOf(placements)) {
                     lost(null, placement, "its machine has not been seen for longer than any lease", now);
                 }
             }
-            unseenMachines.clear();
+            cluster.unseen().clear();
         }
     }
 
     private void place(Moment now) {
-        Map<JobId, Object2IntOpenHashMap<String>> zones = new HashMap<>();
-        List<PlacementRound.Seat> seats = new ArrayList<>();
-        Map<TaskId, Boolean> strays = new HashMap<>();
-        for (Machine machine : machines.values()) {
-            for (TaskId stray : machine.strays()) {
-                strays.put(stray, true);
-            }
-            if (!usable(machine, now)) {
+        Snapshot snapshot = new Snapshot(cluster, platform, aims, now);
+        PlacementRound.Outcome outcome = PlacementRound.run(snapshot.seats(), snapshot.shares(), snapshot.waiting(),
+                mostJobs());
+        carryOut(outcome.decisions(), now);
+        List<Fleet.Need> needs = new ArrayList<>();
+        int preempting = 0;
+        for (PlacementRound.Waiting waiting : snapshot.waiting()) {
+            Integer count = outcome.unplaced().get(waiting.spec().id());
+            if (count == null) {
                 continue;
             }
-            seats.add(new PlacementRound.Seat(seats.size(), machine.id(), machine.type().name(), machine.zone(),
-                    machine.spot(), machine.type().room(), machine.free(), machine.placements().size(),
-                    replicas(machine), machine.images(), fetches(machine, now),
-                    machine.type().fetchGbPerS(), risks.get(machine.id()), largeFor.contains(machine.type().name())));
-        }
-        List<Job> order = new ArrayList<>();
-        for (Job job : jobs.values()) {
-            if (job.waitingCount() > 0 && !job.allDone()
-                    && (job.holdUntil() == null || job.holdUntil().isBefore(now))) {
-                order.add(job);
-            }
-        }
-        Map<JobId, Boolean> guaranteed = guaranteed();
-        order.sort(Comparator.<Job, Boolean>comparing(job -> !guaranteed.getOrDefault(job.id(), false))
-                .thenComparing(job -> job.spec().priority())
-                .thenComparingDouble(job -> dueAt(job))
-                .thenComparing(Job::acceptedAtMillis).thenComparing(Job::id));
-        List<PlacementRound.Waiting> waiting = new ArrayList<>();
-        for (Job job : order) {
-            int[] tasks = waitingTasks(job, strays);
-            if (tasks.length > 0) {
-                waiting.add(new PlacementRound.Waiting(job.spec(), tasks, zonesOf(job),
-                        now.since(job.waitingSince()).compareTo(DESPERATE) > 0));
+            Job job = jobs.get(waiting.spec().id());
+            needs.add(new Fleet.Need(job.spec(), count, onlyZone(waiting),
+                    (loop.wallMillis() - job.acceptedAtMillis()) / 1000.0));
+            giveUpIncomplete(job, now);
+            if (preempting < MOST_PREEMPTING) {
+                List<Placement> victims = rooms.victims(job, waiting.zones(), snapshot.isGuaranteed(job.id()), now);
+                victims.forEach(victim -> stopSaving(victim, "room is needed for " + job.id()));
+                if (!victims.isEmpty()) {
+                    job.roomMadeAt(now);
+                    preempting++;
+                }
             }
         }
-        Map<String, PlacementRound.Share> shares = shares();
-        PlacementRound.Outcome outcome = PlacementRound.run(seats, shares, waiting, mostJobs());
+        fleet.needs(needs, reserve(snapshot, needs, now));
+    }
+
+    /** Notes what a round decided; the starts go out once their records are written. */
+    private void carryOut(List<PlacementRound.Decision> decisions, Moment now) {
         Map<JobId, Attempt> attempts = new HashMap<>();
-        for (PlacementRound.Decision decision : outcome.decisions()) {
+        for (PlacementRound.Decision decision : decisions) {
             Job job = jobs.get(decision.spec().id());
             Machine machine = machines.get(decision.machine());
             Attempt attempt = job.spec().kind() == Kind.GANG
@@ -857,39 +797,22 @@
             LOG.debug("task {} attempt {} goes to {} by {}", placement.task(), attempt, machine.id(),
                     decision.byTable() ? "risk" : "room");
         }
-        if (!outcome.decisions().isEmpty()) {
-            LOG.info("placed {} tasks; so far {} by risk, {} by room alone", outcome.decisions().size(), byTable,
-                    byRoom);
-        }
-        List<Fleet.Need> needs = new ArrayList<>();
-        int preempting = 0;
-        for (PlacementRound.Waiting job : waiting) {
-            Integer count = outcome.unplaced().get(job.spec().id());
-            if (count != null) {
-                needs.add(new Fleet.Need(job.spec(), count, onlyZone(job),
-                        (loop.wallMillis() - jobs.get(job.spec().id()).acceptedAtMillis()) / 1000.0));
-                giveUpIncomplete(jobs.get(job.spec().id()), now);
-                if (preempting < MOST_PREEMPTING && makeRoom(jobs.get(job.spec().id()), job.zones(),
-                        guaranteed.getOrDefault(job.spec().id(), false), now)) {
-                    preempting++;
-                }
-            }
+        if (!decisions.isEmpty()) {
+            LOG.info("placed {} tasks; so far {} by risk, {} by room alone", decisions.size(), byTable, byRoom);
         }
-        fleet.needs(needs, reserve(seats, shares, needs, now));
     }
 
     /**
      * Looks for room for the jobs that are likely to come, after all that wait; what finds none is rented for.
      * Returns the machines that it would take, which are not to be returned.
      */
-    private Set<MachineId> reserve(List<PlacementRound.Seat> seats, Map<String, PlacementRound.Share> shares,
-            List<Fleet.Need> needs, Moment now) {
+    private Set<MachineId> reserve(Snapshot left, List<Fleet.Need> needs, Moment now) {
         List<PlacementRound.Waiting> likely = new ArrayList<>();
         for (JobSpec spec : expected.likely(now)) {
             int[] tasks = new int[spec.tasks()];
             likely.add(new PlacementRound.Waiting(spec, tasks, new Object2IntOpenHashMap<>(), true));
         }
-        PlacementRound.Outcome outcome = PlacementRound.run(seats, shares, likely, likely.size());
+        PlacementRound.Outcome outcome = PlacementRound.run(left.seats(), left.shares(), likely, likely.size());
         Set<MachineId> reserved = new HashSet<>();
         outcome.decisions().forEach(decision -> reserved.add(decision.machine()));
         for (PlacementRound.Waiting job : likely) {
@@ -920,220 +843,18 @@
         }
     }
 
-    /**
-     * Stops tasks for one that could not be ready in time on a new machine; true if it did. The room goes to
-     * it in a later round, for it comes first in the order.
-     */
-    private boolean makeRoom(Job job, Object2IntMap<String> zones, boolean guaranteed, Moment now) {
-        JobSpec spec = job.spec();
-        if (spec.kind() == Kind.GANG && spec.tasks() > 1 || now.secondsSince(job.waitingSince())
-                < patienceS(spec, guaranteed)
-                || job.roomMadeAt() != null && now.since(job.roomMadeAt()).compareTo(PREEMPT_AGAIN) < 0) {
-            return false;
-        }
-        Map<String, Resources> used = used();
-        List<Preemption.Place<Placement>> places = new ArrayList<>();
-        for (Machine machine : machines.values()) {
-            if (usable(machine, now) && spec.allowsType(machine.type().name()) && spec.allowsZone(machine.zone())
-                    && (spec.spot() || !machine.spot()) && zones.getInt(machine.zone()) < spec.mostPerZone()) {
-                places.add(new Preemption.Place<>(machine.free(), machine.images().has(spec.image()),
-                        running(machine, used, now)));
-            }
-        }
-        List<Placement> victims = Preemption.victims(spec, guaranteed, places);
-        for (Placement victim : victims) {
-            stopSaving(victim, "room is needed for " + job.id());
-        }
-        if (!victims.isEmpty()) {
-            job.roomMadeAt(now);
-        }
-        return !victims.isEmpty();
-    }
-
-    private List<Preemption.Running<Placement>> running(Machine machine, Map<String, Resources> used, Moment now) {
-        List<Preemption.Running<Placement>> running = new ArrayList<>();
-        for (Placement placement : machine.placements()) {
-            JobSpec spec = placement.job().spec();
-            if (spec.kind() == Kind.SERVICE || placement.stopping()) {
-                continue;
-            }
-            double ranS = placement.runningSince() == null ? 0 : now.secondsSince(placement.runningSince());
-            Resources guarantee = platform.teams().get(spec.team()).guaranteed();
-            Resources uses = used.get(spec.team());
-            running.add(new Preemption.Running<>(placement, spec.priority(), spec.team(), spec.perTask(),
-                    spec.saves() ? Math.min(ranS, spec.saveS()) : ranS,
-                    uses.gpu() > guarantee.gpu() && (guarantee.cpu() == 0 || uses.cpu() > guarantee.cpu())));
-        }
-        return running;
-    }
-
-    /** How long a job can wait before only a running task's place can still serve it in time. */
-    private double patienceS(JobSpec spec, boolean guaranteed) {
-        double withinS = Double.MAX_VALUE;
-        for (Platform.Objective objective : platform.objectives()) {
-            if (objective.kind().equals("wait") && spec.jobClass().equals(objective.jobClass())
-                    || objective.kind().equals("guarantee") && guaranteed) {
-                withinS = Math.min(withinS, objective.withinS());
-            }
-        }
-        return withinS == Double.MAX_VALUE ? DESPERATE.toSeconds() : withinS - readyS(spec);
-    }
-
-    /** How long a new machine takes at best until it can run one of the job's tasks. */
-    double readyS(JobSpec spec) {
-        double readyS = Double.MAX_VALUE;
-        for (MachineType type : catalog.types()) {
-            if (spec.allowsType(type.name()) && spec.perTask().fitsIn(type.room())) {
-                readyS = Math.min(readyS, type.bootS() + spec.imageGb() / type.fetchGbPerS());
-            }
-        }
-        return readyS;
-    }
-
-    /** Notes a job of large tasks that no new machine could serve in time, for others like it will come. */
-    private void noteExpected(Job job, Moment now) {
-        JobSpec spec = job.spec();
-        boolean large = false;
-        for (MachineType type : catalog.types()) {
-            large |= spec.allowsType(type.name()) && spec.perTask().fitsIn(type.room())
-                    && PlacementRound.isLarge(spec, type.room());
-        }
-        if (large && spec.kind() != Kind.SERVICE && patienceS(spec, false) < 0) {
-            long ageMillis = Math.max(0, loop.wallMillis() - job.acceptedAtMillis());
-            expected.came(spec, new Moment(now.nanos() - ageMillis * 1_000_000),
-                    Duration.ofMillis((long) (readyS(spec) * 1000)));
-        }
-    }
-
-    /** The images on their way to a machine, each with the seconds that it will still take. */
-    private static Object2DoubleOpenHashMap<String> fetches(Machine machine, Moment now) {
-        Object2DoubleOpenHashMap<String> fetches = new Object2DoubleOpenHashMap<>(0);
-        for (Placement placement : machine.placements()) {
-            JobSpec spec = placement.job().spec();
-            if (!machine.images().has(spec.image())) {
-                double leftS = spec.imageGb() / machine.type().fetchGbPerS() - now.secondsSince(placement.since());
-                fetches.put(spec.image(), Math.max(0, leftS));
-            }
-        }
-        return fetches;
-    }
-
-    private static int replicas(Machine machine) {
-        int count = 0;
-        for (Placement placement : machine.placements()) {
-            count += placement.job().spec().kind() == Kind.SERVICE ? 1 : 0;
-        }
-        return count;
-    }
-
-    /** Notes the machine types that a job's tasks need most of, and the size of its image. */
-    private void noteLarge(JobSpec spec) {
-        largestImageGb = Math.max(largestImageGb, spec.imageGb());
-        for (MachineType type : catalog.types()) {
-            if (spec.allowsType(type.name()) && spec.perTask().fitsIn(type.room())
-                    && PlacementRound.isLarge(spec, type.room())) {
-                largeFor.add(type.name());
-            }
-        }
-    }
-
-    private int[] waitingTasks(Job job, Map<TaskId, Boolean> strays) {
-        if (job.spec().kind() == Kind.GANG && (hasBegun(job) || job.doneCount() > 0)) {
-            return new int[0];
-        }
-        int most = job.spec().kind() == Kind.GANG ? Integer.MAX_VALUE : MOST_TASKS;
-        int[] tasks = new int[Math.min(most, job.waitingCount())];
-        int count = 0;
-        for (int task = job.nextWaiting(0); task >= 0 && count < tasks.length; task = job.nextWaiting(task + 1)) {
-            if (!strays.containsKey(new TaskId(job.id(), task))) {
-                tasks[count++] = task;
-            } else if (job.spec().kind() == Kind.GANG) {
-                return new int[0];
-            }
-        }
-        return count == tasks.length ? tasks : java.util.Arrays.copyOf(tasks, count);
-    }
-
-    private Object2IntOpenHashMap<String> zonesOf(Job job) {
-        Object2IntOpenHashMap<String> zones = new Object2IntOpenHashMap<>();
-        for (Placement placement : job.placements()) {
-            Machine machine = machines.get(placement.machine());
-            // A machine not seen yet may be in any zone, so it counts in all of them.
-            if (machine != null) {
-                zones.addTo(machine.zone(), 1);
-            } else {
-                platform.zones().forEach(zone -> zones.addTo(zone, 1));
-            }
-        }
-        return zones;
-    }
-
-    private boolean usable(Machine machine, Moment now) {
-        return !machine.draining() && machine.heardAt() != null && machine.shown().equals(term)
-                && machine.session() != null
-                && now.secondsSince(machine.heardAt()) < PROBE_AFTER_REPORTS * platform.reportEvery().toNanos() / 1e9;
-    }
-
-    private static double dueAt(Job job) {
-        return Double.isNaN(job.spec().deadlineS()) ? Double.MAX_VALUE
-                : job.acceptedAtMillis() / 1000.0 + job.spec().deadlineS();
-    }
-
-    private Map<String, Resources> used() {
-        Map<String, Resources> used = new HashMap<>();
-        // By machine, not by job: a task counts until it is proven gone, even when its job is over.
-        for (Machine machine : machines.values()) {
-            countUse(machine.placements(), used);
-        }
-        unseenMachines.values().forEach(placements -> countUse(placements, used));
-        return used;
-    }
-
-    private Map<String, PlacementRound.Share> shares() {
-        Map<String, Resources> used = used();
-        Map<String, PlacementRound.Share> shares = new HashMap<>();
-        for (Platform.Team team : platform.teams().values()) {
-            shares.put(team.name(), new PlacementRound.Share(used.getOrDefault(team.name(), Resources.NONE),
-                    team.most()));
-        }
-        return shares;
-    }
-
-    private static void countUse(List<Placement> placements, Map<String, Resources> used) {
-        for (Placement placement : placements) {
-            used.merge(placement.job().spec().team(), placement.job().spec().perTask(), Resources::plus);
-        }
-    }
-
-    /** The jobs that fit into their team's guarantee together with the team's earlier unfinished jobs. */
-    private Map<JobId, Boolean> guaranteed() {
-        List<Job> byAge = new ArrayList<>(jobs.values());
-        byAge.sort(Comparator.comparingLong(Job::acceptedAtMillis).thenComparing(Job::id));
-        Map<String, Resources> sums = new HashMap<>();
-        Map<JobId, Boolean> within = new HashMap<>();
-        for (Job job : byAge) {
-            if (job.cancelled()) {
-                continue;
-            }
-            Resources all = job.spec().perTask().times(job.spec().tasks() - job.doneCount());
-            Resources sum = sums.merge(job.spec().team(), all, Resources::plus);
-            Platform.Team team = platform.teams().get(job.spec().team());
-            Resources most = team.guaranteed();
-            within.put(job.id(), (most.cpu() > 0 || most.gpu() > 0)
-                    && (most.cpu() == 0 || sum.cpu() <= most.cpu())
-                    && (most.gpu() == 0 || sum.gpu() <= most.gpu()));
-        }
-        return within;
-    }
-
     // ---- for the fleet ----
 
     synchronized List<Machine> machineList() {
         return List.copyOf(machines.values());
     }
 
+    synchronized double readyS(JobSpec spec) {
+        return aims.readyS(spec);
+    }
+
     synchronized double largestImageGb() {
-        return largestImageGb;
+        return aims.largestImageGb();
     }
 
     synchronized boolean isLoaded() {
@@ -1166,16 +887,16 @@
         Moment now = loop.now();
         Machine machine = machines.get(id);
         List<Placement> placements = machine != null ? List.copyOf(machine.placements())
-                : unseenMachines.getOrDefault(id, List.of());
+                : cluster.unseen().getOrDefault(id, List.of());
         for (Placement placement : List.copyOf(placements)) {
             lost(machine, placement, why, now);
         }
-        unseenMachines.remove(id);
+        cluster.unseen().remove(id);
         if (machine != null) {
             machine.strays().clear();
             if (forget) {
                 machines.remove(id);
-                risks.remove(id);
+                cluster.risks().remove(id);
                 probedAt.remove(id);
                 faults.removeInt(id);
             }
--- a/src/main/java/org/meadowhollow/coordination/Platform.java
+++ b/src/main/java/org/meadowhollow/coordination/Platform.java
@@ -12,7 +12,8 @@
  */
 public record Platform(String member, List<String> zones, Map<String, Team> teams,
         List<Objective> objectives, Duration reportEvery, Duration lease, Duration gangWait,
-        Duration cancelWithin, double stateRps, double stateWriteRps, int valueBytes, int txnOps, double cloudRps, Duration listLag) {
+        Duration cancelWithin, double stateRps, double stateWriteRps, int valueBytes, int txnOps,
+        double cloudRps, Duration listLag) {
 
     /** What a team is guaranteed and what it may use at most, in cpu and gpu. */
     public record Team(String name, Resources guaranteed, Resources most) {
--- /dev/null
+++ b/src/main/java/org/meadowhollow/coordination/RoomMaker.java
@@ -0,0 +1,66 @@
+package org.meadowhollow.coordination;
+
+import it.unimi.dsi.fastutil.objects.Object2IntMap;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.meadowhollow.bookkeeping.Job;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.Machine;
+import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.Placement;
+import org.meadowhollow.bookkeeping.Resources;
+
+/** Finds what to stop for waiting jobs that no new machine could serve in time. */
+final class RoomMaker {
+    /** Time for a stop to take effect and the room to be used before more is stopped for the same job. */
+    private static final Duration AGAIN = Duration.ofSeconds(10);
+
+    private final Cluster cluster;
+    private final Platform platform;
+    private final Aims aims;
+
+    RoomMaker(Cluster cluster, Platform platform, Aims aims) {
+        this.cluster = cluster;
+        this.platform = platform;
+        this.aims = aims;
+    }
+
+    /** The tasks to stop for one of the job's; their room goes to it in a later round, in which it comes first. */
+    List<Placement> victims(Job job, Object2IntMap<String> zones, boolean guaranteed, Moment now) {
+        JobSpec spec = job.spec();
+        if (spec.kind() == Kind.GANG && spec.tasks() > 1
+                || now.secondsSince(job.waitingSince()) < aims.patienceS(spec, guaranteed)
+                || job.roomMadeAt() != null && now.since(job.roomMadeAt()).compareTo(AGAIN) < 0) {
+            return List.of();
+        }
+        Map<String, Resources> used = cluster.used();
+        List<Preemption.Place<Placement>> places = new ArrayList<>();
+        for (Machine machine : cluster.machines().values()) {
+            if (cluster.mayTake(machine, spec, now) && zones.getInt(machine.zone()) < spec.mostPerZone()) {
+                places.add(new Preemption.Place<>(machine.free(), machine.images().has(spec.image()),
+                        running(machine, used, now)));
+            }
+        }
+        return Preemption.victims(spec, guaranteed, places);
+    }
+
+    private List<Preemption.Running<Placement>> running(Machine machine, Map<String, Resources> used, Moment now) {
+        List<Preemption.Running<Placement>> running = new ArrayList<>();
+        for (Placement placement : machine.placements()) {
+            JobSpec spec = placement.job().spec();
+            if (spec.kind() == Kind.SERVICE || placement.stopping()) {
+                continue;
+            }
+            double ranS = placement.runningSince() == null ? 0 : now.secondsSince(placement.runningSince());
+            Resources guarantee = platform.teams().get(spec.team()).guaranteed();
+            Resources uses = used.get(spec.team());
+            running.add(new Preemption.Running<>(placement, spec.priority(), spec.team(), spec.perTask(),
+                    spec.saves() ? Math.min(ranS, spec.saveS()) : ranS,
+                    uses.gpu() > guarantee.gpu() && (guarantee.cpu() == 0 || uses.cpu() > guarantee.cpu())));
+        }
+        return running;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/meadowhollow/coordination/Snapshot.java
@@ -0,0 +1,169 @@
+package org.meadowhollow.coordination;
+
+import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.meadowhollow.bookkeeping.Job;
+import org.meadowhollow.bookkeeping.JobId;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.Machine;
+import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.Placement;
+import org.meadowhollow.bookkeeping.Resources;
+import org.meadowhollow.bookkeeping.TaskId;
+
+/** What a round decides from: the machines that can take tasks, the jobs that wait in their order, and the teams. */
+final class Snapshot {
+    /** Tasks of one job looked at in a round: more than fit on any fleet at once, and bounded. */
+    private static final int MOST_TASKS = 2000;
+
+    private final Cluster cluster;
+    private final Platform platform;
+    private final Moment now;
+    private final List<PlacementRound.Seat> seats = new ArrayList<>();
+    private final List<PlacementRound.Waiting> waiting = new ArrayList<>();
+    private final Set<TaskId> strays = new HashSet<>();
+    private final Map<JobId, Boolean> guaranteed;
+    private final Map<String, PlacementRound.Share> shares;
+
+    Snapshot(Cluster cluster, Platform platform, Aims aims, Moment now) {
+        this.cluster = cluster;
+        this.platform = platform;
+        this.now = now;
+        this.guaranteed = findGuaranteed();
+        this.shares = findShares();
+        addSeats(aims);
+        addWaiting();
+    }
+
+    List<PlacementRound.Seat> seats() {
+        return seats;
+    }
+
+    List<PlacementRound.Waiting> waiting() {
+        return waiting;
+    }
+
+    Map<String, PlacementRound.Share> shares() {
+        return shares;
+    }
+
+    /** Whether a job fits into its team's guarantee together with the team's earlier unfinished jobs. */
+    boolean isGuaranteed(JobId job) {
+        return guaranteed.getOrDefault(job, false);
+    }
+
+    private void addSeats(Aims aims) {
+        for (Machine machine : cluster.machines().values()) {
+            strays.addAll(machine.strays());
+            if (cluster.usable(machine, now)) {
+                seats.add(new PlacementRound.Seat(seats.size(), machine.id(), machine.type().name(), machine.zone(),
+                        machine.spot(), machine.type().room(), machine.free(), machine.placements().size(),
+                        replicas(machine), machine.images(), fetches(machine), machine.type().fetchGbPerS(),
+                        cluster.risks().get(machine.id()), aims.isForLarge(machine.type())));
+            }
+        }
+    }
+
+    private void addWaiting() {
+        List<Job> order = new ArrayList<>();
+        for (Job job : cluster.jobs().values()) {
+            if (job.waitingCount() > 0 && !job.allDone()
+                    && (job.holdUntil() == null || job.holdUntil().isBefore(now))) {
+                order.add(job);
+            }
+        }
+        order.sort(Comparator.<Job, Boolean>comparing(job -> !isGuaranteed(job.id()))
+                .thenComparing(job -> job.spec().priority())
+                .thenComparingDouble(job -> dueAt(job))
+                .thenComparing(Job::acceptedAtMillis).thenComparing(Job::id));
+        for (Job job : order) {
+            int[] tasks = waitingTasks(job);
+            if (tasks.length > 0) {
+                waiting.add(new PlacementRound.Waiting(job.spec(), tasks, cluster.zonesOf(job),
+                        now.since(job.waitingSince()).compareTo(Aims.DESPERATE) > 0));
+            }
+        }
+    }
+
+    /** The images on their way to a machine, each with the seconds that it will still take. */
+    private Object2DoubleOpenHashMap<String> fetches(Machine machine) {
+        Object2DoubleOpenHashMap<String> fetches = new Object2DoubleOpenHashMap<>(0);
+        for (Placement placement : machine.placements()) {
+            JobSpec spec = placement.job().spec();
+            if (!machine.images().has(spec.image())) {
+                double leftS = spec.imageGb() / machine.type().fetchGbPerS() - now.secondsSince(placement.since());
+                fetches.put(spec.image(), Math.max(0, leftS));
+            }
+        }
+        return fetches;
+    }
+
+    private static int replicas(Machine machine) {
+        int count = 0;
+        for (Placement placement : machine.placements()) {
+            count += placement.job().spec().kind() == Kind.SERVICE ? 1 : 0;
+        }
+        return count;
+    }
+
+    private int[] waitingTasks(Job job) {
+        if (job.spec().kind() == Kind.GANG && (job.hasBegun() || job.doneCount() > 0)) {
+            return new int[0];
+        }
+        int most = job.spec().kind() == Kind.GANG ? Integer.MAX_VALUE : MOST_TASKS;
+        int[] tasks = new int[Math.min(most, job.waitingCount())];
+        int count = 0;
+        for (int task = job.nextWaiting(0); task >= 0 && count < tasks.length; task = job.nextWaiting(task + 1)) {
+            if (!strays.contains(new TaskId(job.id(), task))) {
+                tasks[count++] = task;
+            } else if (job.spec().kind() == Kind.GANG) {
+                return new int[0];
+            }
+        }
+        return count == tasks.length ? tasks : Arrays.copyOf(tasks, count);
+    }
+
+    private static double dueAt(Job job) {
+        return Double.isNaN(job.spec().deadlineS()) ? Double.MAX_VALUE
+                : job.acceptedAtMillis() / 1000.0 + job.spec().deadlineS();
+    }
+
+    private Map<String, PlacementRound.Share> findShares() {
+        Map<String, Resources> used = cluster.used();
+        Map<String, PlacementRound.Share> shares = new HashMap<>();
+        for (Platform.Team team : platform.teams().values()) {
+            shares.put(team.name(), new PlacementRound.Share(used.getOrDefault(team.name(), Resources.NONE),
+                    team.most()));
+        }
+        return shares;
+    }
+
+    /** The jobs that fit into their team's guarantee together with the team's earlier unfinished jobs. */
+    private Map<JobId, Boolean> findGuaranteed() {
+        List<Job> byAge = new ArrayList<>(cluster.jobs().values());
+        byAge.sort(Comparator.comparingLong(Job::acceptedAtMillis).thenComparing(Job::id));
+        Map<String, Resources> sums = new HashMap<>();
+        Map<JobId, Boolean> within = new HashMap<>();
+        for (Job job : byAge) {
+            if (job.cancelled()) {
+                continue;
+            }
+            Resources all = job.spec().perTask().times(job.spec().tasks() - job.doneCount());
+            Resources sum = sums.merge(job.spec().team(), all, Resources::plus);
+            Platform.Team team = platform.teams().get(job.spec().team());
+            Resources most = team.guaranteed();
+            within.put(job.id(), (most.cpu() > 0 || most.gpu() > 0)
+                    && (most.cpu() == 0 || sum.cpu() <= most.cpu())
+                    && (most.gpu() == 0 || sum.gpu() <= most.gpu()));
+        }
+        return within;
+    }
+}
