--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -64,6 +64,11 @@
     /** Clock drift and timer steps on top of a worker's lease. */
     private static final double LEASE_SLACK = 1.001;
     private static final Duration LEASE_MARGIN = Duration.ofMillis(500);
+    /**
+     * Machines asked directly in a round. Behind a cut hundreds are silent at once, and each question takes a socket
+     * for as long as it hangs, which users and workers need as well.
+     */
+    private static final int MOST_PROBES = 100;
     /** Failures of a job's tasks after which it has to wait before the next start. */
     private static final int FAILURES_BEFORE_HOLD = 3;
     private static final int MOST_HOLD_S = 60;
@@ -90,6 +95,7 @@
     private final Map<MachineId, Moment> probedAt = new HashMap<>();
     private final Object2IntOpenHashMap<MachineId> faults = new Object2IntOpenHashMap<>();
     private final Expected expected = new Expected();
+    private int probes;
     private boolean loaded;
     private boolean closed;
     private long byTable;
@@ -656,6 +662,7 @@
                 return;
             }
             Moment now = loop.now();
+            probes = 0;
             for (Machine machine : List.copyOf(machines.values())) {
                 watchOver(machine, now);
             }
@@ -674,10 +681,10 @@
         Moment lastHeard = machine.heardAt() == null ? begunAt : machine.heardAt();
         double silentS = now.secondsSince(lastHeard);
         double reportS = platform.reportEvery().toNanos() / 1e9;
-        if (silentS > Cluster.SILENT_REPORTS * reportS && machine.address() != null
-                || machine.heardAt() == null && machine.address() != null) {
+        if (silentS > Cluster.SILENT_REPORTS * reportS && machine.address() != null && probes < MOST_PROBES) {
             Moment probed = probedAt.get(machine.id());
             if (probed == null || now.secondsSince(probed) > reportS) {
+                probes++;
                 probedAt.put(machine.id(), now);
                 send(machine, machine.session() == null ? new Session(1) : machine.session(), List.of());
             }
--- a/src/test/java/org/meadowhollow/story/World.java
+++ b/src/test/java/org/meadowhollow/story/World.java
@@ -67,6 +67,7 @@
     private int nextMachine;
     private int nextSeed = 7;
     private int starts;
+    private int directs;
 
     /** A node's process and its lines. */
     private final class Member {
@@ -147,6 +148,13 @@
         return starts;
     }
 
+    /** Messages that went straight to workers since the last call. */
+    int takeDirects() {
+        int taken = directs;
+        directs = 0;
+        return taken;
+    }
+
     // ---- troubles ----
 
     void crash(int node) {
@@ -379,6 +387,7 @@
             for (Order order : orders) {
                 assertTrue(order.op() != Order.Op.START, "a start went out directly: " + order);
             }
+            directs++;
             CompletableFuture<Report> answer = new CompletableFuture<>();
             Node sender = member.node;
             loop.after(Duration.ofMillis(5), () -> {
