--- a/src/main/java/org/meadowhollow/coordination/PlacementRound.java
+++ b/src/main/java/org/meadowhollow/coordination/PlacementRound.java
@@ -249,29 +249,36 @@
         } else {
             starts.add(null);
         }
+        List<Choice> best = List.of();
+        double bestSteps = Double.MAX_VALUE;
         for (String zone : starts) {
             Candidates candidates = new Candidates(seats, job, job.desperate() || roomOnly, !roomOnly, zone);
             List<Choice> taken = new ArrayList<>();
             List<Boolean> fetched = new ArrayList<>();
+            double steps = 0;
             while (taken.size() < job.tasks().length) {
                 Choice choice = candidates.next();
                 if (choice == null) {
                     break;
                 }
+                steps = Math.max(steps, choice.seat.steps);
                 fetched.add(candidates.take(choice));
                 taken.add(choice);
             }
-            if (taken.size() == job.tasks().length) {
-                for (int at = 0; at < taken.size(); at++) {
-                    decisions.add(new Decision(job.spec(), job.tasks()[at], taken.get(at).seat.id, !roomOnly));
-                }
-                return true;
-            }
             for (int at = 0; at < taken.size(); at++) {
                 taken.get(at).seat.giveBack(job.spec(), fetched.get(at));
             }
+            // A gang starts when the last of its images has come.
+            if (taken.size() == job.tasks().length && steps < bestSteps) {
+                best = taken;
+                bestSteps = steps;
+            }
+        }
+        for (int at = 0; at < best.size(); at++) {
+            best.get(at).seat.take(job.spec());
+            decisions.add(new Decision(job.spec(), job.tasks()[at], best.get(at).seat.id, !roomOnly));
         }
-        return false;
+        return !best.isEmpty();
     }
 
     private record Choice(Seat seat, boolean byTable) {
--- a/src/test/java/org/meadowhollow/coordination/PlacementRoundTest.java
+++ b/src/test/java/org/meadowhollow/coordination/PlacementRoundTest.java
@@ -125,6 +125,18 @@
         assertEquals(List.of("a1 by room", "a2 by room"), run(large(Kind.SERVICE, 2), false));
     }
 
+    @Test
+    void aGangGoesToTheZoneWhereItsLastImageComesSoonest() {
+        seat("a1", 0, new RiskTable());
+        seat("a2", 0, new RiskTable(), "image");
+        seat("b1", 6, new RiskTable(), "image");
+        JobSpec one = new JobSpec(new JobId("req-1"), "class", "team", Kind.GANG, Priority.NORMAL, 2,
+                Resources.of(1, 1, 1), null, null, true, false, false, "image", 30, 1, 0, 0, Double.NaN);
+        assertEquals(List.of("a2 by room", "a2 by room"), run(one, false));
+        seats.remove(1);
+        assertEquals(List.of("b1 by room", "b1 by room"), run(one, false));
+    }
+
     @Test
     void aGangGoesWholeIntoOneZoneThatHasRoom() {
         seat("a1", 7, new RiskTable());
