A node that the state service alone refuses sends users to the others

Change: while the state service does not serve a node, it asks the others over the peers' link whether it serves them; if one says so, /ready answers 503. In an outage for all every node stays ready, since the balancer lets a node back late.

--- a/src/main/java/org/meadowhollow/cli/Controller.java
+++ b/src/main/java/org/meadowhollow/cli/Controller.java
@@ -47,8 +47,9 @@
         Catalog catalog = new Catalog();
         node = new Node(loop, state, new WorkerClient(http), cloud, peers, platform, catalog, random);
         peers.listener(node::heardOf);
+        peers.served(() -> !state.seemsOut());
         Admission admission = new Admission(state, loop, catalog, platform, node::counts);
-        NodeApi api = new NodeApi(new UserApi(admission), new WorkerApi(node::report), () -> !catalog.isEmpty());
+        NodeApi api = new NodeApi(new UserApi(admission), new WorkerApi(node::report), node::isReady);
         front = new HttpServer(loop, buffers, settings.listen().host(), settings.listen().port(), api);
         back = new HttpServer(loop, buffers, settings.back().host(), settings.back().port(), peers);
         node.start();
--- a/src/main/java/org/meadowhollow/coordination/Node.java
+++ b/src/main/java/org/meadowhollow/coordination/Node.java
@@ -7,6 +7,7 @@
 import org.meadowhollow.bookkeeping.Catalog;
 import org.meadowhollow.bookkeeping.EventLoop;
 import org.meadowhollow.bookkeeping.JobId;
+import org.meadowhollow.bookkeeping.Moment;
 import org.meadowhollow.bookkeeping.Records;
 import org.meadowhollow.bookkeeping.Report;
 import org.meadowhollow.bookkeeping.StateStore;
@@ -21,6 +22,8 @@
 public final class Node implements Leadership.Listener {
     private static final Logger LOG = LoggerFactory.getLogger(Node.class);
     private static final Duration RETRY = Duration.ofSeconds(1);
+    /** How long another node's word holds that the state service serves it; a few probes of the balancer. */
+    private static final Duration SERVED_FOR = Duration.ofSeconds(3);
 
     private final EventLoop loop;
     private final StateStore store;
@@ -29,7 +32,9 @@
     private final Platform platform;
     private final Catalog catalog;
     private final Leadership leadership;
+    private final Peers peers;
     private Leader leader;
+    private Moment othersServedAt;
     private boolean closed;
     private boolean cloudSilent;
 
@@ -41,12 +46,43 @@
         this.cloud = cloud;
         this.platform = platform;
         this.catalog = catalog;
+        this.peers = peers;
         this.leadership = new Leadership(store, loop, peers, platform, random, this);
     }
 
     public void start() {
         leadership.start();
         readTypes();
+        watchState();
+    }
+
+    /** While the state service does not serve this node: whether it is back, and whether it serves others. */
+    private void watchState() {
+        if (isClosed()) {
+            return;
+        }
+        loop.after(RETRY, this::watchState);
+        if (store.seemsOut()) {
+            store.get(Records.TERM, Urgency.BACKGROUND);
+            peers.anyServed().thenAccept(served -> {
+                if (served) {
+                    othersServed();
+                }
+            });
+        }
+    }
+
+    private synchronized void othersServed() {
+        othersServedAt = loop.now();
+    }
+
+    /**
+     * Whether users should come here. A node that the state service alone refuses sends them to the others; in an
+     * outage for all it stays, for a node that leaves is let back late.
+     */
+    public synchronized boolean isReady() {
+        return !catalog.isEmpty() && !(store.seemsOut() && othersServedAt != null
+                && loop.now().since(othersServedAt).compareTo(SERVED_FOR) < 0);
     }
 
     /** The types as an earlier node noted them, so that a node can start while the cloud is out. */
--- a/src/main/java/org/meadowhollow/protocol/peers/PeerLink.java
+++ b/src/main/java/org/meadowhollow/protocol/peers/PeerLink.java
@@ -5,17 +5,20 @@
 import com.esotericsoftware.kryo.io.Input;
 import com.esotericsoftware.kryo.io.Output;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import org.meadowhollow.bookkeeping.Term;
 import org.meadowhollow.coordination.Peers;
 import org.meadowhollow.protocol.Fields;
 import org.meadowhollow.protocol.Http;
 
-/** Hints between controllers: who leads, in which term. */
+/** Hints between controllers: who leads, in which term, and whom the state service serves. */
 public final class PeerLink implements Peers, Http.Handler {
-    private static final String PATH = "/leader";
+    private static final String LEADER = "/leader";
+    private static final String SERVED = "/served";
     private static final Duration ANSWER = Duration.ofSeconds(2);
     /** Bytes; a hint is a name and a number. */
     private static final int MOST_BYTES = 512;
@@ -24,9 +27,14 @@
     record LeaderHint(String member, long term) {
     }
 
+    /** Whether the state service serves a controller. */
+    record ServedHint(boolean served) {
+    }
+
     private final Http.Client http;
     private final List<String> addresses;
     private final Kryo kryo = new Kryo();
+    private volatile BooleanSupplier served = () -> false;
     private volatile BiConsumer<Term, String> listener = (term, member) -> { };
 
     public PeerLink(Http.Client http, List<String> addresses) {
@@ -34,6 +42,12 @@
         this.addresses = List.copyOf(addresses);
         kryo.setRegistrationRequired(true);
         kryo.register(LeaderHint.class);
+        kryo.register(ServedHint.class);
+    }
+
+    /** Says to others whether the state service serves this controller. */
+    public void served(BooleanSupplier now) {
+        served = now;
     }
 
     public void listener(BiConsumer<Term, String> told) {
@@ -44,18 +58,22 @@
     public void announce(String leader, Term term) {
         byte[] hint = encode(new LeaderHint(leader, term.value()));
         for (String address : addresses) {
-            http.send(address, "POST", PATH, hint, ANSWER);
+            http.send(address, "POST", LEADER, hint, ANSWER);
         }
     }
 
     @Override
     public CompletableFuture<Http.Reply> handle(String method, String path, byte[] body) {
-        if (!method.equals("POST") || !path.equals(PATH)) {
+        if (method.equals("GET") && path.equals(SERVED)) {
+            return CompletableFuture.completedFuture(
+                    new Http.Reply(200, encode(new ServedHint(served.getAsBoolean())), 0));
+        }
+        if (!method.equals("POST") || !path.equals(LEADER)) {
             return CompletableFuture.completedFuture(Http.Reply.error(404, "no such path"));
         }
         LeaderHint hint;
         try {
-            hint = decode(body);
+            hint = (LeaderHint) decode(body);
         } catch (KryoException | IllegalArgumentException | ClassCastException broken) {
             return CompletableFuture.completedFuture(Http.Reply.error(400, "not a hint"));
         }
@@ -63,13 +81,37 @@
         return CompletableFuture.completedFuture(Http.Reply.of(200, Fields.of()));
     }
 
-    private synchronized byte[] encode(LeaderHint hint) {
+    @Override
+    public CompletableFuture<Boolean> anyServed() {
+        CompletableFuture<Boolean> any = new CompletableFuture<>();
+        List<CompletableFuture<Void>> answers = new ArrayList<>();
+        for (String address : addresses) {
+            answers.add(http.send(address, "GET", SERVED, null, ANSWER).handle((reply, failure) -> {
+                if (failure == null && saysServed(reply)) {
+                    any.complete(true);
+                }
+                return null;
+            }));
+        }
+        CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new)).thenRun(() -> any.complete(false));
+        return any;
+    }
+
+    private boolean saysServed(Http.Reply reply) {
+        try {
+            return reply.status() == 200 && decode(reply.body()) instanceof ServedHint hint && hint.served();
+        } catch (KryoException | IllegalArgumentException broken) {
+            return false;
+        }
+    }
+
+    private synchronized byte[] encode(Object hint) {
         Output output = new Output(MOST_BYTES);
         kryo.writeClassAndObject(output, hint);
         return output.toBytes();
     }
 
-    private synchronized LeaderHint decode(byte[] body) {
-        return (LeaderHint) kryo.readClassAndObject(new Input(body));
+    private synchronized Object decode(byte[] body) {
+        return kryo.readClassAndObject(new Input(body));
     }
 }
--- a/src/test/java/org/meadowhollow/story/FakeStore.java
+++ b/src/test/java/org/meadowhollow/story/FakeStore.java
@@ -282,7 +282,7 @@
 
         @Override
         public boolean seemsOut() {
-            return false;
+            return out || cut;
         }
     }
 }
--- a/src/test/java/org/meadowhollow/story/StoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/StoriesTest.java
@@ -124,6 +124,27 @@
         assertTrue(world.workers().stream().anyMatch(worker -> worker.holds(new TaskId(job.id(), 0))));
     }
 
+    @Test
+    void aNodeThatTheStateServiceAloneRefusesSendsUsersElsewhere() {
+        world.line(1).cut(true);
+        world.submit(1, array(1, 1), SHORT);
+        world.runS(5);
+        assertFalse(world.isReady(1));
+        assertTrue(world.isReady(0) && world.isReady(2));
+        world.line(1).cut(false);
+        world.runS(5);
+        assertTrue(world.isReady(1));
+    }
+
+    @Test
+    void inAnOutageForAllEveryNodeStaysReady() {
+        world.store().out(true);
+        world.runS(10);
+        for (int node = 0; node < 3; node++) {
+            assertTrue(world.isReady(node));
+        }
+    }
+
     @Test
     void aSuccessorKnowsWhereAnImageIsCached() {
         // Among equal machines the first would be chosen, which is in the other zone.
--- a/src/test/java/org/meadowhollow/story/World.java
+++ b/src/test/java/org/meadowhollow/story/World.java
@@ -404,6 +404,10 @@
         }
     }
 
+    boolean isReady(int node) {
+        return members.get(node).node.isReady();
+    }
+
     private final class Hints implements Peers {
         private final Member from;
 
@@ -411,6 +415,14 @@
             this.from = from;
         }
 
+        @Override
+        public CompletableFuture<Boolean> anyServed() {
+            CompletableFuture<Boolean> any = new CompletableFuture<>();
+            loop.after(Duration.ofMillis(5), () -> any.complete(!peersCut && members.stream().anyMatch(
+                    member -> member != from && member.node != null && !member.line.seemsOut())));
+            return any;
+        }
+
         @Override
         public void announce(String leader, Term term) {
             loop.after(Duration.ofMillis(5), () -> {
