A new leader places after a full round of reports

Change: placements, rentals and stops wait until every known machine has reported, or for a late report and a worker's turn to the next node.

The replicas now begin alone on their lines, but arrays join them seconds later.

--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -64,6 +64,9 @@
     /** Clock drift and timer steps on top of a worker's lease. */
     private static final double LEASE_SLACK = 1.001;
     private static final Duration LEASE_MARGIN = Duration.ofMillis(500);
+    /** Reports come up to a quarter late, and a worker turns to the next node a second later. */
+    private static final double LATEST_REPORT = 1.25;
+    private static final double NEXT_NODE_S = 1;
     /**
      * Machines asked directly in a round. Behind a cut hundreds are silent at once, and each question takes a socket
      * for as long as it hangs, which users and workers need as well.
@@ -96,6 +99,8 @@
     private final Object2IntOpenHashMap<MachineId> faults = new Object2IntOpenHashMap<>();
     private final Expected expected = new Expected();
     private int probes;
+    private boolean listed;
+    private boolean gathered;
     private boolean loaded;
     private boolean closed;
     private long byTable;
@@ -667,7 +672,7 @@
                 watchOver(machine, now);
             }
             expireUnseen(now);
-            if (leadership.mayStart()) {
+            if (leadership.mayStart() && hasGathered(now)) {
                 place(now);
             }
             ledger.flush();
@@ -676,6 +681,20 @@
         fleet.act();
     }
 
+    /**
+     * Whether a full round of reports is in, so that placements, rentals and stops are not decided from the few
+     * machines that happened to report first. What was listed but is silent is not waited for any longer.
+     */
+    private boolean hasGathered(Moment now) {
+        if (!gathered) {
+            double reportS = platform.reportEvery().toNanos() / 1e9;
+            gathered = now.secondsSince(begunAt) > reportS * LATEST_REPORT + NEXT_NODE_S
+                    || listed && cluster.unseen().isEmpty()
+                    && machines.values().stream().allMatch(machine -> machine.heardAt() != null);
+        }
+        return gathered;
+    }
+
     /** Probes a silent machine, takes its tasks as gone once that is proven, and drains it on notice. */
     private void watchOver(Machine machine, Moment now) {
         Moment lastHeard = machine.heardAt() == null ? begunAt : machine.heardAt();
@@ -870,6 +889,7 @@
 
     /** Takes in what the cloud lists: machines not yet heard of, their addresses, and failed ones. */
     synchronized void listed(List<Cloud.Listed> list) {
+        listed = true;
         for (Cloud.Listed item : list) {
             Machine machine = machines.get(item.id());
             if (machine == null && item.phase() == Cloud.Phase.RUNNING && catalog.type(item.type()) != null) {
