--- a/src/test/java/org/meadowhollow/story/StoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/StoriesTest.java
@@ -145,6 +145,23 @@
         }
     }
 
+    @Test
+    void aNewLeaderDecidesAfterAFullRoundOfReports() {
+        int leader = world.leader();
+        List<FakeWorker> workers = world.workers();
+        workers.subList(1, workers.size()).forEach(worker -> worker.hang(true));
+        world.crash(leader);
+        world.restart(leader);
+        world.runS(0.5);
+        JobSpec job = array(1, 1);
+        assertTrue(world.submit(leader, job, LONG));
+        TaskId task = new TaskId(job.id(), 0);
+        world.runS(3);
+        assertFalse(workers.get(0).holds(task), "five machines may yet report");
+        world.runS(5);
+        assertTrue(workers.get(0).holds(task));
+    }
+
     @Test
     void aSuccessorKnowsWhereAnImageIsCached() {
         // Among equal machines the first would be chosen, which is in the other zone.
