Hold only reports of machines that can take starts; the full round's story now fails without it

A worker learns the token from the answer to its first report, and only then can take a start; holding that answer kept a new machine, or any machine after a takeover, out of use for up to 2.4 s. Found while making the story of the full round discriminate: the fake worker now reports a higher token at once, as the protocol says.

--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -316,7 +316,8 @@
         machine.heard(now);
         List<Order> orders = loaded ? orders(machine, report, now) : List.of();
         ledger.flush();
-        if (orders.isEmpty() && loaded && leadership.mayStart() && machine.hasRoom() && !machine.draining()) {
+        if (orders.isEmpty() && loaded && leadership.mayStart() && machine.hasRoom()
+                && cluster.usable(machine, now)) {
             return held.hold(report, now.plus(holdFor()));
         }
         return CompletableFuture.completedFuture(new Answer.Orders(term, orders));
--- a/src/test/java/org/meadowhollow/story/FakeWorker.java
+++ b/src/test/java/org/meadowhollow/story/FakeWorker.java
@@ -24,6 +24,7 @@
     private static final Duration LEASE = Duration.ofSeconds(18);
     /** How long it takes until the next node is tried. */
     private static final Duration NEXT = Duration.ofSeconds(1);
+    private static final Duration CHANGE = Duration.ofMillis(500);
     /** How long an answer is waited for. */
     private static final Duration ANSWER = Duration.ofSeconds(4);
 
@@ -244,6 +245,15 @@
         if (deaf || token.isAfter(orders.token())) {
             return;
         }
+        if (orders.token().isAfter(token)) {
+            // A higher token is a change, which goes out at once, though not before half a second.
+            world.loop().after(CHANGE, () -> {
+                if (!hung && !gone) {
+                    advance();
+                    report();
+                }
+            });
+        }
         token = orders.token();
         answeredSentAt = sentAt;
         execute(orders.orders());
--- a/src/test/java/org/meadowhollow/story/StoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/StoriesTest.java
@@ -147,15 +147,18 @@
 
     @Test
     void aNewLeaderDecidesAfterAFullRoundOfReports() {
-        world = new World();
+        int leader = world.leader();
+        assertEquals(0, leader, "a new machine's worker turns to the first node");
+        world.workers().forEach(worker -> worker.hang(true));
+        world.crash(leader);
+        world.restart(leader);
+        world.runS(0.75);
         FakeWorker first = world.machine(World.LARGE, "a");
-        world.machine(World.LARGE, "b").hang(true);
-        world.runS(1.5);
         JobSpec job = array(1, 1);
-        assertTrue(world.submit(world.leader(), job, LONG));
+        assertTrue(world.submit(leader, job, LONG));
         TaskId task = new TaskId(job.id(), 0);
-        world.runS(2);
-        assertFalse(first.holds(task), "the other machine may yet report");
+        world.runS(3);
+        assertFalse(first.holds(task), "the other machines may yet report");
         world.runS(4);
         assertTrue(first.holds(task));
     }
