--- a/src/test/java/org/meadowhollow/story/StoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/StoriesTest.java
@@ -57,6 +57,22 @@
         return null;
     }
 
+    /** A gang of large tasks that are on their machines and wait for their image. */
+    private JobSpec fetchingGang(int tasks, Duration fetch) {
+        world.fetch(fetch);
+        JobSpec gang = World.spec(1, Kind.GANG, tasks, 8);
+        assertTrue(world.submit(0, gang, LONG));
+        world.runS(10);
+        return gang;
+    }
+
+    private void assertFirstAttempt(JobSpec gang) {
+        for (int task = 0; task < gang.tasks(); task++) {
+            TaskId each = new TaskId(gang.id(), task);
+            assertEquals(1, holder(each).attempt(each).value(), "the fetches of the others went on");
+        }
+    }
+
     /** The machine that is not hung and has a task in some state. */
     private FakeWorker holder(TaskId task) {
         return world.workers().stream().filter(worker -> !worker.hung() && worker.holds(task)).findFirst()
@@ -181,46 +197,31 @@
 
     @Test
     void aTaskThatGaveUpWaitingForItsGangWaitsAnewInTheSameAttempt() {
-        world.fetch(Duration.ofSeconds(40));
-        JobSpec gang = World.spec(1, Kind.GANG, 3, 8);
-        assertTrue(world.submit(0, gang, LONG));
-        world.runS(10);
+        JobSpec gang = fetchingGang(3, Duration.ofSeconds(40));
         TaskId first = new TaskId(gang.id(), 0);
         FakeWorker worker = holder(first);
         worker.giveUp(first);
         world.runS(90);
         assertEquals(3, world.starts());
-        for (int task = 0; task < 3; task++) {
-            TaskId each = new TaskId(gang.id(), task);
-            assertEquals(1, holder(each).attempt(each).value(), "the fetches of the others went on");
-        }
+        assertFirstAttempt(gang);
         assertEquals(worker, holder(first));
     }
 
     @Test
     void aGangThatHasNotBegunGetsAReplacementInTheSameAttempt() {
-        world.fetch(Duration.ofSeconds(40));
-        JobSpec gang = World.spec(1, Kind.GANG, 3, 8);
-        assertTrue(world.submit(0, gang, LONG));
-        world.runS(10);
+        JobSpec gang = fetchingGang(3, Duration.ofSeconds(40));
         TaskId lost = new TaskId(gang.id(), 1);
         FakeWorker worker = holder(lost);
         worker.hang(true);
         world.runS(80);
         assertEquals(3, world.starts());
         assertTrue(holder(lost) != worker);
-        for (int task = 0; task < 3; task++) {
-            TaskId each = new TaskId(gang.id(), task);
-            assertEquals(1, holder(each).attempt(each).value());
-        }
+        assertFirstAttempt(gang);
     }
 
     @Test
     void aGangWithoutAReplacementLetsGoOfItsMachines() {
-        world.fetch(Duration.ofMinutes(5));
-        JobSpec gang = World.spec(1, Kind.GANG, 6, 8);
-        assertTrue(world.submit(0, gang, LONG));
-        world.runS(10);
+        JobSpec gang = fetchingGang(6, Duration.ofMinutes(5));
         world.cloudOut(true);
         holder(new TaskId(gang.id(), 1)).hang(true);
         world.runS(70);
