--- a/src/main/java/org/meadowhollow/cli/Main.java
+++ b/src/main/java/org/meadowhollow/cli/Main.java
@@ -2,28 +2,41 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.time.Instant;
 import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.Callable;
+import org.slf4j.LoggerFactory;
 import picocli.CommandLine;
-import picocli.CommandLine.Command;
-import picocli.CommandLine.Option;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Model.OptionSpec;
 
-/** The command. */
-@Command(name = "meadowhollow", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
-        description = "Runs one controller of the meadowhollow cluster scheduler until it is killed.",
-        footer = {"", "The variable LOG_LEVEL (error, info or debug) sets how much goes to standard error."})
+/**
+ * The command. Its options are described in code and not by annotations, whose inspection takes longer than all the
+ * rest of the command, at every start.
+ */
 public final class Main implements Callable<Integer> {
     private static final Set<String> LEVELS = Set.of("error", "info", "debug");
+    private static final String CONFIG = "--config";
+    private static final String CHECK = "--check";
+    private static final String REHEARSE = "--rehearse";
 
-    @Option(names = "--config", paramLabel = "FILE", description = "the platform's settings file")
-    private Path config;
+    private final CommandSpec spec = CommandSpec.wrapWithoutInspection(this)
+            .name("meadowhollow")
+            .versionProvider(new Version())
+            .addOption(OptionSpec.builder(CONFIG).paramLabel("FILE").type(Path.class)
+                    .description("the platform's settings file").build())
+            .addOption(OptionSpec.builder(CHECK).description("check the settings and exit").build())
+            .addOption(OptionSpec.builder(REHEARSE).hidden(true).build())
+            .addOption(OptionSpec.builder("-h", "--help").usageHelp(true)
+                    .description("Show this help message and exit.").build())
+            .addOption(OptionSpec.builder("-V", "--version").versionHelp(true)
+                    .description("Print version information and exit.").build());
 
-    @Option(names = "--rehearse", hidden = true)
-    private boolean rehearse;
-
-    @Option(names = "--check", description = "check the settings and exit")
-    private boolean checkOnly;
+    private Main() {
+        spec.usageMessage().description("Runs one controller of the meadowhollow cluster scheduler until it is killed.")
+                .footer("", "The variable LOG_LEVEL (error, info or debug) sets how much goes to standard error.");
+    }
 
     /** The version that the build wrote into the manifest. */
     static final class Version implements CommandLine.IVersionProvider {
@@ -34,6 +47,15 @@
         }
     }
 
+    /** Wrong flags get one line. A class of its own, for the archive of classes takes no lambda of this kind. */
+    static final class OneLine implements CommandLine.IParameterExceptionHandler {
+        @Override
+        public int handleParseException(CommandLine.ParameterException wrong, String[] args) {
+            System.err.println("meadowhollow: " + wrong.getMessage() + " (see --help)");
+            return CommandLine.ExitCode.USAGE;
+        }
+    }
+
     public static void main(String[] args) {
         String level = System.getenv().getOrDefault("LOG_LEVEL", "info").toLowerCase(Locale.ROOT);
         if (!LEVELS.contains(level)) {
@@ -41,11 +63,13 @@
             System.exit(CommandLine.ExitCode.USAGE);
         }
         System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level);
-        CommandLine command = new CommandLine(new Main());
-        command.setParameterExceptionHandler((wrong, given) -> {
-            System.err.println("meadowhollow: " + wrong.getMessage() + " (see --help)");
-            return CommandLine.ExitCode.USAGE;
-        });
+        System.setProperty("org.jboss.logging.provider", "slf4j");
+        // XNIO and its thread pool would set up the JVM's management, a quarter of the processor time of a start,
+        // for beans that nobody reads; without a server for them they go on without.
+        System.setProperty("javax.management.builder.initial", "none");
+        System.setProperty("jboss.threads.eqe.register-mbean", "false");
+        CommandLine command = new CommandLine(new Main().spec);
+        command.setParameterExceptionHandler(new OneLine());
         int code = command.execute(args);
         if (code != RUNNING) {
             System.exit(code);
@@ -57,10 +81,12 @@
 
     @Override
     public Integer call() throws Exception {
-        if (rehearse) {
+        CommandLine.ParseResult given = spec.commandLine().getParseResult();
+        if (given.hasMatchedOption(REHEARSE)) {
             Rehearsal.run();
             return CommandLine.ExitCode.OK;
         }
+        Path config = given.matchedOptionValue(CONFIG, null);
         if (config == null) {
             System.err.println("meadowhollow: --config FILE is missing (see --help)");
             return CommandLine.ExitCode.USAGE;
@@ -72,11 +98,14 @@
             System.err.println("meadowhollow: " + unusable.getMessage());
             return CommandLine.ExitCode.USAGE;
         }
-        if (checkOnly) {
+        if (given.hasMatchedOption(CHECK)) {
             return CommandLine.ExitCode.OK;
         }
         try {
             Controller.builder(settings).start();
+            // The log counts milliseconds from the start, for formatting the time of day made every start a fifth
+            // longer. This line tells what the count was at which time.
+            LoggerFactory.getLogger(Main.class).info("{} runs, at {}", settings.platform().member(), Instant.now());
         } catch (IOException | RuntimeException failure) {
             System.err.println("meadowhollow: cannot start: " + failure.getMessage());
             return CommandLine.ExitCode.SOFTWARE;
--- a/src/main/java/org/meadowhollow/protocol/peers/PeerLink.java
+++ b/src/main/java/org/meadowhollow/protocol/peers/PeerLink.java
@@ -33,16 +33,24 @@
 
     private final Http.Client http;
     private final List<String> addresses;
-    private final Kryo kryo = new Kryo();
+    /** Made for the first hint: it brings many classes, and a node takes requests before it hears any. */
+    private Kryo kryo;
     private volatile BooleanSupplier served = () -> false;
     private volatile BiConsumer<Term, String> listener = (term, member) -> { };
 
     public PeerLink(Http.Client http, List<String> addresses) {
         this.http = http;
         this.addresses = List.copyOf(addresses);
-        kryo.setRegistrationRequired(true);
-        kryo.register(LeaderHint.class);
-        kryo.register(ServedHint.class);
+    }
+
+    private Kryo kryo() {
+        if (kryo == null) {
+            kryo = new Kryo();
+            kryo.setRegistrationRequired(true);
+            kryo.register(LeaderHint.class);
+            kryo.register(ServedHint.class);
+        }
+        return kryo;
     }
 
     /** Says to others whether the state service serves this controller. */
@@ -107,11 +115,11 @@
 
     private synchronized byte[] encode(Object hint) {
         Output output = new Output(MOST_BYTES);
-        kryo.writeClassAndObject(output, hint);
+        kryo().writeClassAndObject(output, hint);
         return output.toBytes();
     }
 
     private synchronized Object decode(byte[] body) {
-        return kryo.readClassAndObject(new Input(body));
+        return kryo().readClassAndObject(new Input(body));
     }
 }
