A leader whose process has ended is replaced at once; workers wait while no leader is known

Cause: after a crash nobody led for the 5 s of the lease, and then 2 to 6 s more until the workers had found the new leader: meanwhile each went round all nodes every 1 to 1.5 s, on a new connection each time.

Change: workers that the leader answered last and that turn to another node make it ask the leader; refused twice, with three workers that have left, it ends the leader's lease, whose number is in the leader's record. Takeover, guards and tokens are as ever. Reports wait up to 2.5 s while no leader is known, and are taken in by the new one or sent to it.

--- a/src/main/java/org/meadowhollow/bookkeeping/StateStore.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/StateStore.java
@@ -41,6 +41,9 @@
 
     CompletableFuture<Void> renew(LeaseId lease);
 
+    /** Ends a lease at once, and with it the keys under it. */
+    CompletableFuture<Void> revoke(LeaseId lease);
+
     CompletableFuture<Changes> watch(String prefix, Version after, Duration wait);
 
     /** Whether the store has lately given no answer, or an answer of being out. */
--- a/src/main/java/org/meadowhollow/cli/Settings.java
+++ b/src/main/java/org/meadowhollow/cli/Settings.java
@@ -15,7 +15,7 @@
 import org.meadowhollow.protocol.Malformed;
 
 /** The platform's settings file, checked. */
-public record Settings(Endpoint listen, Endpoint back, List<String> peers, String cloud, String state,
+public record Settings(Endpoint listen, Endpoint back, Map<String, String> peers, String cloud, String state,
         Platform platform) {
 
     /** An address of this machine. */
@@ -50,9 +50,9 @@
     }
 
     private static Settings of(Fields file) throws Malformed {
-        List<String> peers = new ArrayList<>();
+        Map<String, String> peers = new LinkedHashMap<>();
         for (Fields peer : file.list("known")) {
-            peers.add(address(peer.text("addr"), "known"));
+            peers.put(peer.text("member"), address(peer.text("addr"), "known"));
         }
         Fields external = file.fields("external");
         Endpoint listen = endpoint(file.text("listen"), "listen");
--- a/src/main/java/org/meadowhollow/coordination/HeldReports.java
+++ b/src/main/java/org/meadowhollow/coordination/HeldReports.java
@@ -11,8 +11,8 @@
 import org.meadowhollow.bookkeeping.Report;
 
 /**
- * Reports that are answered a little later. Starts go out in answers alone, so a machine whose report is held
- * can be told to start a task at once, instead of with its next report.
+ * Reports that are answered a little later. A leader holds them since starts go out in answers alone, so that a
+ * machine can be told to start a task at once, instead of with its next report; another node while no leader is known.
  */
 final class HeldReports {
     /** A report, and where its answer goes. */
@@ -23,11 +23,24 @@
     private final Map<MachineId, Held> held = new LinkedHashMap<>();
 
     CompletableFuture<Answer> hold(Report report, Moment until) {
+        drop(report.machine());
         Held entry = new Held(report, new CompletableFuture<>(), until);
         held.put(report.machine(), entry);
         return entry.answer();
     }
 
+    /** Lets go of a machine's earlier report: it has one in flight at a time, so nobody waits for that answer. */
+    void drop(MachineId machine) {
+        Held earlier = held.remove(machine);
+        if (earlier != null) {
+            earlier.answer().complete(new Answer.Elsewhere(null));
+        }
+    }
+
+    boolean isEmpty() {
+        return held.isEmpty();
+    }
+
     boolean has(MachineId machine) {
         return held.containsKey(machine);
     }
--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -303,8 +303,7 @@
     /** Answers a worker's report, so that its lease is kept: at once, or a little later if it has room. */
     public synchronized CompletableFuture<Answer> report(Report report) {
         Moment now = loop.now();
-        // A worker has one report in flight, so nobody waits for the answer to an earlier one any more.
-        held.take(report.machine());
+        held.drop(report.machine());
         if (report.token().isAfter(term)) {
             leadership.heardOf(report.token(), null);
             return CompletableFuture.completedFuture(new Answer.Elsewhere(leadership.leader()));
--- a/src/main/java/org/meadowhollow/coordination/Leadership.java
+++ b/src/main/java/org/meadowhollow/coordination/Leadership.java
@@ -1,11 +1,14 @@
 package org.meadowhollow.coordination;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.meadowhollow.bookkeeping.EventLoop;
 import org.meadowhollow.bookkeeping.LeaseId;
+import org.meadowhollow.bookkeeping.MachineId;
 import org.meadowhollow.bookkeeping.Moment;
 import org.meadowhollow.bookkeeping.Records;
 import org.meadowhollow.bookkeeping.StateException;
@@ -36,6 +39,19 @@
     /** Time for an answer that is under way when a leader falls silent. */
     private static final Duration MARGIN = Duration.ofSeconds(3);
 
+    /**
+     * Workers that must have left a leader before its lease is ended for it. One or two lose a connection now and
+     * then, also while packet filters between the controllers refuse connections for no fault of the leader.
+     */
+    private static final int LEAST_DESERTERS = 3;
+    /** Refusals in a row; between them a process that is only short of sockets has closed some. */
+    private static final int LEAST_REFUSALS = 2;
+    private static final Duration ASK_AGAIN = Duration.ofMillis(250);
+    /** Questions to a suspected leader before the suspicion is dropped; about as long as reports are held for. */
+    private static final int MOST_QUESTIONS = 8;
+    /** How long the leader is trusted after it answered. */
+    private static final Duration TRUST = Duration.ofSeconds(2);
+
     /** What follows from a change of leadership. */
     public interface Listener {
         /** This member leads from now on. */
@@ -43,6 +59,9 @@
 
         /** This member does not lead any more. */
         void deposed(String why);
+
+        /** Another member leads, as far as is known. */
+        void following(String leader);
     }
 
     private final StateStore store;
@@ -58,7 +77,11 @@
     private boolean leading;
     private String leader;
     private Term leaderTerm = Term.NONE;
+    private LeaseId leaderLease;
     private int epoch;
+    private final Set<MachineId> deserters = new HashSet<>();
+    private boolean suspecting;
+    private Moment trustedAt;
 
     public Leadership(StateStore store, EventLoop loop, Peers peers, Platform platform, RandomGenerator random,
             Listener listener) {
@@ -113,11 +136,15 @@
             }
             leaderTerm = other;
             leader = otherLeader;
+            leaderLease = null;
         }
         // Answering on with a lower token would keep workers at this node until their leases end.
         if (leading()) {
             stepDown("a higher term " + other + " exists");
         }
+        if (otherLeader != null) {
+            listener.following(otherLeader);
+        }
     }
 
     /** Gives the leadership up, when a write has shown that it is lost. */
@@ -167,6 +194,7 @@
                 return;
             }
             if (page.entries().isEmpty()) {
+                nobodyLeads();
                 campaign(expected, Version.ABSENT);
                 return;
             }
@@ -182,12 +210,97 @@
         });
     }
 
-    private synchronized void follow(Map<String, Object> record) {
+    private void follow(Map<String, Object> record) {
         Term found = new Term(((Number) record.get("term")).longValue());
-        if (!leaderTerm.isAfter(found)) {
+        String member = (String) record.get("member");
+        synchronized (this) {
+            if (leaderTerm.isAfter(found)) {
+                return;
+            }
             leaderTerm = found;
-            leader = (String) record.get("member");
+            leader = member;
+            leaderLease = record.get("lease") instanceof Number id ? new LeaseId(id.longValue()) : null;
         }
+        listener.following(member);
+    }
+
+    private synchronized void nobodyLeads() {
+        leader = null;
+        leaderLease = null;
+        deserters.clear();
+    }
+
+    /**
+     * A worker has come here. If the leader answered it last, it has left the leader, whose process may have ended:
+     * the leader is asked, and if it refuses connections while several workers have left it, its lease is ended at
+     * once instead of when it runs out. That is a matter of time alone: whoever leads next takes the key and a higher
+     * term as ever, so a leader that is wrongly suspected loses its place, and no more.
+     *
+     * @return whether it is better to wait for what comes of this than to send the worker back to the leader
+     */
+    public boolean arrived(MachineId worker, Term shown) {
+        int now;
+        synchronized (this) {
+            if (leading || leader == null || member.equals(leader) || !shown.equals(leaderTerm)
+                    || trustedAt != null && loop.now().since(trustedAt).compareTo(TRUST) < 0) {
+                return false;
+            }
+            deserters.add(worker);
+            if (suspecting) {
+                return true;
+            }
+            suspecting = true;
+            now = epoch;
+        }
+        ask(now, leader, 0, 0);
+        return true;
+    }
+
+    private void ask(int expected, String suspect, int asked, int refused) {
+        peers.signOf(suspect).thenAccept(sign -> {
+            LeaseId toEnd = null;
+            boolean trusted;
+            synchronized (this) {
+                trusted = sign == Peers.Sign.ANSWERS;
+                if (epoch != expected || !suspect.equals(leader) || trusted || asked >= MOST_QUESTIONS) {
+                    suspecting = false;
+                    deserters.clear();
+                    trustedAt = trusted ? loop.now() : null;
+                } else if (sign == Peers.Sign.REFUSES && refused + 1 >= LEAST_REFUSALS
+                        && deserters.size() >= LEAST_DESERTERS && leaderLease != null) {
+                    suspecting = false;
+                    toEnd = leaderLease;
+                    leader = null;
+                }
+            }
+            if (trusted) {
+                listener.following(suspect);
+            } else if (toEnd != null) {
+                LOG.info("{} workers have left {}, which refuses connections: its lease is ended", deserters.size(),
+                        suspect);
+                LeaseId ending = toEnd;
+                store.revoke(ending).whenComplete((unused, failure) -> {
+                    if (failure != null) {
+                        stands(expected, suspect, ending);
+                    }
+                });
+            } else if (suspecting()) {
+                loop.after(ASK_AGAIN, () -> ask(expected, suspect, asked + 1,
+                        sign == Peers.Sign.REFUSES ? refused + 1 : 0));
+            }
+        });
+    }
+
+    /** The lease could not be ended, so its holder goes on being the leader. */
+    private synchronized void stands(int expected, String suspect, LeaseId lasting) {
+        if (epoch == expected && leader == null) {
+            leader = suspect;
+            leaderLease = lasting;
+        }
+    }
+
+    private synchronized boolean suspecting() {
+        return suspecting;
     }
 
     private void await(int expected, Version after) {
@@ -236,7 +349,8 @@
                 .guard(Records.LEADER, leaderVersion)
                 .guard(Records.TERM, counter.map(StateStore.Entry::version).orElse(Version.ABSENT))
                 .put(Records.TERM, Map.of("term", next.value()))
-                .put(Records.LEADER, Map.of("member", member, "term", next.value()), granted);
+                .put(Records.LEADER, Map.of("member", member, "term", next.value(), "lease", granted.value()),
+                        granted);
         store.commit(claim, Urgency.LEASE).whenComplete((commit, failure) -> {
             if (!current(expected)) {
                 return;
--- a/src/main/java/org/meadowhollow/coordination/Node.java
+++ b/src/main/java/org/meadowhollow/coordination/Node.java
@@ -1,6 +1,7 @@
 package org.meadowhollow.coordination;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
@@ -24,6 +25,13 @@
     private static final Duration RETRY = Duration.ofSeconds(1);
     /** How long another node's word holds that the state service serves it; a few probes of the balancer. */
     private static final Duration SERVED_FOR = Duration.ofSeconds(3);
+    /**
+     * How long a report waits here for a leader to be known; well below the 4 s that a worker waits for an answer.
+     * Sent on at once, hundreds of workers would go round all nodes every second, each time on a new connection,
+     * while these have to find a leader; and the new one would hear of most of them late.
+     */
+    private static final Duration MOST_ORPHANED = Duration.ofMillis(2500);
+    private static final Duration SWEEP = Duration.ofMillis(500);
 
     private final EventLoop loop;
     private final StateStore store;
@@ -33,7 +41,9 @@
     private final Catalog catalog;
     private final Leadership leadership;
     private final Peers peers;
+    private final HeldReports orphans = new HeldReports();
     private Leader leader;
+    private boolean sweeping;
     private Moment othersServedAt;
     private boolean closed;
     private boolean cloudSilent;
@@ -128,12 +138,18 @@
     }
 
     @Override
-    public synchronized void elected(Term term, Version leaderVersion) {
-        if (leader != null) {
-            leader.close();
+    public void elected(Term term, Version leaderVersion) {
+        Leader begun = new Leader(loop, store, workers, cloud, platform, catalog, leadership, term, leaderVersion);
+        synchronized (this) {
+            if (leader != null) {
+                leader.close();
+            }
+            leader = begun;
+        }
+        begun.start();
+        for (HeldReports.Held each : takeOrphans()) {
+            begun.report(each.report()).thenAccept(each.answer()::complete);
         }
-        leader = new Leader(loop, store, workers, cloud, platform, catalog, leadership, term, leaderVersion);
-        leader.start();
     }
 
     @Override
@@ -148,15 +164,50 @@
         return leader;
     }
 
+    /** Answers a worker's report, or sends it to the leader; while none is known, the worker waits a little. */
     public CompletableFuture<Answer> report(Report report) {
         Leader now = leader();
         if (now != null && leadership.mayAnswer()) {
             return now.report(report);
         }
         leadership.heardOf(report.token(), null);
+        boolean mayBeGone = leadership.arrived(report.machine(), report.token());
         String other = leadership.leader();
-        return CompletableFuture.completedFuture(
-                new Answer.Elsewhere(platform.member().equals(other) ? null : other));
+        boolean known = other != null && !platform.member().equals(other) && !mayBeGone;
+        if (known || now != null || store.seemsOut()) {
+            return CompletableFuture.completedFuture(new Answer.Elsewhere(known ? other : null));
+        }
+        return orphaned(report);
+    }
+
+    private synchronized CompletableFuture<Answer> orphaned(Report report) {
+        if (!sweeping) {
+            sweeping = true;
+            loop.after(SWEEP, this::sweepOrphans);
+        }
+        return orphans.hold(report, loop.now().plus(MOST_ORPHANED));
+    }
+
+    private void sweepOrphans() {
+        List<HeldReports.Held> due;
+        synchronized (this) {
+            due = orphans.due(loop.now());
+            sweeping = !closed && !orphans.isEmpty();
+            if (sweeping) {
+                loop.after(SWEEP, this::sweepOrphans);
+            }
+        }
+        due.forEach(each -> each.answer().complete(new Answer.Elsewhere(null)));
+    }
+
+    private synchronized List<HeldReports.Held> takeOrphans() {
+        return orphans.takeAll();
+    }
+
+    @Override
+    public void following(String other) {
+        boolean isOther = !platform.member().equals(other);
+        takeOrphans().forEach(each -> each.answer().complete(new Answer.Elsewhere(isOther ? other : null)));
     }
 
     public void heardOf(Term term, String member) {
@@ -173,5 +224,6 @@
         if (leader != null) {
             leader.close();
         }
+        orphans.takeAll().forEach(each -> each.answer().complete(new Answer.Elsewhere(null)));
     }
 }
--- a/src/main/java/org/meadowhollow/coordination/Peers.java
+++ b/src/main/java/org/meadowhollow/coordination/Peers.java
@@ -9,4 +9,9 @@
 
     /** Whether the state service serves any of the others. */
     CompletableFuture<Boolean> anyServed();
+
+    /** How another controller takes a question. */
+    enum Sign { ANSWERS, REFUSES, SILENT }
+
+    CompletableFuture<Sign> signOf(String member);
 }
--- a/src/main/java/org/meadowhollow/protocol/Http.java
+++ b/src/main/java/org/meadowhollow/protocol/Http.java
@@ -23,12 +23,19 @@
     }
 
     /** The request never reached the other side. */
-    final class NotSent extends RuntimeException {
+    class NotSent extends RuntimeException {
         public NotSent(String message) {
             super(message, null, false, false);
         }
     }
 
+    /** The other side's machine answered that nobody listens there, or that no more connections are taken. */
+    final class Refused extends NotSent {
+        public Refused(String message) {
+            super(message);
+        }
+    }
+
     /** The request went out but no answer came: it may have been executed, or may be yet. */
     final class NoAnswer extends RuntimeException {
         public NoAnswer(String message) {
--- a/src/main/java/org/meadowhollow/protocol/peers/PeerLink.java
+++ b/src/main/java/org/meadowhollow/protocol/peers/PeerLink.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
@@ -20,6 +21,8 @@
     private static final String LEADER = "/leader";
     private static final String SERVED = "/served";
     private static final Duration ANSWER = Duration.ofSeconds(2);
+    /** A node that is up but slow must not be taken for one that is silent too soon. */
+    private static final Duration SIGN = Duration.ofSeconds(1);
     /** Bytes; a hint is a name and a number. */
     private static final int MOST_BYTES = 512;
 
@@ -32,15 +35,18 @@
     }
 
     private final Http.Client http;
-    private final List<String> addresses;
+    private final Map<String, String> addresses;
     /** Made for the first hint: it brings many classes, and a node takes requests before it hears any. */
     private Kryo kryo;
     private volatile BooleanSupplier served = () -> false;
     private volatile BiConsumer<Term, String> listener = (term, member) -> { };
 
-    public PeerLink(Http.Client http, List<String> addresses) {
+    /**
+     * @param addresses of the other controllers, by member
+     */
+    public PeerLink(Http.Client http, Map<String, String> addresses) {
         this.http = http;
-        this.addresses = List.copyOf(addresses);
+        this.addresses = Map.copyOf(addresses);
     }
 
     private Kryo kryo() {
@@ -65,7 +71,7 @@
     @Override
     public void announce(String leader, Term term) {
         byte[] hint = encode(new LeaderHint(leader, term.value()));
-        for (String address : addresses) {
+        for (String address : addresses.values()) {
             http.send(address, "POST", LEADER, hint, ANSWER);
         }
     }
@@ -93,7 +99,7 @@
     public CompletableFuture<Boolean> anyServed() {
         CompletableFuture<Boolean> any = new CompletableFuture<>();
         List<CompletableFuture<Void>> answers = new ArrayList<>();
-        for (String address : addresses) {
+        for (String address : addresses.values()) {
             answers.add(http.send(address, "GET", SERVED, null, ANSWER).handle((reply, failure) -> {
                 if (failure == null && saysServed(reply)) {
                     any.complete(true);
@@ -105,6 +111,16 @@
         return any;
     }
 
+    @Override
+    public CompletableFuture<Sign> signOf(String member) {
+        String address = addresses.get(member);
+        if (address == null) {
+            return CompletableFuture.completedFuture(Sign.SILENT);
+        }
+        return http.send(address, "GET", SERVED, null, SIGN).handle((reply, failure) -> failure == null
+                ? Sign.ANSWERS : failure instanceof Http.Refused ? Sign.REFUSES : Sign.SILENT);
+    }
+
     private boolean saysServed(Http.Reply reply) {
         try {
             return reply.status() == 200 && decode(reply.body()) instanceof ServedHint hint && hint.served();
--- a/src/main/java/org/meadowhollow/protocol/state/StateClient.java
+++ b/src/main/java/org/meadowhollow/protocol/state/StateClient.java
@@ -124,6 +124,11 @@
                 .thenAccept(StateClient::leaseStands);
     }
 
+    @Override
+    public CompletableFuture<Void> revoke(LeaseId lease) {
+        return call("DELETE", "/grants/" + lease.value(), null, 0, Urgency.LEASE).thenAccept(reply -> { });
+    }
+
     private static void leaseStands(Http.Reply reply) {
         if (reply.status() == 404) {
             throw new StateException(Outcome.NO_SUCH_LEASE, "the lease has ended");
--- a/src/main/java/org/meadowhollow/transport/HttpClient.java
+++ b/src/main/java/org/meadowhollow/transport/HttpClient.java
@@ -11,6 +11,7 @@
 import io.undertow.util.HttpString;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.URI;
 import java.nio.ByteBuffer;
 import java.time.Duration;
@@ -78,6 +79,7 @@
         /** Where this call waits for its connection, until it has it or gives it up. */
         private Target connecting;
         private boolean sent;
+        private boolean refused;
 
         Call(String address, String method, String path, byte[] body) {
             this.address = address;
@@ -115,6 +117,7 @@
 
                 @Override
                 public void failed(IOException failure) {
+                    refused = failure instanceof ConnectException;
                     fail("no connection to " + address);
                 }
             }, URI.create("http://" + address), loop.thread(), buffers, OptionMap.EMPTY);
@@ -282,7 +285,8 @@
             if (sent) {
                 dropIdle();
             }
-            answer.completeExceptionally(sent ? new Http.NoAnswer(why) : new Http.NotSent(why));
+            answer.completeExceptionally(sent ? new Http.NoAnswer(why)
+                    : refused ? new Http.Refused(why) : new Http.NotSent(why));
         }
     }
 }
--- a/src/test/java/org/meadowhollow/story/FakeStore.java
+++ b/src/test/java/org/meadowhollow/story/FakeStore.java
@@ -255,6 +255,15 @@
             });
         }
 
+        @Override
+        public CompletableFuture<Void> revoke(LeaseId lease) {
+            return call(() -> {
+                leases.computeIfPresent(lease.value(), (id, until) -> loop.now());
+                expire();
+                return null;
+            });
+        }
+
         @Override
         public CompletableFuture<Changes> watch(String prefix, Version after, Duration wait) {
             CompletableFuture<Changes> answer = new CompletableFuture<>();
--- a/src/test/java/org/meadowhollow/story/FakeWorker.java
+++ b/src/test/java/org/meadowhollow/story/FakeWorker.java
@@ -78,6 +78,12 @@
         return type;
     }
 
+    /** Loses its connection and turns to another node. */
+    void goTo(int other) {
+        node = other;
+        inFlight = null;
+    }
+
     void hang(boolean now) {
         hung = now;
     }
@@ -232,12 +238,22 @@
         });
     }
 
+    private void soon() {
+        world.loop().after(CHANGE, () -> {
+            if (!hung && !gone) {
+                advance();
+                report();
+            }
+        });
+    }
+
     private void answered(Answer answer, Moment sentAt) {
         if (answer instanceof Answer.Elsewhere elsewhere) {
             if (elsewhere.member() == null) {
                 tryNext();
             } else {
                 node = world.indexOf(elsewhere.member());
+                soon();
             }
             return;
         }
@@ -247,12 +263,7 @@
         }
         if (orders.token().isAfter(token)) {
             // A higher token is a change, which goes out at once, though not before half a second.
-            world.loop().after(CHANGE, () -> {
-                if (!hung && !gone) {
-                    advance();
-                    report();
-                }
-            });
+            soon();
         }
         token = orders.token();
         answeredSentAt = sentAt;
--- /dev/null
+++ b/src/test/java/org/meadowhollow/story/TakeoverTest.java
@@ -0,0 +1,106 @@
+package org.meadowhollow.story;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.TaskId;
+
+/** How soon another node leads, and what must not make it lead. */
+class TakeoverTest {
+    private static final int MACHINES = 8;
+    private World world;
+
+    @BeforeEach
+    void threeNodesAndSomeMachines() {
+        world = new World();
+        for (int at = 0; at < MACHINES / 2; at++) {
+            world.machine(World.LARGE, "a");
+            world.machine(World.LARGE, "b");
+        }
+        world.runS(12);
+    }
+
+    @Test
+    void aLeaderWhoseProcessEndedIsReplacedBeforeItsLeaseRunsOut() {
+        int dead = world.leader();
+        world.crash(dead);
+        world.runS(3.5);
+        assertTrue(world.leader() >= 0 && world.leader() != dead, "its lease of 5 s has not run out yet");
+    }
+
+    @Test
+    void aLeaderThatOnlyItsPeersCannotReachStays() {
+        long term = world.term();
+        world.peersRefuse(true);
+        world.runS(30);
+        assertEquals(term, world.term());
+    }
+
+    @Test
+    void aWorkerOrTwoThatComeOverDoNotEndALeadershipThatPeersCannotReach() {
+        long term = world.term();
+        world.peersRefuse(true);
+        world.workers().get(0).goTo((world.leader() + 1) % 3);
+        world.workers().get(1).goTo((world.leader() + 2) % 3);
+        world.runS(10);
+        assertEquals(term, world.term());
+    }
+
+    @Test
+    void aLeaderThatWorkersLeaveButThatAnswersItsPeersStays() {
+        long term = world.term();
+        world.workers().forEach(worker -> worker.goTo((world.leader() + 1) % 3));
+        world.runS(10);
+        assertEquals(term, world.term());
+    }
+
+    @Test
+    void aLeaderThatIsWronglyReplacedStopsLeadingAndNothingRunsTwice() {
+        JobSpec job = World.spec(1, Kind.ARRAY, 40, 1);
+        int first = world.leader();
+        assertTrue(world.submit(first, job, Duration.ofSeconds(20)));
+        world.runS(1);
+        world.peersRefuse(true);
+        world.workers().forEach(worker -> worker.goTo((first + 1) % 3));
+        world.runS(4);
+        assertNotEquals(first, world.leader(), "several workers left it, and it refused connections");
+        world.peersRefuse(false);
+        world.runS(60);
+        assertEquals(40, world.poll(first, job.id()).orElseThrow().done());
+    }
+
+    @Test
+    void aLeaderWithoutPowerIsReplacedWhenItsLeaseHasRunOut() {
+        int dead = world.leader();
+        world.losePower(dead);
+        world.runS(3.5);
+        assertEquals(dead, world.leader(), "silence proves nothing");
+        world.runS(4);
+        assertTrue(world.leader() >= 0 && world.leader() != dead);
+    }
+
+    @Test
+    void workersWaitForALeaderInsteadOfGoingRoundAllNodes() {
+        world.losePower(world.leader());
+        world.takeReports();
+        world.runS(5);
+        assertTrue(world.takeReports() <= 3 * MACHINES, "each worker is answered when there is news, or late");
+    }
+
+    @Test
+    void afterATakeoverAStartNeedNotWaitForAllMachinesToComeByThemselves() {
+        int dead = world.leader();
+        world.crash(dead);
+        world.runS(1);
+        JobSpec job = World.spec(1, Kind.ARRAY, 1, 1);
+        assertTrue(world.submit((dead + 1) % 3, job, Duration.ofSeconds(60)));
+        world.runS(6);
+        assertTrue(world.workers().stream().anyMatch(worker -> worker.holds(new TaskId(job.id(), 0))));
+    }
+}
--- a/src/test/java/org/meadowhollow/story/World.java
+++ b/src/test/java/org/meadowhollow/story/World.java
@@ -64,10 +64,12 @@
     private Duration fetch = Duration.ofSeconds(2);
     private boolean cloudOut;
     private boolean peersCut;
+    private boolean peersRefuse;
     private int nextMachine;
     private int nextSeed = 7;
     private int starts;
     private int directs;
+    private int reports;
 
     /** A node's process and its lines. */
     private final class Member {
@@ -76,6 +78,8 @@
         private Node node;
         private Admission admission;
         private boolean cutFromWorkers;
+        /** Its machine gives no answer, rather than that nobody listens there. */
+        private boolean silent;
 
         Member(String name) {
             this.name = name;
@@ -155,6 +159,17 @@
         return taken;
     }
 
+    /** Reports that reached a node since the last call. */
+    int takeReports() {
+        int taken = reports;
+        reports = 0;
+        return taken;
+    }
+
+    long term() {
+        return ((Number) store.value("meta/term").get("term")).longValue();
+    }
+
     // ---- troubles ----
 
     void crash(int node) {
@@ -190,6 +205,17 @@
         peersCut = cut;
     }
 
+    /** Connections between the nodes are refused. */
+    void peersRefuse(boolean refuse) {
+        peersRefuse = refuse;
+    }
+
+    /** The machine of a node loses its power: the process is gone, and no connection is refused. */
+    void losePower(int node) {
+        members.get(node).silent = true;
+        crash(node);
+    }
+
     void cloudOut(boolean out) {
         cloudOut = out;
     }
@@ -366,6 +392,7 @@
             return null;
         }
         Node asked = member.node;
+        reports++;
         CompletableFuture<Answer> answer = new CompletableFuture<>();
         asked.report(report).thenAccept(given -> {
             if (member.node == asked && !member.cutFromWorkers) {
@@ -418,16 +445,25 @@
         @Override
         public CompletableFuture<Boolean> anyServed() {
             CompletableFuture<Boolean> any = new CompletableFuture<>();
-            loop.after(Duration.ofMillis(5), () -> any.complete(!peersCut && members.stream().anyMatch(
+            loop.after(Duration.ofMillis(5), () -> any.complete(!peersCut && !peersRefuse && members.stream().anyMatch(
                     member -> member != from && member.node != null && !member.line.seemsOut())));
             return any;
         }
 
+        @Override
+        public CompletableFuture<Sign> signOf(String member) {
+            CompletableFuture<Sign> sign = new CompletableFuture<>();
+            Member asked = members.get(indexOf(member));
+            loop.after(Duration.ofMillis(5), () -> sign.complete(peersRefuse || asked.node == null && !asked.silent
+                    ? Sign.REFUSES : peersCut || asked.node == null ? Sign.SILENT : Sign.ANSWERS));
+            return sign;
+        }
+
         @Override
         public void announce(String leader, Term term) {
             loop.after(Duration.ofMillis(5), () -> {
                 for (Member member : members) {
-                    if (!peersCut && member != from && member.node != null) {
+                    if (!peersCut && !peersRefuse && member != from && member.node != null) {
                         member.node.heardOf(term, leader);
                     }
                 }
