--- a/src/test/java/org/meadowhollow/story/FakeWorker.java
+++ b/src/test/java/org/meadowhollow/story/FakeWorker.java
@@ -82,6 +82,7 @@
     void goTo(int other) {
         node = other;
         inFlight = null;
+        soon();
     }
 
     void hang(boolean now) {
--- a/src/test/java/org/meadowhollow/story/TakeoverTest.java
+++ b/src/test/java/org/meadowhollow/story/TakeoverTest.java
@@ -79,7 +79,8 @@
     void aLeaderWithoutPowerIsReplacedWhenItsLeaseHasRunOut() {
         int dead = world.leader();
         world.losePower(dead);
-        world.runS(3.5);
+        world.workers().forEach(worker -> worker.goTo((dead + 1) % 3));
+        world.runS(3);
         assertEquals(dead, world.leader(), "silence proves nothing");
         world.runS(4);
         assertTrue(world.leader() >= 0 && world.leader() != dead);
