--- a/src/main/java/org/meadowhollow/coordination/Fleet.java
+++ b/src/main/java/org/meadowhollow/coordination/Fleet.java
@@ -39,6 +39,11 @@
     /** After a refusal the same kind is left alone for this long at first, and for twice that each time. */
     private static final Duration FIRST_PAUSE = Duration.ofSeconds(4);
     private static final Duration LONGEST_PAUSE = Duration.ofSeconds(30);
+    /**
+     * An idle machine is kept for this long at least, also before any job has shown what its image costs to fetch:
+     * half of the minute that a machine costs in any case, so that what follows soon pays no second one.
+     */
+    private static final double LEAST_KEPT_S = 30;
     /** A silent machine is given up after this many leases: its tasks are gone, but it may yet go on. */
     private static final double GIVE_UP_LEASES = 1.5;
     /**
@@ -238,7 +243,7 @@
      * image fetched. Who keeps for the time that it costs to come back never pays more than double.
      */
     private double keepS(MachineType type) {
-        return type.bootS() + leader.largestImageGb() / type.fetchGbPerS();
+        return Math.max(LEAST_KEPT_S, type.bootS() + leader.largestImageGb() / type.fetchGbPerS());
     }
 
     /** What to rent: the needs that neither the machines that are booting nor each other's new ones take. */
