--- a/src/main/java/org/meadowhollow/coordination/Fleet.java
+++ b/src/main/java/org/meadowhollow/coordination/Fleet.java
@@ -40,10 +40,10 @@
     private static final Duration FIRST_PAUSE = Duration.ofSeconds(4);
     private static final Duration LONGEST_PAUSE = Duration.ofSeconds(30);
     /**
-     * An idle machine is kept for this long at least, also before any job has shown what its image costs to fetch:
-     * half of the minute that a machine costs in any case, so that what follows soon pays no second one.
+     * An idle machine is kept for this long at least, also before any job has shown what its image costs to fetch: a
+     * machine costs a minute in any case, and its return takes some seconds, with a round and calls that fail.
      */
-    private static final double LEAST_KEPT_S = 30;
+    private static final double LEAST_KEPT_S = 50;
     /** A silent machine is given up after this many leases: its tasks are gone, but it may yet go on. */
     private static final double GIVE_UP_LEASES = 1.5;
     /**
