The build rehearses a whole leadership, so that its classes are archived as well

Cause: the rehearsal only started a controller; what it takes to be elected, load, place, write and answer was loaded, and its lambdas made, in the first takeover, when the node has least time.

--- a/src/main/java/org/meadowhollow/cli/Rehearsal.java
+++ b/src/main/java/org/meadowhollow/cli/Rehearsal.java
@@ -1,5 +1,6 @@
 package org.meadowhollow.cli;
 
+import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
@@ -8,44 +9,63 @@
 import java.nio.file.Path;
 import java.util.jar.JarEntry;
 import java.util.jar.JarFile;
-import org.meadowhollow.protocol.Wire;
-import org.meadowhollow.protocol.Fields;
+import org.meadowhollow.protocol.rehearsal.StandIn;
+import org.meadowhollow.transport.HttpServer;
+import org.meadowhollow.transport.XnioLoop;
 
 /**
  * Run once by the build, to load the classes that a controller needs so that the JVM can archive them.
  * Starting from that archive costs a fraction of a cold start, which matters after a crash.
  */
 final class Rehearsal {
+    private static final int BUFFER = 8 * 1024;
+    private static final int MOST_BUFFERS = 64;
     private static final String OWN_CLASSES = "org/meadowhollow/";
     private static final String CLASS = ".class";
 
     private Rehearsal() {
     }
 
-    /** Starts a controller without any outside service, asks it a few things, and loads the rest by name. */
+    /** Lets a controller lead and run one job among stand-ins, then loads the rest of its own classes by name. */
     static void run() throws IOException, Settings.Unusable, ClassNotFoundException {
         Path file = Files.createTempFile("meadowhollow", ".json");
-        try {
+        XnioLoop outside = new XnioLoop();
+        DefaultByteBufferPool buffers = new DefaultByteBufferPool(false, BUFFER, MOST_BUFFERS, 0);
+        try (HttpServer standIn = new HttpServer(outside, buffers, "127.0.0.1", 0, new StandIn())) {
             Files.writeString(file, """
-                    {"member":"rehearsal","area":"z","listen":"127.0.0.1:0","back":"127.0.0.1:0","known":[],
-                     "external":{"cloud":"127.0.0.1:9","state":"127.0.0.1:9"},
+                    {"member":"rehearsal","area":"z","listen":"127.0.0.1:0","back":"127.0.0.1:0",
+                     "known":[{"member":"other","area":"z","addr":"127.0.0.1:9"}],
+                     "external":{"cloud":"127.0.0.1:%1$d","state":"127.0.0.1:%1$d"},
                      "settings":{"size":1,"zones":["z"],"teams":[{"name":"t"}],
                       "objectives":[{"kind":"wait","class":"c","within_s":1.0}],
                       "workers":{"report_s":3.0,"lease_s":18.0,"gang_wait_s":30.0,"gang_peer_s":6.0,"cancel_s":48.0},
                       "state":{"rps":80.0,"write_rps":30.0,"value_kb":16.0,"txn_ops":12},
-                      "cloud":{"rps":8.0,"list_lag_s":10.0}}}""");
+                      "cloud":{"rps":8.0,"list_lag_s":10.0}}}""".formatted(standIn.port()));
             try (Controller controller = Controller.builder(Settings.read(file)).start()) {
-                ask(controller.port(), "GET", "/ready", new byte[0]);
-                ask(controller.port(), "GET", "/submissions/req-1", new byte[0]);
-                ask(controller.port(), "POST", "/submissions", Wire.encode(Fields.of("ref", "req-1")));
-                ask(controller.port(), "POST", "/hello", Wire.encode(Fields.of("stall", "m-1")));
+                rehearse(controller.port());
             }
         } finally {
+            outside.close();
             Files.delete(file);
         }
         loadOwnClasses();
     }
 
+    private static void rehearse(int port) throws IOException {
+        ask(port, "GET", "/ready", new byte[0]);
+        // Waits until the controller leads, and is answered by it.
+        ask(port, "POST", "/hello", StandIn.report(1, 0, null));
+        ask(port, "POST", "/submissions", StandIn.submission());
+        ask(port, "GET", "/submissions/req-1", new byte[0]);
+        // These two are held until the task can start, or for a while.
+        ask(port, "POST", "/hello", StandIn.report(2, 1, null));
+        ask(port, "POST", "/hello", StandIn.report(3, 1, null));
+        ask(port, "POST", "/hello", StandIn.report(4, 1, "running"));
+        ask(port, "POST", "/hello", StandIn.report(5, 1, "ended"));
+        ask(port, "POST", "/submissions/req-1/cancel", new byte[0]);
+        ask(port, "POST", "/submissions", new byte[0]);
+    }
+
     private static void ask(int port, String method, String path, byte[] body) throws IOException {
         try (Socket socket = new Socket("127.0.0.1", port)) {
             socket.getOutputStream().write((method + ' ' + path + " HTTP/1.1\r\nHost: rehearsal\r\n"
