--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -10,7 +10,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Consumer;
 import org.meadowhollow.bookkeeping.Attempt;
 import org.meadowhollow.bookkeeping.Catalog;
 import org.meadowhollow.bookkeeping.Cause;
@@ -48,12 +47,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
     /** The design's round. */
     private static final Duration ROUND = Duration.ofSeconds(1);
-    private static final Duration RETRY = Duration.ofMillis(500);
-    private static final Duration WATCH = Duration.ofSeconds(20);
     /** Jobs in a round for which others are stopped: what is stopped must be seen to help first. */
     private static final int MOST_PREEMPTING = 4;
-    /** Orders in one answer; keeps it below the protocol's 64 KiB. */
-    private static final int MOST_ORDERS = 400;
     /**
      * How long a report of a machine with room is held: less than the three quarters of a report's interval after
      * which the next goes out, and well below the 4 s that a worker waits for its answer.
@@ -61,9 +56,6 @@
     private static final double HOLD_REPORTS = 0.6;
     private static final Duration MOST_HOLD = Duration.ofMillis(2500);
     private static final Duration HOLD_SWEEP = Duration.ofMillis(250);
-    /** Clock drift and timer steps on top of a worker's lease. */
-    private static final double LEASE_SLACK = 1.001;
-    private static final Duration LEASE_MARGIN = Duration.ofMillis(500);
     /** Reports come up to a quarter late, and a worker turns to the next node a second later. */
     private static final double LATEST_REPORT = 1.25;
     private static final double NEXT_NODE_S = 1;
@@ -72,11 +64,6 @@
      * about to be taken, and are listed for long after; waiting for them took each takeover the whole time.
      */
     private static final double NEARLY_ALL = 0.9;
-    /**
-     * Machines asked directly in a round. Behind a cut hundreds are silent at once, and each question takes a socket
-     * for as long as it hangs, which users and workers need as well.
-     */
-    private static final int MOST_PROBES = 100;
     /** Failures of a job's tasks after which it has to wait before the next start. */
     private static final int FAILURES_BEFORE_HOLD = 3;
     private static final int MOST_HOLD_S = 60;
@@ -100,13 +87,13 @@
     private final Map<MachineId, Machine> machines;
     private final Aims aims;
     private final RoomMaker rooms;
-    private final Map<MachineId, Moment> probedAt = new HashMap<>();
+    private final Loading loading;
+    private final SilenceWatch silence;
+    private final Reconciliation reconciliation;
     private final Object2IntOpenHashMap<MachineId> faults = new Object2IntOpenHashMap<>();
     private final Expected expected = new Expected();
-    private int probes;
     private boolean listed;
     private boolean gathered;
-    private boolean loaded;
     private boolean closed;
     private long byTable;
     private long byRoom;
@@ -128,12 +115,15 @@
         this.rooms = new RoomMaker(cluster, platform, aims);
         this.ledger = new Ledger(store, loop, platform.txnOps(), leaderVersion, this);
         this.images = new ImageNotes(store, leaderVersion, platform);
+        this.loading = new Loading(this, store, loop, cluster, aims, expected, ledger, images, term);
+        this.silence = new SilenceWatch(this, cluster, platform, term, begunAt);
+        this.reconciliation = new Reconciliation(this, cluster, images, leadership, term);
         this.fleet = new Fleet(this, cloud, platform, catalog, loop, term);
     }
 
     /** Loads all live jobs, then begins its rounds. */
     public void start() {
-        loadJobs(this::loadTasks);
+        loading.start();
         fleet.start();
         loop.after(ROUND, this::round);
         loop.after(HOLD_SWEEP, this::sweepHeld);
@@ -155,121 +145,6 @@
         return closed;
     }
 
-    // ---- loading ----
-
-    /** Reads all records under a prefix, page by page, then goes on with the revision of the first page. */
-    private void read(String prefix, String after, Version first, Consumer<List<StateStore.Entry>> take,
-            Consumer<Version> then) {
-        store.list(prefix, after, Urgency.PLACEMENT).whenComplete((page, failure) -> {
-            synchronized (this) {
-                if (closed) {
-                    return;
-                }
-                if (failure != null) {
-                    loop.after(RETRY, () -> read(prefix, after, first, take, then));
-                    return;
-                }
-                take.accept(page.entries());
-                Version from = first == null ? page.revision() : first;
-                if (page.more()) {
-                    read(prefix, page.entries().get(page.entries().size() - 1).key(), from, take, then);
-                } else {
-                    then.accept(from);
-                }
-            }
-        });
-    }
-
-    private void loadJobs(Consumer<Version> then) {
-        read(Records.JOBS, null, null, jobRecords -> jobRecords.forEach(
-                entry -> takeJob(entry.key(), entry.value(), entry.version())), then);
-    }
-
-    private void loadTasks(Version watchFrom) {
-        read(Records.TASKS, null, null, tasks -> tasks.forEach(entry -> {
-            if (!Records.load(entry, jobs, loop.now())) {
-                ledger.leftover(entry.key());
-            }
-        }), unused -> loadImages(watchFrom));
-    }
-
-    private void loadImages(Version watchFrom) {
-        read(Records.IMAGES, null, null, notes -> images.load(notes, loop.now()), unused -> {
-            machines.values().forEach(images::met);
-            loaded(watchFrom);
-        });
-    }
-
-    private void loaded(Version watchFrom) {
-        int placed = 0;
-        for (Job job : jobs.values()) {
-            for (Placement placement : job.placements()) {
-                cluster.restore(placement);
-                placed++;
-            }
-            if (job.cancelled()) {
-                stopAll(job, 0, "its user cancelled the job");
-            } else if (job.allDone()) {
-                // The predecessor noted the last task as done but did not get to write the job's end.
-                ledger.ending(job);
-            }
-        }
-        loaded = true;
-        LOG.info("term {} has loaded {} jobs with {} tasks that may be running", term, jobs.size(), placed);
-        watch(watchFrom);
-    }
-
-    private void watch(Version after) {
-        store.watch(Records.JOBS, after, WATCH).whenComplete((changes, failure) -> {
-            synchronized (this) {
-                if (closed) {
-                    return;
-                }
-                if (failure == null) {
-                    for (StateStore.Change change : changes.changes()) {
-                        if (change.value() != null) {
-                            takeJob(change.key(), change.value(), change.version());
-                        }
-                    }
-                    watch(changes.revision());
-                } else if (StateException.of(failure) == Outcome.TOO_OLD) {
-                    loadJobs(this::watch);
-                } else {
-                    loop.after(RETRY, () -> watch(after));
-                }
-            }
-        });
-    }
-
-    private void takeJob(String key, Map<String, Object> record, Version version) {
-        JobId id = Records.jobOfKey(key);
-        Job job = jobs.get(id);
-        Moment now = loop.now();
-        if (job == null) {
-            job = Records.job(id, record, version, now);
-            job.waitingSince(now);
-            jobs.put(id, job);
-            aims.note(job.spec());
-            LOG.info("job {}: {} of {} tasks of about {} s for team {}, class {}, due in {} s", id, job.spec().kind(),
-                    job.spec().tasks(), job.spec().estimateS(), job.spec().team(), job.spec().jobClass(),
-                    job.spec().deadlineS());
-            if (aims.needsReserve(job.spec())) {
-                long ageMillis = Math.max(0, loop.wallMillis() - job.acceptedAtMillis());
-                expected.came(job.spec(), new Moment(now.nanos() - ageMillis * 1_000_000),
-                        Duration.ofMillis((long) (aims.readyS(job.spec()) * 1000)));
-            }
-            return;
-        }
-        if (!version.isAfter(job.version())) {
-            return;
-        }
-        job.version(version);
-        if (Records.isCancelled(record) && !job.cancelled()) {
-            job.cancel(now);
-            stopAll(job, 0, "its user cancelled the job");
-        }
-    }
-
     // ---- what the ledger tells ----
 
     @Override
@@ -287,7 +162,7 @@
                     return;
                 }
                 if (entry.isPresent()) {
-                    takeJob(entry.get().key(), entry.get().value(), entry.get().version());
+                    loading.takeJob(entry.get().key(), entry.get().value(), entry.get().version());
                 } else {
                     // Only our own unanswered transaction can have moved it to its final record.
                     job.end();
@@ -314,13 +189,13 @@
             return CompletableFuture.completedFuture(new Answer.Elsewhere(leadership.leader()));
         }
         Machine machine = machine(report);
-        if (machine == null || !take(machine, report, now)) {
+        if (machine == null || !reconciliation.take(machine, report, now)) {
             return CompletableFuture.completedFuture(new Answer.Orders(term, List.of()));
         }
         machine.heard(now);
-        List<Order> orders = loaded ? orders(machine, report, now) : List.of();
+        List<Order> orders = loading.isDone() ? reconciliation.orders(machine, report, now) : List.of();
         ledger.flush();
-        if (orders.isEmpty() && loaded && leadership.mayStart() && machine.hasRoom()
+        if (orders.isEmpty() && loading.isDone() && leadership.mayStart() && machine.hasRoom()
                 && cluster.usable(machine, now)) {
             return held.hold(report, now.plus(holdFor()));
         }
@@ -350,7 +225,7 @@
         synchronized (this) {
             Machine machine = machines.get(late.report().machine());
             answer = new Answer.Orders(term, closed || machine == null ? List.of()
-                    : orders(machine, late.report(), loop.now()));
+                    : reconciliation.orders(machine, late.report(), loop.now()));
             ledger.flush();
         }
         late.answer().complete(answer);
@@ -388,148 +263,9 @@
         return machine;
     }
 
-    /** Takes a report's news in; false if it is older than what is known. */
-    private boolean take(Machine machine, Report report, Moment now) {
-        if (machine.session() != null && !report.isNewerThan(machine.session(), machine.seq())) {
-            return false;
-        }
-        machine.reported(report);
-        if (!loaded) {
-            return true;
-        }
-        if (!Double.isNaN(report.noticeS()) && machine.noticeEndsAt() == null) {
-            machine.noticeEndsAt(now.plus(Duration.ofMillis((long) (report.noticeS() * 1000))));
-            LOG.info("machine {} will be taken back in {} s", machine.id(), report.noticeS());
-            machine.drain();
-        }
-        Map<TaskId, Report.Task> listed = new HashMap<>();
-        for (Report.Task task : report.tasks()) {
-            listed.put(task.id(), task);
-        }
-        for (Placement placement : List.copyOf(machine.placements())) {
-            Report.Task task = listed.get(placement.task());
-            if (report.session().isAfter(placement.session())) {
-                lost(machine, placement, "the worker's lease ran out", now);
-            } else if (task != null && task.attempt().equals(placement.attempt())) {
-                if (task.state() == TaskState.EXITED && !mayWaitAgain(placement, task.cause())) {
-                    exited(machine, placement, task.cause(), now);
-                } else {
-                    if (placement.state() != task.state()) {
-                        LOG.debug("task {} on {} is {}", task.id(), machine.id(), task.state());
-                    }
-                    placement.state(task.state(), now);
-                    if (task.state() != TaskState.FETCHING && task.state() != TaskState.EXITED) {
-                        images.has(machine, placement.job().spec().image(),
-                                placement.job().spec().imageGb());
-                    }
-                }
-            }
-        }
-        machine.strays().clear();
-        for (Report.Task task : report.tasks()) {
-            if (task.state() != TaskState.EXITED && placementOf(machine, task) == null) {
-                machine.strays().add(task.id());
-            }
-        }
-        machine.settling().keySet().removeIf(task -> !listed.containsKey(task));
-        cluster.risks().get(machine.id()).add(machine.placements().size(),
-                machine.booked().shareOf(machine.type().room()), machine.takeLost(), now);
-        return true;
-    }
-
-    private static Placement placementOf(Machine machine, Report.Task task) {
-        for (Placement placement : machine.placements()) {
-            if (placement.task().equals(task.id()) && placement.attempt().equals(task.attempt())) {
-                return placement;
-            }
-        }
-        return null;
-    }
-
-    private List<Order> orders(Machine machine, Report report, Moment now) {
-        List<Order> orders = new ArrayList<>();
-        Map<TaskId, Report.Task> listed = new HashMap<>();
-        for (Report.Task task : report.tasks()) {
-            if (orders.size() >= MOST_ORDERS) {
-                break;
-            }
-            listed.put(task.id(), task);
-            Placement placement = placementOf(machine, task);
-            if (placement != null) {
-                if (placement.stopping() && (task.state() != TaskState.SAVING || placement.graceS() == 0)) {
-                    orders.add(Order.stop(task.id(), task.attempt(), placement.graceS()));
-                } else if (task.state() == TaskState.EXITED && mayStart(placement, machine)) {
-                    // It gave up waiting for its gang, whose fetches go on; its record stands, so it may wait anew.
-                    placement.startSent(report.seq());
-                    orders.add(Order.forget(task.id(), task.attempt()));
-                    orders.add(Order.start(task.id(), task.attempt()));
-                }
-            } else if (task.state() != TaskState.EXITED) {
-                // Nobody's record knows of it, so nobody would ever stop it or count it.
-                orders.add(Order.stop(task.id(), task.attempt(), 0));
-            } else {
-                Machine.Settling settling = machine.settling().get(task.id());
-                if (settling == null || !settling.attempt().equals(task.attempt()) || settling.isSaved()) {
-                    orders.add(Order.forget(task.id(), task.attempt()));
-                }
-            }
-        }
-        for (Placement placement : List.copyOf(machine.placements())) {
-            Report.Task task = listed.get(placement.task());
-            if (task != null && task.attempt().equals(placement.attempt())) {
-                continue;
-            }
-            if (placement.stopping() || placement.job().cancelled()) {
-                if (neverStarts(placement, machine, report)) {
-                    remove(machine, placement, now, true);
-                }
-            } else if (orders.size() < MOST_ORDERS && mayStart(placement, machine)) {
-                placement.startSent(report.seq());
-                orders.add(Order.start(placement.task(), placement.attempt()));
-            }
-        }
-        return orders;
-    }
-
-    /**
-     * Whether a placement that a report does not list can never start any more. A start goes out only in
-     * the answer to a report, and a worker has one report in flight at a time; so a later report without
-     * the task proves that no answer with its start will be heeded, once the worker has shown our token,
-     * which shuts out the answers of earlier leaders.
-     */
-    private boolean neverStarts(Placement placement, Machine machine, Report report) {
-        return report.token().equals(term) && report.session().equals(placement.session())
-                && report.seq() > placement.startSentSeq() && machine.heardAt() != null;
-    }
-
-    private boolean mayStart(Placement placement, Machine machine) {
-        return leadership.mayStart() && placement.committed() && !machine.releasing()
-                && wholeGangCommitted(placement);
-    }
-
-    /**
-     * Whether a task has only lost patience with its gang. Images differ by more than a gang's patience, and
-     * ending the attempt would give up the fetches of all its other tasks.
-     */
-    private static boolean mayWaitAgain(Placement placement, Cause cause) {
-        return cause == Cause.ALONE && !placement.stopping() && !placement.job().cancelled();
-    }
-
-    private static boolean wholeGangCommitted(Placement placement) {
-        if (placement.job().spec().kind() != Kind.GANG) {
-            return true;
-        }
-        for (Placement other : placement.job().placements()) {
-            if (!other.committed()) {
-                return false;
-            }
-        }
-        return placement.job().placements().size() == placement.job().spec().tasks();
-    }
-
     // ---- the end of placements ----
 
-    private void exited(Machine machine, Placement placement, Cause cause, Moment now) {
+    void exited(Machine machine, Placement placement, Cause cause, Moment now) {
         Job job = placement.job();
         int task = placement.task().index();
         if (cause == Cause.DONE) {
@@ -568,7 +304,7 @@
         }
     }
 
-    private void lost(Machine machine, Placement placement, String why, Moment now) {
+    void lost(Machine machine, Placement placement, String why, Moment now) {
         LOG.info("task {} attempt {} on {} is lost: {}", placement.task(), placement.attempt(),
                 placement.machine(), why);
         if (machine != null) {
@@ -581,7 +317,7 @@
     /**
      * @param endsAttempt whether a gang's attempt is over with this task; its others must then be gone before the next
      */
-    private long remove(Machine machine, Placement placement, Moment now, boolean endsAttempt) {
+    long remove(Machine machine, Placement placement, Moment now, boolean endsAttempt) {
         if (machine != null) {
             machine.placements().remove(placement);
         }
@@ -606,7 +342,7 @@
         }
     }
 
-    private void stopAll(Job job, double graceS, String why) {
+    void stopAll(Job job, double graceS, String why) {
         for (Placement placement : List.copyOf(job.placements())) {
             stop(placement, graceS, why);
         }
@@ -635,7 +371,7 @@
         }
     }
 
-    private void send(Machine machine, Session session, List<Order> orders) {
+    void send(Machine machine, Session session, List<Order> orders) {
         workers.send(machine.address(), term, session, orders).whenComplete((report, failure) -> {
             if (failure == null) {
                 direct(report);
@@ -654,7 +390,7 @@
         }
         Moment now = loop.now();
         Machine machine = machine(report);
-        if (machine != null && take(machine, report, now)) {
+        if (machine != null && reconciliation.take(machine, report, now)) {
             machine.heard(now);
             ledger.flush();
         }
@@ -668,15 +404,11 @@
                 return;
             }
             loop.after(ROUND, this::round);
-            if (!loaded) {
+            if (!loading.isDone()) {
                 return;
             }
             Moment now = loop.now();
-            probes = 0;
-            for (Machine machine : List.copyOf(machines.values())) {
-                watchOver(machine, now);
-            }
-            expireUnseen(now);
+            silence.round(now);
             if (leadership.mayStart() && hasGathered(now)) {
                 place(now);
             }
@@ -703,44 +435,8 @@
         return heard >= NEARLY_ALL * (machines.size() + cluster.unseen().size());
     }
 
-    /** Probes a silent machine, takes its tasks as gone once that is proven, and drains it on notice. */
-    private void watchOver(Machine machine, Moment now) {
-        Moment lastHeard = machine.heardAt() == null ? begunAt : machine.heardAt();
-        double silentS = now.secondsSince(lastHeard);
-        double reportS = platform.reportEvery().toNanos() / 1e9;
-        if (silentS > Cluster.SILENT_REPORTS * reportS && machine.address() != null && probes < MOST_PROBES) {
-            Moment probed = probedAt.get(machine.id());
-            if (probed == null || now.secondsSince(probed) > reportS) {
-                probes++;
-                probedAt.put(machine.id(), now);
-                send(machine, machine.session() == null ? new Session(1) : machine.session(), List.of());
-            }
-        }
-        if (!machine.placements().isEmpty() && leaseCertainlyOver(machine, now)) {
-            for (Placement placement : List.copyOf(machine.placements())) {
-                lost(machine, placement, "the machine has been silent for longer than its lease", now);
-            }
-            machine.strays().clear();
-        }
-        if (machine.noticeEndsAt() != null) {
-            for (Placement placement : List.copyOf(machine.placements())) {
-                if (!placement.stopping() && (placement.job().spec().saves()
-                        || placement.job().spec().kind() == Kind.SERVICE)) {
-                    stopSaving(placement, "machine " + placement.machine() + " is being taken back");
-                }
-            }
-        }
-        if (machine.placements().isEmpty() && machine.strays().isEmpty()) {
-            if (machine.idleSince() == null) {
-                machine.idleSince(now);
-            }
-        } else {
-            machine.idleSince(null);
-        }
-    }
-
     /** Stops a task so that it can save what it did. */
-    private void stopSaving(Placement placement, String why) {
+    void stopSaving(Placement placement, String why) {
         Job job = placement.job();
         if (job.spec().kind() == Kind.GANG) {
             // An orderly stop saves only if all tasks hear of it together.
@@ -752,36 +448,6 @@
         }
     }
 
-    /**
-     * Whether the worker's lease must have run out. Only a worker that has shown our token renews by our
-     * answers alone; for any other an earlier leader may have gone on answering, though not for longer
-     * than its limit after its last renewal, which was before our term began.
-     */
-    private boolean leaseCertainlyOver(Machine machine, Moment now) {
-        if (machine.shown().equals(term) && machine.heardAt() != null) {
-            return now.since(machine.heardAt()).compareTo(slack(platform.lease())) > 0;
-        }
-        return now.since(begunAt).compareTo(slack(platform.cancelWithin())) > 0
-                && (machine.heardAt() == null
-                || now.since(machine.heardAt()).compareTo(slack(platform.lease())) > 0);
-    }
-
-    private static Duration slack(Duration span) {
-        return Duration.ofNanos((long) (span.toNanos() * LEASE_SLACK)).plus(LEASE_MARGIN);
-    }
-
-    /** Placements on machines that neither the cloud's list nor any report has shown. */
-    private void expireUnseen(Moment now) {
-        if (!cluster.unseen().isEmpty() && now.since(begunAt).compareTo(slack(platform.cancelWithin())) > 0) {
-            for (List<Placement> placements : List.copyOf(cluster.unseen().values())) {
-                for (Placement placement : List.copyOf(placements)) {
-                    lost(null, placement, "its machine has not been seen for longer than any lease", now);
-                }
-            }
-            cluster.unseen().clear();
-        }
-    }
-
     private void place(Moment now) {
         Snapshot snapshot = new Snapshot(cluster, platform, aims, now);
         PlacementRound.Outcome outcome = PlacementRound.run(snapshot.seats(), snapshot.shares(), snapshot.waiting(),
@@ -892,7 +558,7 @@
     }
 
     synchronized boolean isLoaded() {
-        return loaded;
+        return loading.isDone();
     }
 
     /** Takes in what the cloud lists: machines not yet heard of, their addresses, and failed ones. */
@@ -932,7 +598,7 @@
             if (forget) {
                 machines.remove(id);
                 cluster.risks().remove(id);
-                probedAt.remove(id);
+                silence.forget(id);
                 faults.removeInt(id);
             }
         }
@@ -942,7 +608,7 @@
     /** Counts of a live job for display; empty when it is not known here. */
     public synchronized Optional<Admission.JobState> counts(JobId id) {
         Job job = jobs.get(id);
-        if (job == null || !loaded) {
+        if (job == null || !loading.isDone()) {
             return Optional.empty();
         }
         int running = 0;
--- /dev/null
+++ b/src/main/java/org/meadowhollow/coordination/Loading.java
@@ -0,0 +1,177 @@
+package org.meadowhollow.coordination;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.meadowhollow.bookkeeping.EventLoop;
+import org.meadowhollow.bookkeeping.Job;
+import org.meadowhollow.bookkeeping.JobId;
+import org.meadowhollow.bookkeeping.Ledger;
+import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.Placement;
+import org.meadowhollow.bookkeeping.Records;
+import org.meadowhollow.bookkeeping.StateException;
+import org.meadowhollow.bookkeeping.StateException.Outcome;
+import org.meadowhollow.bookkeeping.StateStore;
+import org.meadowhollow.bookkeeping.StateStore.Urgency;
+import org.meadowhollow.bookkeeping.Term;
+import org.meadowhollow.bookkeeping.Version;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Brings what the state service holds into a new leader's memory, page by page, and then follows what users
+ * change. Guarded by the leader's lock.
+ */
+final class Loading {
+    private static final Logger LOG = LoggerFactory.getLogger(Loading.class);
+    private static final Duration RETRY = Duration.ofMillis(500);
+    private static final Duration WATCH = Duration.ofSeconds(20);
+
+    private final Leader leader;
+    private final StateStore store;
+    private final EventLoop loop;
+    private final Cluster cluster;
+    private final Aims aims;
+    private final Expected expected;
+    private final Ledger ledger;
+    private final ImageNotes images;
+    private final Term term;
+    private boolean loaded;
+
+    Loading(Leader leader, StateStore store, EventLoop loop, Cluster cluster, Aims aims, Expected expected,
+            Ledger ledger, ImageNotes images, Term term) {
+        this.leader = leader;
+        this.store = store;
+        this.loop = loop;
+        this.cluster = cluster;
+        this.aims = aims;
+        this.expected = expected;
+        this.ledger = ledger;
+        this.images = images;
+        this.term = term;
+    }
+
+    void start() {
+        loadJobs(this::loadTasks);
+    }
+
+    /** Whether all that a predecessor wrote is known. */
+    boolean isDone() {
+        return loaded;
+    }
+
+    /** Reads all records under a prefix, page by page, then goes on with the revision of the first page. */
+    private void read(String prefix, String after, Version first, Consumer<List<StateStore.Entry>> take,
+            Consumer<Version> then) {
+        store.list(prefix, after, Urgency.PLACEMENT).whenComplete((page, failure) -> {
+            synchronized (leader) {
+                if (leader.isClosed()) {
+                    return;
+                }
+                if (failure != null) {
+                    loop.after(RETRY, () -> read(prefix, after, first, take, then));
+                    return;
+                }
+                take.accept(page.entries());
+                Version from = first == null ? page.revision() : first;
+                if (page.more()) {
+                    read(prefix, page.entries().get(page.entries().size() - 1).key(), from, take, then);
+                } else {
+                    then.accept(from);
+                }
+            }
+        });
+    }
+
+    private void loadJobs(Consumer<Version> then) {
+        read(Records.JOBS, null, null, jobRecords -> jobRecords.forEach(
+                entry -> takeJob(entry.key(), entry.value(), entry.version())), then);
+    }
+
+    private void loadTasks(Version watchFrom) {
+        read(Records.TASKS, null, null, tasks -> tasks.forEach(entry -> {
+            if (!Records.load(entry, cluster.jobs(), loop.now())) {
+                ledger.leftover(entry.key());
+            }
+        }), unused -> loadImages(watchFrom));
+    }
+
+    private void loadImages(Version watchFrom) {
+        read(Records.IMAGES, null, null, notes -> images.load(notes, loop.now()), unused -> {
+            cluster.machines().values().forEach(images::met);
+            loaded(watchFrom);
+        });
+    }
+
+    private void loaded(Version watchFrom) {
+        int placed = 0;
+        for (Job job : cluster.jobs().values()) {
+            for (Placement placement : job.placements()) {
+                cluster.restore(placement);
+                placed++;
+            }
+            if (job.cancelled()) {
+                leader.stopAll(job, 0, "its user cancelled the job");
+            } else if (job.allDone()) {
+                // The predecessor noted the last task as done but did not get to write the job's end.
+                ledger.ending(job);
+            }
+        }
+        loaded = true;
+        LOG.info("term {} has loaded {} jobs with {} tasks that may be running", term, cluster.jobs().size(), placed);
+        watch(watchFrom);
+    }
+
+    private void watch(Version after) {
+        store.watch(Records.JOBS, after, WATCH).whenComplete((changes, failure) -> {
+            synchronized (leader) {
+                if (leader.isClosed()) {
+                    return;
+                }
+                if (failure == null) {
+                    for (StateStore.Change change : changes.changes()) {
+                        if (change.value() != null) {
+                            takeJob(change.key(), change.value(), change.version());
+                        }
+                    }
+                    watch(changes.revision());
+                } else if (StateException.of(failure) == Outcome.TOO_OLD) {
+                    loadJobs(this::watch);
+                } else {
+                    loop.after(RETRY, () -> watch(after));
+                }
+            }
+        });
+    }
+
+    void takeJob(String key, Map<String, Object> record, Version version) {
+        JobId id = Records.jobOfKey(key);
+        Job job = cluster.jobs().get(id);
+        Moment now = loop.now();
+        if (job == null) {
+            job = Records.job(id, record, version, now);
+            job.waitingSince(now);
+            cluster.jobs().put(id, job);
+            aims.note(job.spec());
+            LOG.info("job {}: {} of {} tasks of about {} s for team {}, class {}, due in {} s", id, job.spec().kind(),
+                    job.spec().tasks(), job.spec().estimateS(), job.spec().team(), job.spec().jobClass(),
+                    job.spec().deadlineS());
+            if (aims.needsReserve(job.spec())) {
+                long ageMillis = Math.max(0, loop.wallMillis() - job.acceptedAtMillis());
+                expected.came(job.spec(), new Moment(now.nanos() - ageMillis * 1_000_000),
+                        Duration.ofMillis((long) (aims.readyS(job.spec()) * 1000)));
+            }
+            return;
+        }
+        if (!version.isAfter(job.version())) {
+            return;
+        }
+        job.version(version);
+        if (Records.isCancelled(record) && !job.cancelled()) {
+            job.cancel(now);
+            leader.stopAll(job, 0, "its user cancelled the job");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/meadowhollow/coordination/Reconciliation.java
@@ -0,0 +1,182 @@
+package org.meadowhollow.coordination;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.meadowhollow.bookkeeping.Cause;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.Machine;
+import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.Order;
+import org.meadowhollow.bookkeeping.Placement;
+import org.meadowhollow.bookkeeping.Report;
+import org.meadowhollow.bookkeeping.TaskId;
+import org.meadowhollow.bookkeeping.TaskState;
+import org.meadowhollow.bookkeeping.Term;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Compares what a worker reports with what the records say, and finds the orders that bring them together. Guarded
+ * by the leader's lock.
+ */
+final class Reconciliation {
+    private static final Logger LOG = LoggerFactory.getLogger(Reconciliation.class);
+    /** Orders in one answer; keeps it below the protocol's 64 KiB. */
+    private static final int MOST_ORDERS = 400;
+
+    private final Leader leader;
+    private final Cluster cluster;
+    private final ImageNotes images;
+    private final Leadership leadership;
+    private final Term term;
+
+    Reconciliation(Leader leader, Cluster cluster, ImageNotes images, Leadership leadership, Term term) {
+        this.leader = leader;
+        this.cluster = cluster;
+        this.images = images;
+        this.leadership = leadership;
+        this.term = term;
+    }
+
+    /** Takes a report's news in; false if it is older than what is known. */
+    boolean take(Machine machine, Report report, Moment now) {
+        if (machine.session() != null && !report.isNewerThan(machine.session(), machine.seq())) {
+            return false;
+        }
+        machine.reported(report);
+        if (!leader.isLoaded()) {
+            return true;
+        }
+        if (!Double.isNaN(report.noticeS()) && machine.noticeEndsAt() == null) {
+            machine.noticeEndsAt(now.plus(Duration.ofMillis((long) (report.noticeS() * 1000))));
+            LOG.info("machine {} will be taken back in {} s", machine.id(), report.noticeS());
+            machine.drain();
+        }
+        Map<TaskId, Report.Task> listed = new HashMap<>();
+        for (Report.Task task : report.tasks()) {
+            listed.put(task.id(), task);
+        }
+        for (Placement placement : List.copyOf(machine.placements())) {
+            Report.Task task = listed.get(placement.task());
+            if (report.session().isAfter(placement.session())) {
+                leader.lost(machine, placement, "the worker's lease ran out", now);
+            } else if (task != null && task.attempt().equals(placement.attempt())) {
+                if (task.state() == TaskState.EXITED && !mayWaitAgain(placement, task.cause())) {
+                    leader.exited(machine, placement, task.cause(), now);
+                } else {
+                    if (placement.state() != task.state()) {
+                        LOG.debug("task {} on {} is {}", task.id(), machine.id(), task.state());
+                    }
+                    placement.state(task.state(), now);
+                    if (task.state() != TaskState.FETCHING && task.state() != TaskState.EXITED) {
+                        images.has(machine, placement.job().spec().image(),
+                                placement.job().spec().imageGb());
+                    }
+                }
+            }
+        }
+        machine.strays().clear();
+        for (Report.Task task : report.tasks()) {
+            if (task.state() != TaskState.EXITED && placementOf(machine, task) == null) {
+                machine.strays().add(task.id());
+            }
+        }
+        machine.settling().keySet().removeIf(task -> !listed.containsKey(task));
+        cluster.risks().get(machine.id()).add(machine.placements().size(),
+                machine.booked().shareOf(machine.type().room()), machine.takeLost(), now);
+        return true;
+    }
+
+    private static Placement placementOf(Machine machine, Report.Task task) {
+        for (Placement placement : machine.placements()) {
+            if (placement.task().equals(task.id()) && placement.attempt().equals(task.attempt())) {
+                return placement;
+            }
+        }
+        return null;
+    }
+
+    List<Order> orders(Machine machine, Report report, Moment now) {
+        List<Order> orders = new ArrayList<>();
+        Map<TaskId, Report.Task> listed = new HashMap<>();
+        for (Report.Task task : report.tasks()) {
+            if (orders.size() >= MOST_ORDERS) {
+                break;
+            }
+            listed.put(task.id(), task);
+            Placement placement = placementOf(machine, task);
+            if (placement != null) {
+                if (placement.stopping() && (task.state() != TaskState.SAVING || placement.graceS() == 0)) {
+                    orders.add(Order.stop(task.id(), task.attempt(), placement.graceS()));
+                } else if (task.state() == TaskState.EXITED && mayStart(placement, machine)) {
+                    // It gave up waiting for its gang, whose fetches go on; its record stands, so it may wait anew.
+                    placement.startSent(report.seq());
+                    orders.add(Order.forget(task.id(), task.attempt()));
+                    orders.add(Order.start(task.id(), task.attempt()));
+                }
+            } else if (task.state() != TaskState.EXITED) {
+                // Nobody's record knows of it, so nobody would ever stop it or count it.
+                orders.add(Order.stop(task.id(), task.attempt(), 0));
+            } else {
+                Machine.Settling settling = machine.settling().get(task.id());
+                if (settling == null || !settling.attempt().equals(task.attempt()) || settling.isSaved()) {
+                    orders.add(Order.forget(task.id(), task.attempt()));
+                }
+            }
+        }
+        for (Placement placement : List.copyOf(machine.placements())) {
+            Report.Task task = listed.get(placement.task());
+            if (task != null && task.attempt().equals(placement.attempt())) {
+                continue;
+            }
+            if (placement.stopping() || placement.job().cancelled()) {
+                if (neverStarts(placement, machine, report)) {
+                    leader.remove(machine, placement, now, true);
+                }
+            } else if (orders.size() < MOST_ORDERS && mayStart(placement, machine)) {
+                placement.startSent(report.seq());
+                orders.add(Order.start(placement.task(), placement.attempt()));
+            }
+        }
+        return orders;
+    }
+
+    /**
+     * Whether a placement that a report does not list can never start any more. A start goes out only in
+     * the answer to a report, and a worker has one report in flight at a time; so a later report without
+     * the task proves that no answer with its start will be heeded, once the worker has shown our token,
+     * which shuts out the answers of earlier leaders.
+     */
+    private boolean neverStarts(Placement placement, Machine machine, Report report) {
+        return report.token().equals(term) && report.session().equals(placement.session())
+                && report.seq() > placement.startSentSeq() && machine.heardAt() != null;
+    }
+
+    private boolean mayStart(Placement placement, Machine machine) {
+        return leadership.mayStart() && placement.committed() && !machine.releasing()
+                && wholeGangCommitted(placement);
+    }
+
+    /**
+     * Whether a task has only lost patience with its gang. Images differ by more than a gang's patience, and
+     * ending the attempt would give up the fetches of all its other tasks.
+     */
+    private static boolean mayWaitAgain(Placement placement, Cause cause) {
+        return cause == Cause.ALONE && !placement.stopping() && !placement.job().cancelled();
+    }
+
+    private static boolean wholeGangCommitted(Placement placement) {
+        if (placement.job().spec().kind() != Kind.GANG) {
+            return true;
+        }
+        for (Placement other : placement.job().placements()) {
+            if (!other.committed()) {
+                return false;
+            }
+        }
+        return placement.job().placements().size() == placement.job().spec().tasks();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/meadowhollow/coordination/SilenceWatch.java
@@ -0,0 +1,123 @@
+package org.meadowhollow.coordination;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.Machine;
+import org.meadowhollow.bookkeeping.MachineId;
+import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.Placement;
+import org.meadowhollow.bookkeeping.Session;
+import org.meadowhollow.bookkeeping.Term;
+
+/**
+ * Watches over machines that are silent, on notice or idle. What was on a silent one counts as running until its
+ * worker's lease has certainly ended. Guarded by the leader's lock.
+ */
+final class SilenceWatch {
+    /** Clock drift and timer steps on top of a worker's lease. */
+    private static final double LEASE_SLACK = 1.001;
+    private static final Duration LEASE_MARGIN = Duration.ofMillis(500);
+    /**
+     * Machines asked directly in a round. Behind a cut hundreds are silent at once, and each question takes a socket
+     * for as long as it hangs, which users and workers need as well.
+     */
+    private static final int MOST_PROBES = 100;
+
+    private final Leader leader;
+    private final Cluster cluster;
+    private final Platform platform;
+    private final Term term;
+    private final Moment begunAt;
+    private final Map<MachineId, Moment> probedAt = new HashMap<>();
+    private int probes;
+
+    SilenceWatch(Leader leader, Cluster cluster, Platform platform, Term term, Moment begunAt) {
+        this.leader = leader;
+        this.cluster = cluster;
+        this.platform = platform;
+        this.term = term;
+        this.begunAt = begunAt;
+    }
+
+    /** One round over all machines. */
+    void round(Moment now) {
+        probes = 0;
+        for (Machine machine : List.copyOf(cluster.machines().values())) {
+            watchOver(machine, now);
+        }
+        expireUnseen(now);
+    }
+
+    void forget(MachineId machine) {
+        probedAt.remove(machine);
+    }
+
+    /** Asks a silent machine, takes its tasks as gone once that is proven, and drains it on notice. */
+    private void watchOver(Machine machine, Moment now) {
+        Moment lastHeard = machine.heardAt() == null ? begunAt : machine.heardAt();
+        double silentS = now.secondsSince(lastHeard);
+        double reportS = platform.reportEvery().toNanos() / 1e9;
+        if (silentS > Cluster.SILENT_REPORTS * reportS && machine.address() != null && probes < MOST_PROBES) {
+            Moment probed = probedAt.get(machine.id());
+            if (probed == null || now.secondsSince(probed) > reportS) {
+                probes++;
+                probedAt.put(machine.id(), now);
+                leader.send(machine, machine.session() == null ? new Session(1) : machine.session(), List.of());
+            }
+        }
+        if (!machine.placements().isEmpty() && leaseCertainlyOver(machine, now)) {
+            for (Placement placement : List.copyOf(machine.placements())) {
+                leader.lost(machine, placement, "the machine has been silent for longer than its lease", now);
+            }
+            machine.strays().clear();
+        }
+        if (machine.noticeEndsAt() != null) {
+            for (Placement placement : List.copyOf(machine.placements())) {
+                if (!placement.stopping() && (placement.job().spec().saves()
+                        || placement.job().spec().kind() == Kind.SERVICE)) {
+                    leader.stopSaving(placement, "machine " + placement.machine() + " is being taken back");
+                }
+            }
+        }
+        if (machine.placements().isEmpty() && machine.strays().isEmpty()) {
+            if (machine.idleSince() == null) {
+                machine.idleSince(now);
+            }
+        } else {
+            machine.idleSince(null);
+        }
+    }
+
+    /**
+     * Whether the worker's lease must have run out. Only a worker that has shown our token renews by our
+     * answers alone; for any other an earlier leader may have gone on answering, though not for longer
+     * than its limit after its last renewal, which was before our term began.
+     */
+    private boolean leaseCertainlyOver(Machine machine, Moment now) {
+        if (machine.shown().equals(term) && machine.heardAt() != null) {
+            return now.since(machine.heardAt()).compareTo(slack(platform.lease())) > 0;
+        }
+        return now.since(begunAt).compareTo(slack(platform.cancelWithin())) > 0
+                && (machine.heardAt() == null
+                || now.since(machine.heardAt()).compareTo(slack(platform.lease())) > 0);
+    }
+
+    private static Duration slack(Duration span) {
+        return Duration.ofNanos((long) (span.toNanos() * LEASE_SLACK)).plus(LEASE_MARGIN);
+    }
+
+    /** Placements on machines that neither the cloud's list nor any report has shown. */
+    private void expireUnseen(Moment now) {
+        if (!cluster.unseen().isEmpty() && now.since(begunAt).compareTo(slack(platform.cancelWithin())) > 0) {
+            for (List<Placement> placements : List.copyOf(cluster.unseen().values())) {
+                for (Placement placement : List.copyOf(placements)) {
+                    leader.lost(null, placement, "its machine has not been seen for longer than any lease", now);
+                }
+            }
+            cluster.unseen().clear();
+        }
+    }
+}
