--- a/src/main/java/org/meadowhollow/transport/HttpClient.java
+++ b/src/main/java/org/meadowhollow/transport/HttpClient.java
@@ -150,19 +150,19 @@
 
                         @Override
                         public void failed(IOException failure) {
-                            fail("connection lost");
+                            fail("connection lost: " + failure.getMessage());
                         }
                     });
                     try {
                         write(exchange.getRequestChannel());
                     } catch (IOException failure) {
-                        fail("connection lost");
+                        fail("connection lost: " + failure.getMessage());
                     }
                 }
 
                 @Override
                 public void failed(IOException failure) {
-                    fail("connection lost");
+                    fail("connection lost: " + failure.getMessage());
                 }
             });
         }
@@ -186,7 +186,7 @@
                             channel.shutdownWrites();
                             finish(channel);
                         } catch (IOException failure) {
-                            fail("connection lost");
+                            fail("connection lost: " + failure.getMessage());
                         }
                     });
                     channel.resumeWrites();
@@ -205,7 +205,7 @@
                             channel.suspendWrites();
                         }
                     } catch (IOException failure) {
-                        fail("connection lost");
+                        fail("connection lost: " + failure.getMessage());
                     }
                 });
                 channel.resumeWrites();
@@ -242,7 +242,7 @@
                     }
                 }
             } catch (IOException failure) {
-                fail("connection lost");
+                fail("connection lost: " + failure.getMessage());
             }
         }
 
