Starved leaders renew their lease in between; a refusal counts only where another node answers

A node busy with hundreds of reports came to its renewal's timer after the lease had ended, and the next one had to load everything anew. And while a filter refused connections between all controllers, a few workers that timed out were enough to end the lease of a leader that was only slow.

Change: a due renewal is sent from within reports, rounds and loading; a refusal says something of the leader only if another controller can be reached.

--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -141,6 +141,10 @@
         unanswered.forEach(each -> each.answer().complete(new Answer.Elsewhere(null)));
     }
 
+    void keepUp() {
+        leadership.keepUp();
+    }
+
     synchronized boolean isClosed() {
         return closed;
     }
@@ -183,6 +187,7 @@
     /** Answers a worker's report, so that its lease is kept: at once, or a little later if it has room. */
     public synchronized CompletableFuture<Answer> report(Report report) {
         Moment now = loop.now();
+        leadership.keepUp();
         held.drop(report.machine());
         if (report.token().isAfter(term)) {
             leadership.heardOf(report.token(), null);
@@ -408,6 +413,7 @@
                 return;
             }
             Moment now = loop.now();
+            leadership.keepUp();
             silence.round(now);
             if (leadership.mayStart() && hasGathered(now)) {
                 place(now);
--- a/src/main/java/org/meadowhollow/coordination/Leadership.java
+++ b/src/main/java/org/meadowhollow/coordination/Leadership.java
@@ -31,6 +31,7 @@
     static final Duration TTL = Duration.ofSeconds(5);
     /** Three tries fit into a lease. */
     private static final Duration RENEW = Duration.ofMillis(1500);
+    private static final Duration RENEWAL_CHECK = Duration.ofMillis(500);
     private static final Duration RETRY = Duration.ofMillis(400);
     /** A watch of the leader's key; it returns at once when the key goes. */
     private static final Duration WATCH = Duration.ofSeconds(20);
@@ -73,6 +74,8 @@
     private final Listener listener;
     private LeaseId lease;
     private Moment leaseSentAt;
+    private Moment renewalSentAt;
+    private boolean renewing;
     private Term term = Term.NONE;
     private boolean leading;
     private String leader;
@@ -363,6 +366,8 @@
             synchronized (this) {
                 lease = granted;
                 leaseSentAt = sentAt;
+                renewalSentAt = sentAt;
+                renewing = false;
                 term = next;
                 leading = true;
                 leader = member;
@@ -371,34 +376,51 @@
             LOG.info("elected: {} leads in term {}", member, next);
             listener.elected(next, commit.revision());
             peers.announce(member, next);
-            later(RENEW, expected, () -> renew(expected));
+            keepRenewing(expected);
         });
     }
 
-    private void renew(int expected) {
+    /**
+     * Sends a renewal that is due. Called by a timer, and in between by long work: a node that computes slowly can
+     * be busy with hundreds of reports or with a round for longer than its lease lasts, and while its timer waited
+     * the leadership went round from one starved node to the next, each of which had to load everything anew.
+     */
+    public void keepUp() {
+        int expected;
         Moment sentAt = loop.now();
         LeaseId held;
         synchronized (this) {
+            if (!leading || renewing || renewalSentAt != null && sentAt.since(renewalSentAt).compareTo(RENEW) < 0) {
+                return;
+            }
+            renewing = true;
+            renewalSentAt = sentAt;
             held = lease;
+            expected = epoch;
         }
         store.renew(held).whenComplete((unused, failure) -> {
-            if (!current(expected)) {
-                return;
-            }
-            if (failure == null) {
-                synchronized (this) {
+            synchronized (this) {
+                if (epoch != expected) {
+                    return;
+                }
+                renewing = false;
+                if (failure == null) {
                     leaseSentAt = Moment.later(leaseSentAt, sentAt);
+                } else {
+                    // Tried again at the timer's next turn.
+                    renewalSentAt = null;
                 }
-                loop.after(RENEW, () -> {
-                    if (current(expected)) {
-                        renew(expected);
-                    }
-                });
-            } else if (StateException.of(failure) == Outcome.NO_SUCH_LEASE) {
+            }
+            if (failure != null && StateException.of(failure) == Outcome.NO_SUCH_LEASE) {
                 stepDown("the lease has ended");
-            } else {
-                later(RETRY, expected, () -> renew(expected));
             }
         });
     }
+
+    private void keepRenewing(int expected) {
+        if (current(expected)) {
+            keepUp();
+            loop.after(RENEWAL_CHECK, () -> keepRenewing(expected));
+        }
+    }
 }
--- a/src/main/java/org/meadowhollow/coordination/Loading.java
+++ b/src/main/java/org/meadowhollow/coordination/Loading.java
@@ -75,6 +75,7 @@
                     return;
                 }
                 take.accept(page.entries());
+                leader.keepUp();
                 Version from = first == null ? page.revision() : first;
                 if (page.more()) {
                     read(prefix, page.entries().get(page.entries().size() - 1).key(), from, take, then);
--- a/src/main/java/org/meadowhollow/coordination/Peers.java
+++ b/src/main/java/org/meadowhollow/coordination/Peers.java
@@ -10,7 +10,7 @@
     /** Whether the state service serves any of the others. */
     CompletableFuture<Boolean> anyServed();
 
-    /** How another controller takes a question. */
+    /** How another controller takes a question: REFUSES if it alone does, while some other one answers. */
     enum Sign { ANSWERS, REFUSES, SILENT }
 
     CompletableFuture<Sign> signOf(String member);
--- a/src/main/java/org/meadowhollow/protocol/peers/PeerLink.java
+++ b/src/main/java/org/meadowhollow/protocol/peers/PeerLink.java
@@ -113,6 +113,29 @@
 
     @Override
     public CompletableFuture<Sign> signOf(String member) {
+        return ask(member).thenCompose(sign -> {
+            if (sign != Sign.REFUSES) {
+                return CompletableFuture.completedFuture(sign);
+            }
+            // A packet filter between the controllers refuses connections to all of them.
+            CompletableFuture<Sign> verdict = new CompletableFuture<>();
+            List<CompletableFuture<Void>> others = new ArrayList<>();
+            for (String other : addresses.keySet()) {
+                if (!other.equals(member)) {
+                    others.add(ask(other).thenAccept(its -> {
+                        if (its == Sign.ANSWERS) {
+                            verdict.complete(Sign.REFUSES);
+                        }
+                    }));
+                }
+            }
+            CompletableFuture.allOf(others.toArray(CompletableFuture[]::new))
+                    .thenRun(() -> verdict.complete(Sign.SILENT));
+            return verdict;
+        });
+    }
+
+    private CompletableFuture<Sign> ask(String member) {
         String address = addresses.get(member);
         if (address == null) {
             return CompletableFuture.completedFuture(Sign.SILENT);
