--- a/src/main/java/org/meadowhollow/transport/HttpClient.java
+++ b/src/main/java/org/meadowhollow/transport/HttpClient.java
@@ -56,9 +56,8 @@
     @Override
     public CompletableFuture<Http.Reply> send(String address, String method, String path, byte[] body,
             Duration timeout) {
-        Call call = new Call(address, method, path, body);
-        call.timer = loop.thread().executeAfter(() -> call.fail("no answer in time"),
-                timeout.toNanos(), TimeUnit.NANOSECONDS);
+        Call call = new Call(address, method, path, body, new Patience(System.nanoTime(), timeout.toNanos()));
+        call.await(timeout.toNanos());
         if (Thread.currentThread() == loop.thread()) {
             call.start();
         } else {
@@ -73,6 +72,7 @@
         private final String method;
         private final String path;
         private final byte[] body;
+        private final Patience patience;
         private final CompletableFuture<Http.Reply> answer = new CompletableFuture<>();
         private XnioExecutor.Key timer;
         private ClientConnection connection;
@@ -81,11 +81,23 @@
         private boolean sent;
         private boolean refused;
 
-        Call(String address, String method, String path, byte[] body) {
+        Call(String address, String method, String path, byte[] body, Patience patience) {
             this.address = address;
             this.method = method;
             this.path = path;
             this.body = body;
+            this.patience = patience;
+        }
+
+        private void await(long nanos) {
+            timer = loop.thread().executeAfter(() -> {
+                long more = patience.more(System.nanoTime());
+                if (more > 0) {
+                    await(more);
+                } else {
+                    fail("no answer in time");
+                }
+            }, nanos, TimeUnit.NANOSECONDS);
         }
 
         void start() {
