--- a/src/main/java/org/meadowhollow/coordination/Leadership.java
+++ b/src/main/java/org/meadowhollow/coordination/Leadership.java
@@ -220,6 +220,9 @@
             if (leaderTerm.isAfter(found)) {
                 return;
             }
+            if (found.isAfter(leaderTerm)) {
+                deserters.clear();
+            }
             leaderTerm = found;
             leader = member;
             leaderLease = record.get("lease") instanceof Number id ? new LeaseId(id.longValue()) : null;
@@ -243,6 +246,7 @@
      */
     public boolean arrived(MachineId worker, Term shown) {
         int now;
+        String suspect;
         synchronized (this) {
             if (leading || leader == null || member.equals(leader) || !shown.equals(leaderTerm)
                     || trustedAt != null && loop.now().since(trustedAt).compareTo(TRUST) < 0) {
@@ -254,8 +258,9 @@
             }
             suspecting = true;
             now = epoch;
+            suspect = leader;
         }
-        ask(now, leader, 0, 0);
+        ask(now, suspect, 0, 0);
         return true;
     }
 
