--- a/src/main/java/org/meadowhollow/cli/Controller.java
+++ b/src/main/java/org/meadowhollow/cli/Controller.java
@@ -1,5 +1,6 @@
 package org.meadowhollow.cli;
 
+import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.util.random.RandomGenerator;
@@ -38,7 +39,7 @@
     private Controller(XnioLoop loop, Settings settings, RandomGenerator random) {
         this.loop = loop;
         Platform platform = settings.platform();
-        DefaultByteBufferPool buffers = new DefaultByteBufferPool(false, BUFFER, MOST_BUFFERS, 0);
+        ByteBufferPool buffers = buffers();
         HttpClient http = new HttpClient(loop, buffers);
         StateClient state = new StateClient(http, settings.state(), loop, budget(platform.stateRps()),
                 budget(platform.stateWriteRps()));
@@ -55,6 +56,10 @@
         node.start();
     }
 
+    static ByteBufferPool buffers() {
+        return new DefaultByteBufferPool(false, BUFFER, MOST_BUFFERS, 0);
+    }
+
     private static RateBudget budget(double perSecond) {
         return new RateBudget(perSecond * SHARE, perSecond * SHARE);
     }
--- a/src/main/java/org/meadowhollow/cli/Rehearsal.java
+++ b/src/main/java/org/meadowhollow/cli/Rehearsal.java
@@ -1,6 +1,5 @@
 package org.meadowhollow.cli;
 
-import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
@@ -18,8 +17,6 @@
  * Starting from that archive costs a fraction of a cold start, which matters after a crash.
  */
 final class Rehearsal {
-    private static final int BUFFER = 8 * 1024;
-    private static final int MOST_BUFFERS = 64;
     private static final String OWN_CLASSES = "org/meadowhollow/";
     private static final String CLASS = ".class";
 
@@ -30,8 +27,7 @@
     static void run() throws IOException, Settings.Unusable, ClassNotFoundException {
         Path file = Files.createTempFile("meadowhollow", ".json");
         XnioLoop outside = new XnioLoop();
-        DefaultByteBufferPool buffers = new DefaultByteBufferPool(false, BUFFER, MOST_BUFFERS, 0);
-        try (HttpServer standIn = new HttpServer(outside, buffers, "127.0.0.1", 0, new StandIn())) {
+        try (HttpServer standIn = new HttpServer(outside, Controller.buffers(), "127.0.0.1", 0, new StandIn())) {
             Files.writeString(file, """
                     {"member":"rehearsal","area":"z","listen":"127.0.0.1:0","back":"127.0.0.1:0",
                      "known":[{"member":"other","area":"z","addr":"127.0.0.1:9"}],
--- a/src/main/java/org/meadowhollow/coordination/HeldReports.java
+++ b/src/main/java/org/meadowhollow/coordination/HeldReports.java
@@ -41,10 +41,6 @@
         return held.isEmpty();
     }
 
-    boolean has(MachineId machine) {
-        return held.containsKey(machine);
-    }
-
     /** The machine's held report, which is held no more; null if there is none. */
     Held take(MachineId machine) {
         return held.remove(machine);
@@ -64,6 +60,11 @@
         return due;
     }
 
+    /** Sends workers to a member, or to their next node if it is null; that renews no lease. */
+    static void sendOn(List<Held> reports, String member) {
+        reports.forEach(each -> each.answer().complete(new Answer.Elsewhere(member)));
+    }
+
     List<Held> takeAll() {
         List<Held> all = List.copyOf(held.values());
         held.clear();
--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -138,7 +138,7 @@
             unanswered = held.takeAll();
         }
         // Whoever leads now may renew their leases; this leader must not.
-        unanswered.forEach(each -> each.answer().complete(new Answer.Elsewhere(null)));
+        HeldReports.sendOn(unanswered, null);
     }
 
     void keepUp() {
@@ -241,8 +241,10 @@
         List<HeldReports.Held> waiting = new ArrayList<>();
         synchronized (this) {
             for (Placement placement : job.placements()) {
-                if (placement.startSentSeq() < 0 && placement.committed() && held.has(placement.machine())) {
-                    waiting.add(held.take(placement.machine()));
+                HeldReports.Held report = placement.startSentSeq() < 0 && placement.committed()
+                        ? held.take(placement.machine()) : null;
+                if (report != null) {
+                    waiting.add(report);
                 }
             }
         }
--- a/src/main/java/org/meadowhollow/coordination/Node.java
+++ b/src/main/java/org/meadowhollow/coordination/Node.java
@@ -197,7 +197,7 @@
                 loop.after(SWEEP, this::sweepOrphans);
             }
         }
-        due.forEach(each -> each.answer().complete(new Answer.Elsewhere(null)));
+        HeldReports.sendOn(due, null);
     }
 
     private synchronized List<HeldReports.Held> takeOrphans() {
@@ -207,7 +207,7 @@
     @Override
     public void following(String other) {
         boolean isOther = !platform.member().equals(other);
-        takeOrphans().forEach(each -> each.answer().complete(new Answer.Elsewhere(isOther ? other : null)));
+        HeldReports.sendOn(takeOrphans(), isOther ? other : null);
     }
 
     public void heardOf(Term term, String member) {
@@ -224,6 +224,6 @@
         if (leader != null) {
             leader.close();
         }
-        orphans.takeAll().forEach(each -> each.answer().complete(new Answer.Elsewhere(null)));
+        HeldReports.sendOn(orphans.takeAll(), null);
     }
 }
--- a/src/main/java/org/meadowhollow/protocol/peers/PeerLink.java
+++ b/src/main/java/org/meadowhollow/protocol/peers/PeerLink.java
@@ -5,7 +5,6 @@
 import com.esotericsoftware.kryo.io.Input;
 import com.esotericsoftware.kryo.io.Output;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -97,18 +96,8 @@
 
     @Override
     public CompletableFuture<Boolean> anyServed() {
-        CompletableFuture<Boolean> any = new CompletableFuture<>();
-        List<CompletableFuture<Void>> answers = new ArrayList<>();
-        for (String address : addresses.values()) {
-            answers.add(http.send(address, "GET", SERVED, null, ANSWER).handle((reply, failure) -> {
-                if (failure == null && saysServed(reply)) {
-                    any.complete(true);
-                }
-                return null;
-            }));
-        }
-        CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new)).thenRun(() -> any.complete(false));
-        return any;
+        return any(addresses.values().stream().map(address -> http.send(address, "GET", SERVED, null, ANSWER)
+                .handle((reply, failure) -> failure == null && saysServed(reply))).toList());
     }
 
     @Override
@@ -118,23 +107,24 @@
                 return CompletableFuture.completedFuture(sign);
             }
             // A packet filter between the controllers refuses connections to all of them.
-            CompletableFuture<Sign> verdict = new CompletableFuture<>();
-            List<CompletableFuture<Void>> others = new ArrayList<>();
-            for (String other : addresses.keySet()) {
-                if (!other.equals(member)) {
-                    others.add(ask(other).thenAccept(its -> {
-                        if (its == Sign.ANSWERS) {
-                            verdict.complete(Sign.REFUSES);
-                        }
-                    }));
-                }
-            }
-            CompletableFuture.allOf(others.toArray(CompletableFuture[]::new))
-                    .thenRun(() -> verdict.complete(Sign.SILENT));
-            return verdict;
+            return any(addresses.keySet().stream().filter(other -> !other.equals(member))
+                    .map(other -> ask(other).thenApply(its -> its == Sign.ANSWERS)).toList())
+                    .thenApply(othersAnswer -> othersAnswer ? Sign.REFUSES : Sign.SILENT);
         });
     }
 
+    /** Whether any of the answers is yes, as soon as one is. */
+    private static CompletableFuture<Boolean> any(List<CompletableFuture<Boolean>> answers) {
+        CompletableFuture<Boolean> any = new CompletableFuture<>();
+        answers.forEach(answer -> answer.thenAccept(yes -> {
+            if (yes) {
+                any.complete(true);
+            }
+        }));
+        CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new)).thenRun(() -> any.complete(false));
+        return any;
+    }
+
     private CompletableFuture<Sign> ask(String member) {
         String address = addresses.get(member);
         if (address == null) {
--- a/src/main/java/org/meadowhollow/transport/HttpClient.java
+++ b/src/main/java/org/meadowhollow/transport/HttpClient.java
@@ -162,19 +162,19 @@
 
                         @Override
                         public void failed(IOException failure) {
-                            fail("connection lost: " + failure.getMessage());
+                            lost(failure);
                         }
                     });
                     try {
                         write(exchange.getRequestChannel());
                     } catch (IOException failure) {
-                        fail("connection lost: " + failure.getMessage());
+                        lost(failure);
                     }
                 }
 
                 @Override
                 public void failed(IOException failure) {
-                    fail("connection lost: " + failure.getMessage());
+                    lost(failure);
                 }
             });
         }
@@ -198,7 +198,7 @@
                             channel.shutdownWrites();
                             finish(channel);
                         } catch (IOException failure) {
-                            fail("connection lost: " + failure.getMessage());
+                            lost(failure);
                         }
                     });
                     channel.resumeWrites();
@@ -217,7 +217,7 @@
                             channel.suspendWrites();
                         }
                     } catch (IOException failure) {
-                        fail("connection lost: " + failure.getMessage());
+                        lost(failure);
                     }
                 });
                 channel.resumeWrites();
@@ -254,7 +254,7 @@
                     }
                 }
             } catch (IOException failure) {
-                fail("connection lost: " + failure.getMessage());
+                lost(failure);
             }
         }
 
@@ -283,6 +283,10 @@
             }
         }
 
+        private void lost(IOException failure) {
+            fail("connection lost: " + failure.getMessage());
+        }
+
         private void fail(String why) {
             if (answer.isDone()) {
                 return;
--- a/src/main/java/org/meadowhollow/transport/Patience.java
+++ b/src/main/java/org/meadowhollow/transport/Patience.java
@@ -9,7 +9,7 @@
     /** A timer that is later than this tells that the loop is behind; timers are a few milliseconds late as it is. */
     private static final long LATE_NANOS = 50_000_000;
 
-    private long dueAt;
+    private final long dueAt;
     private boolean extended;
 
     Patience(long now, long span) {
@@ -23,7 +23,6 @@
             return 0;
         }
         extended = true;
-        dueAt = now + late;
         return late;
     }
 }
--- a/src/test/java/org/meadowhollow/story/FakeWorker.java
+++ b/src/test/java/org/meadowhollow/story/FakeWorker.java
@@ -82,7 +82,7 @@
     void goTo(int other) {
         node = other;
         inFlight = null;
-        soon();
+        reportAfter(CHANGE);
     }
 
     void hang(boolean now) {
@@ -231,16 +231,11 @@
 
     private void tryNext() {
         node = (node + 1) % world.nodeCount();
-        world.loop().after(NEXT, () -> {
-            if (!hung && !gone) {
-                advance();
-                report();
-            }
-        });
+        reportAfter(NEXT);
     }
 
-    private void soon() {
-        world.loop().after(CHANGE, () -> {
+    private void reportAfter(Duration pause) {
+        world.loop().after(pause, () -> {
             if (!hung && !gone) {
                 advance();
                 report();
@@ -254,7 +249,7 @@
                 tryNext();
             } else {
                 node = world.indexOf(elsewhere.member());
-                soon();
+                reportAfter(CHANGE);
             }
             return;
         }
@@ -264,7 +259,7 @@
         }
         if (orders.token().isAfter(token)) {
             // A higher token is a change, which goes out at once, though not before half a second.
-            soon();
+            reportAfter(CHANGE);
         }
         token = orders.token();
         answeredSentAt = sentAt;
