--- a/src/main/java/org/meadowhollow/bookkeeping/Machine.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Machine.java
@@ -24,7 +24,9 @@
     private Session session;
     private long seq = -1;
     private Term shown = Term.NONE;
+    private Moment knownSince;
     private Moment heardAt;
+    private Moment answeredAt;
     private Moment noticeEndsAt;
     private boolean draining;
     private boolean releasing;
@@ -89,11 +91,30 @@
         return shown;
     }
 
-    /** When the last report arrived that this leader answered, or null. */
+    /** When this leader first knew of the machine, by the cloud's list or by a report. */
+    public Moment knownSince() {
+        return knownSince;
+    }
+
+    public void knownSince(Moment now) {
+        knownSince = now;
+    }
+
+    /** When the last news came of the machine, by a report or by an answer to a direct command, or null. */
     public Moment heardAt() {
         return heardAt;
     }
 
+    /** When the last report arrived that this leader answered, or null; only that renews the worker's lease. */
+    public Moment answeredAt() {
+        return answeredAt;
+    }
+
+    public void answered(Moment now) {
+        answeredAt = now;
+        heardAt = now;
+    }
+
     public void heard(Moment now) {
         heardAt = now;
     }
--- a/src/main/java/org/meadowhollow/cli/Controller.java
+++ b/src/main/java/org/meadowhollow/cli/Controller.java
@@ -49,6 +49,7 @@
         node = new Node(loop, state, new WorkerClient(http), cloud, peers, platform, catalog, random);
         peers.listener(node::heardOf);
         peers.served(() -> !state.seemsOut());
+        peers.hearing(node::isHardOfHearing, node::heardAmong);
         Admission admission = new Admission(state, loop, catalog, platform, node::counts);
         NodeApi api = new NodeApi(new UserApi(admission), new WorkerApi(node::report), node::isReady);
         front = new HttpServer(loop, buffers, settings.listen().host(), settings.listen().port(), api);
--- a/src/main/java/org/meadowhollow/coordination/Fleet.java
+++ b/src/main/java/org/meadowhollow/coordination/Fleet.java
@@ -35,7 +35,7 @@
     /** Makes any difference in price count for more than a zone with fewer machines. */
     private static final double ZONE_WEIGHT = 1000;
     /** A machine that takes this many times its type's boot time is taken for one that never comes up. */
-    private static final double BOOT_PATIENCE = 4;
+    static final double BOOT_PATIENCE = 4;
     /** After a refusal the same kind is left alone for this long at first, and for twice that each time. */
     private static final Duration FIRST_PAUSE = Duration.ofSeconds(4);
     private static final Duration LONGEST_PAUSE = Duration.ofSeconds(30);
@@ -44,17 +44,8 @@
      * machine costs a minute in any case, and its return takes some seconds, with a round and calls that fail.
      */
     private static final double LEAST_KEPT_S = 50;
-    /** A silent machine is given up after this many leases: its tasks are gone, but it may yet go on. */
-    private static final double GIVE_UP_LEASES = 1.5;
-    /**
-     * A machine that others wait for is given up after this many reports: two in a row at their latest (a
-     * quarter late each), and time for a direct question. Its return proves its tasks gone before its lease does.
-     */
-    private static final double GIVE_UP_REPORTS = 2.7;
     /** A machine that costs this much more for a task than the cheapest kind is rented only for what would be late. */
     private static final double DEAR = 2;
-    /** If more than this share of the machines is silent, the fault is more likely ours than theirs. */
-    private static final double MOST_SILENT = 0.25;
 
     /**
      * Waiting tasks of a job that found no machine.
@@ -82,6 +73,7 @@
     private final Catalog catalog;
     private final EventLoop loop;
     private final Term term;
+    private final GivingUp givingUp;
     private final Map<MachineId, Rental> booting = new LinkedHashMap<>();
     private final Map<Source, Pause> pauses = new HashMap<>();
     /** Returned machines, for as long as a late list or report may still name them. */
@@ -93,13 +85,15 @@
     private boolean releasing;
     private boolean closed;
 
-    Fleet(Leader leader, Cloud cloud, Platform platform, Catalog catalog, EventLoop loop, Term term) {
+    Fleet(Leader leader, Cloud cloud, Platform platform, Catalog catalog, EventLoop loop, Term term,
+            GivingUp givingUp) {
         this.leader = leader;
         this.cloud = cloud;
         this.platform = platform;
         this.catalog = catalog;
         this.loop = loop;
         this.term = term;
+        this.givingUp = givingUp;
     }
 
     void start() {
@@ -169,10 +163,14 @@
         release(failed, "failed");
     }
 
-    /** One round: rent for what waits, return what is of no more use. */
+    /**
+     * One round: rent for what waits, return what is of no more use. Not without the lease: whoever leads by then may
+     * have placed something on a machine that is idle for all that this leader knows. Nor while hardly any machine is
+     * heard: all of them seem useless then, and all that waits seems to need others.
+     */
     void act() {
         List<Machine> machines = leader.machineList();
-        if (!leader.isLoaded() || catalog.isEmpty()) {
+        if (!leader.isLoaded() || catalog.isEmpty() || !leader.mayAct()) {
             return;
         }
         Moment now = loop.now();
@@ -188,39 +186,29 @@
                 }
             }
             booting.forEach((id, rental) -> {
-                if (now.secondsSince(rental.sentAt()) > rental.type().bootS() * BOOT_PATIENCE) {
+                if (leader.hearsWell() && now.secondsSince(rental.sentAt()) > rental.type().bootS() * BOOT_PATIENCE) {
                     unwanted.add(id);
                 }
             });
             wanted = renting > 0 ? Map.of() : wanted(machines, now);
         }
-        double giveUpS = platform.reportEvery().toNanos() / 1e9 * GIVE_UP_REPORTS;
-        List<Machine> silent = machines.stream().filter(machine -> machine.heardAt() != null
-                && now.secondsSince(machine.heardAt()) > giveUpS).toList();
-        boolean fewSilent = silent.size() <= Math.max(1, machines.size() * MOST_SILENT);
+        List<MachineId> silent = givingUp.choose(machines, now);
         for (Machine machine : machines) {
-            if (unwanted(machine, now) || fewSilent && silent.contains(machine) && isWaitedFor(machine)) {
+            if (unwanted(machine, now)) {
                 unwanted.add(machine.id());
             }
         }
         wanted.forEach(this::rent);
-        release(unwanted, "idle, silent or faulty");
-    }
-
-    /** Whether a service or a gang is held up while nobody knows if the machine's tasks still run. */
-    private static boolean isWaitedFor(Machine machine) {
-        return !machine.releasing() && machine.placements().stream()
-                .anyMatch(placement -> placement.job().spec().kind() != Kind.ARRAY);
+        if (!silent.isEmpty() && release(silent, "silent")) {
+            givingUp.returned(silent.size(), now);
+        }
+        release(unwanted, "idle or faulty");
     }
 
     private boolean unwanted(Machine machine, Moment now) {
         if (machine.releasing()) {
             return false;
         }
-        double leaseS = platform.lease().toNanos() / 1e9;
-        if (machine.heardAt() != null && now.secondsSince(machine.heardAt()) > leaseS * GIVE_UP_LEASES) {
-            return true;
-        }
         // A cancelled task that does not go is made to: the return proves it gone in time for its limit.
         Duration half = platform.cancelWithin().dividedBy(2);
         if (machine.placements().stream().anyMatch(placement -> placement.job().cancelled()
@@ -231,7 +219,8 @@
             return machine.noticeEndsAt().isBefore(now) && machine.heardAt() != null
                     && now.secondsSince(machine.heardAt()) > 1;
         }
-        if (machine.idleSince() == null || machine.heardAt() == null) {
+        if (machine.idleSince() == null || machine.heardAt() == null || leader.isSilent(machine, now)) {
+            // Of a silent machine nobody knows whether it is idle; see GivingUp.
             return false;
         }
         return machine.draining() || !reserved.contains(machine.id())
@@ -392,11 +381,11 @@
     }
 
     /** Returns machines that nothing is placed on any more, or that have given no sign for long. */
-    private void release(List<MachineId> ids, String why) {
+    private boolean release(List<MachineId> ids, String why) {
         List<MachineId> batch;
         synchronized (this) {
             if (releasing || ids.isEmpty() || closed) {
-                return;
+                return false;
             }
             releasing = true;
             batch = ids.stream().sorted(Comparator.naturalOrder()).limit(MOST_RELEASED).toList();
@@ -423,5 +412,6 @@
                 machines.forEach(machine -> machine.releasing(false));
             }
         });
+        return true;
     }
 }
--- /dev/null
+++ b/src/main/java/org/meadowhollow/coordination/GivingUp.java
@@ -0,0 +1,157 @@
+package org.meadowhollow.coordination;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.Machine;
+import org.meadowhollow.bookkeeping.MachineId;
+import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.coordination.hearing.Deafness;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Which silent machines are returned to the cloud. A return proves what was on a machine gone, which may be worth much,
+ * but it cannot be taken back, so it is the last resort: not while many are silent at once, not in a zone that is
+ * mostly silent, not what another controller hears, and not many in a short time.
+ *
+ * <p>Keeping a dead machine costs little, since the cloud lists it as failed within a minute, from when on it is free;
+ * only one that hangs is paid for. So what is not returned for silence alone waits for the cloud's word, or for
+ * {@link #LAST_RESORT_LEASES}.
+ */
+final class GivingUp {
+    private static final Logger LOG = LoggerFactory.getLogger(GivingUp.class);
+    /** A silent machine is given up after this many leases: its tasks are gone, but it may yet go on. */
+    private static final double GIVE_UP_LEASES = 1.5;
+    /**
+     * A machine that others wait for is given up after this many reports: two in a row at their latest (a
+     * quarter late each), and time for a direct question. Its return proves its tasks gone before its lease does.
+     */
+    private static final double GIVE_UP_REPORTS = 2.7;
+    /** Where silence has a common cause, a machine is given up after this many leases, by which any cut seen was over. */
+    private static final double LAST_RESORT_LEASES = 10;
+    /** Above this share of silent machines a zone is cut off, rather than its machines dead. */
+    private static final double MOST_OF_ZONE = 0.5;
+    /** In a zone with fewer machines than this, the share tells nothing. */
+    private static final int LEAST_IN_ZONE = 4;
+    /** Machines that report after they seemed dead; one is a machine that hung, more speak against the listener. */
+    private static final int LATE_AGAIN = 2;
+
+    private final Listening listening;
+    private final Platform platform;
+    private final ArrayDeque<Moment> returned = new ArrayDeque<>();
+    private final ArrayDeque<Moment> lateReports = new ArrayDeque<>();
+    private Moment suspendedUntil;
+
+    GivingUp(Listening listening, Platform platform) {
+        this.listening = listening;
+        this.platform = platform;
+    }
+
+    private static double seconds(Duration span) {
+        return span.toNanos() / 1e9;
+    }
+
+    private double givenUpS() {
+        return seconds(platform.reportEvery()) * GIVE_UP_REPORTS;
+    }
+
+    /** A report has come: if it is from a machine that was about to be given up, others may be heard again as well. */
+    void reported(Machine machine, Moment now) {
+        if (machine.heardAt() == null || listening.silentS(machine, now) <= givenUpS()) {
+            return;
+        }
+        forgetBefore(lateReports, now);
+        lateReports.add(now);
+        if (lateReports.size() >= LATE_AGAIN) {
+            if (suspendedUntil == null || suspendedUntil.isBefore(now)) {
+                LOG.info("machines that were silent for more than {} s report again: none is returned for silence alone"
+                        + " for {} s", givenUpS(), platform.lease().toSeconds());
+            }
+            suspendedUntil = now.plus(platform.lease());
+        }
+    }
+
+    private void forgetBefore(ArrayDeque<Moment> times, Moment now) {
+        while (!times.isEmpty() && now.since(times.peek()).compareTo(platform.lease()) > 0) {
+            times.poll();
+        }
+    }
+
+    /** The silent machines to return now, the longest silent first. */
+    List<MachineId> choose(List<Machine> machines, Moment now) {
+        List<Machine> candidates = new ArrayList<>();
+        Map<String, Integer> known = new HashMap<>();
+        Map<String, Integer> silent = new HashMap<>();
+        int count = 0;
+        for (Machine machine : machines) {
+            if (machine.releasing()) {
+                continue;
+            }
+            count++;
+            known.merge(machine.zone(), 1, Integer::sum);
+            double silentS = listening.silentS(machine, now);
+            if (silentS > givenUpS()) {
+                silent.merge(machine.zone(), 1, Integer::sum);
+            }
+            if (silentS > limitS(machine)) {
+                candidates.add(machine);
+            }
+        }
+        if (candidates.isEmpty()) {
+            return List.of();
+        }
+        boolean common = listening.hearing() != Deafness.Hearing.GOOD
+                || suspendedUntil != null && now.isBefore(suspendedUntil);
+        Set<String> cutOff = new HashSet<>();
+        known.forEach((zone, all) -> {
+            if (known.size() > 1 && all >= LEAST_IN_ZONE && silent.getOrDefault(zone, 0) > MOST_OF_ZONE * all) {
+                cutOff.add(zone);
+            }
+        });
+        forgetBefore(returned, now);
+        int mostNow = Math.max(1, (int) (count * Deafness.DOUBTFUL)) - returned.size();
+        double lastResortS = seconds(platform.lease()) * LAST_RESORT_LEASES;
+        List<MachineId> chosen = candidates.stream()
+                .filter(machine -> !common && !cutOff.contains(machine.zone())
+                        || listening.silentS(machine, now) > lastResortS)
+                .filter(machine -> listening.unheardByAll(machine, now) && !heardElsewhere(machine, now))
+                .sorted(Comparator.comparingDouble((Machine machine) -> -listening.silentS(machine, now))
+                        .thenComparing(Machine::id))
+                .limit(Math.max(0, mostNow)).map(Machine::id).toList();
+        return chosen;
+    }
+
+    /** Notes that machines were returned for silence, which counts against how many more may be. */
+    void returned(int machines, Moment now) {
+        for (int at = 0; at < machines; at++) {
+            returned.add(now);
+        }
+    }
+
+    private boolean heardElsewhere(Machine machine, Moment now) {
+        Moment at = listening.elsewhereAt(machine);
+        return at != null && now.secondsSince(at) <= givenUpS();
+    }
+
+    /** How long a machine may be silent before it is given up. */
+    private double limitS(Machine machine) {
+        if (machine.heardAt() == null) {
+            // Not one word since this leader began or the cloud listed it as running: as for one that never comes up.
+            return Math.max(machine.type().bootS() * Fleet.BOOT_PATIENCE, seconds(platform.lease()) * GIVE_UP_LEASES);
+        }
+        return isWaitedFor(machine) ? givenUpS() : seconds(platform.lease()) * GIVE_UP_LEASES;
+    }
+
+    /** Whether a service or a gang is held up while nobody knows if the machine's tasks still run. */
+    private static boolean isWaitedFor(Machine machine) {
+        return machine.placements().stream().anyMatch(placement -> placement.job().spec().kind() != Kind.ARRAY);
+    }
+}
--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -36,6 +37,7 @@
 import org.meadowhollow.bookkeeping.TaskState;
 import org.meadowhollow.bookkeeping.Term;
 import org.meadowhollow.bookkeeping.Version;
+import org.meadowhollow.coordination.hearing.Deafness;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -90,6 +92,8 @@
     private final Loading loading;
     private final SilenceWatch silence;
     private final Reconciliation reconciliation;
+    private final Listening listening;
+    private final GivingUp givingUp;
     private final Object2IntOpenHashMap<MachineId> faults = new Object2IntOpenHashMap<>();
     private final Expected expected = new Expected();
     private boolean listed;
@@ -98,7 +102,7 @@
     private long byTable;
     private long byRoom;
 
-    public Leader(EventLoop loop, StateStore store, Workers workers, Cloud cloud, Platform platform,
+    public Leader(EventLoop loop, StateStore store, Workers workers, Cloud cloud, Peers peers, Platform platform,
             Catalog catalog, Leadership leadership, Term term, Version leaderVersion) {
         this.loop = loop;
         this.store = store;
@@ -118,7 +122,9 @@
         this.loading = new Loading(this, store, loop, cluster, aims, expected, ledger, images, term);
         this.silence = new SilenceWatch(this, cluster, platform, term, begunAt);
         this.reconciliation = new Reconciliation(this, cluster, images, leadership, term);
-        this.fleet = new Fleet(this, cloud, platform, catalog, loop, term);
+        this.listening = new Listening(this, cluster, platform, loop, peers, leadership, begunAt);
+        this.givingUp = new GivingUp(listening, platform);
+        this.fleet = new Fleet(this, cloud, platform, catalog, loop, term, givingUp);
     }
 
     /** Loads all live jobs, then begins its rounds. */
@@ -197,7 +203,8 @@
         if (machine == null || !reconciliation.take(machine, report, now)) {
             return CompletableFuture.completedFuture(new Answer.Orders(term, List.of()));
         }
-        machine.heard(now);
+        givingUp.reported(machine, now);
+        machine.answered(now);
         List<Order> orders = loading.isDone() ? reconciliation.orders(machine, report, now) : List.of();
         ledger.flush();
         if (orders.isEmpty() && loading.isDone() && leadership.mayStart() && machine.hasRoom()
@@ -265,6 +272,7 @@
     }
 
     private Machine add(Machine machine) {
+        machine.knownSince(loop.now());
         cluster.add(machine);
         images.met(machine);
         return machine;
@@ -416,16 +424,40 @@
             }
             Moment now = loop.now();
             leadership.keepUp();
+            listening.round(now);
             silence.round(now);
-            if (leadership.mayStart() && hasGathered(now)) {
+            if (mayAct() && hasGathered(now)) {
                 place(now);
             }
             ledger.flush();
             images.write(machines.values(), now);
         }
+        listening.act();
         fleet.act();
     }
 
+    /**
+     * Whether to place, stop, rent and return: the lease certainly holds, and the workers are heard. To a deaf leader
+     * everything that waits seems to lack room, and what it would do about it comes too early or hits what is healthy.
+     */
+    synchronized boolean mayAct() {
+        return leadership.mayStart() && listening.hearing() != Deafness.Hearing.DEAF;
+    }
+
+    /** Whether what is silent is so for its own reasons, as far as can be told. */
+    synchronized boolean hearsWell() {
+        return listening.hearing() == Deafness.Hearing.GOOD;
+    }
+
+    synchronized boolean isSilent(Machine machine, Moment now) {
+        return listening.isLate(machine, now);
+    }
+
+    /** Some workers' addresses, to see later whether this node hears them again. */
+    synchronized List<String> someAddresses(int most) {
+        return machines.values().stream().map(Machine::address).filter(Objects::nonNull).limit(most).toList();
+    }
+
     /**
      * Whether a full round of reports is in, so that placements, rentals and stops are not decided from the few
      * machines that happened to report first. What was listed but is silent is not waited for any longer.
--- a/src/main/java/org/meadowhollow/coordination/Leadership.java
+++ b/src/main/java/org/meadowhollow/coordination/Leadership.java
@@ -18,6 +18,8 @@
 import org.meadowhollow.bookkeeping.Term;
 import org.meadowhollow.bookkeeping.Transaction;
 import org.meadowhollow.bookkeeping.Version;
+import org.meadowhollow.coordination.hearing.Earshot;
+import org.meadowhollow.coordination.hearing.Standing;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -50,6 +52,12 @@
     private static final Duration ASK_AGAIN = Duration.ofMillis(250);
     /** Questions to a suspected leader before the suspicion is dropped; about as long as reports are held for. */
     private static final int MOST_QUESTIONS = 8;
+    /**
+     * Workers that must have come here within some seconds for this node to count as one that hears them. Those of a
+     * silent leader go round all nodes, one every 5 s and more.
+     */
+    private static final int LEAST_HEARD = 3;
+    private static final Duration HEARD_WITHIN = Duration.ofSeconds(6);
     /** How long the leader is trusted after it answered. */
     private static final Duration TRUST = Duration.ofSeconds(2);
 
@@ -70,6 +78,7 @@
     private final Peers peers;
     private final String member;
     private final Duration answerFor;
+    private final Earshot earshot;
     private final RandomGenerator random;
     private final Listener listener;
     private LeaseId lease;
@@ -85,13 +94,19 @@
     private final Set<MachineId> deserters = new HashSet<>();
     private boolean suspecting;
     private Moment trustedAt;
-
-    public Leadership(StateStore store, EventLoop loop, Peers peers, Platform platform, RandomGenerator random,
-            Listener listener) {
+    private Version leaderVersion;
+    private Moment freeSince;
+    private boolean resigning;
+    private boolean deaf;
+    private Moment resignedAloneAt;
+
+    public Leadership(StateStore store, EventLoop loop, Peers peers, Platform platform, Earshot earshot,
+            RandomGenerator random, Listener listener) {
         this.store = store;
         this.loop = loop;
         this.peers = peers;
         this.member = platform.member();
+        this.earshot = earshot;
         this.answerFor = platform.cancelWithin().minus(platform.lease()).minus(MARGIN);
         this.random = random;
         this.listener = listener;
@@ -155,6 +170,62 @@
         stepDown("the leader's record has changed");
     }
 
+    /** Whether this node hears workers of whatever leader. */
+    private boolean hears(Moment now) {
+        return earshot.count(HEARD_WITHIN, now) >= LEAST_HEARD;
+    }
+
+    /** Whether giving up without knowing of a node that hears has not been tried for a time. */
+    synchronized boolean mayResignAlone(Duration pause) {
+        return resignedAloneAt == null || loop.now().since(resignedAloneAt).compareTo(pause) >= 0;
+    }
+
+    /**
+     * Gives the lease up because hardly any worker is heard here; the record of terms says so, and for whom. Its key is
+     * removed under a guard, so nothing is given up that another has taken. Until the answer comes this node leads on;
+     * with none, it tries again when asked to.
+     *
+     * @param heir a node that hears them, or null if none is known
+     */
+    public void resign(String heir) {
+        int expected;
+        Transaction giveUp;
+        LeaseId held;
+        synchronized (this) {
+            if (!leading || resigning) {
+                return;
+            }
+            resigning = true;
+            expected = epoch;
+            held = lease;
+            giveUp = new Transaction().guard(Records.LEADER, leaderVersion).delete(Records.LEADER)
+                    .put(Records.TERM, Standing.resigned(term.value(), member, heir));
+        }
+        LOG.info("term {} hears hardly any worker and gives its lease up{}", term, heir == null ? "" : " to " + heir);
+        store.commit(giveUp, Urgency.LEASE).whenComplete((commit, failure) -> {
+            synchronized (this) {
+                resigning = false;
+                if (failure != null || epoch != expected) {
+                    return;
+                }
+                deaf = true;
+                resignedAloneAt = heir == null ? loop.now() : resignedAloneAt;
+            }
+            stepDown(commit.applied() ? "it hears hardly any worker" : "the leader's record has changed");
+            store.revoke(held);
+        });
+    }
+
+    /** A worker was heard of again, so this node may stand like any other. */
+    public synchronized void hearsAgain() {
+        deaf = false;
+    }
+
+    /** Whether this node gave its lease up for want of hearing, and has heard nobody since. */
+    public synchronized boolean isDeaf() {
+        return deaf;
+    }
+
     private void stepDown(String why) {
         int now;
         synchronized (this) {
@@ -223,6 +294,7 @@
             if (found.isAfter(leaderTerm)) {
                 deserters.clear();
             }
+            freeSince = null;
             leaderTerm = found;
             leader = member;
             leaderLease = record.get("lease") instanceof Number id ? new LeaseId(id.longValue()) : null;
@@ -231,6 +303,7 @@
     }
 
     private synchronized void nobodyLeads() {
+        freeSince = freeSince == null ? loop.now() : freeSince;
         leader = null;
         leaderLease = null;
         deserters.clear();
@@ -326,29 +399,36 @@
         });
     }
 
-    private void campaign(int expected, Version leaderVersion) {
-        Moment sentAt = loop.now();
-        store.grant(TTL).whenComplete((granted, failure) -> {
+    /** Takes the lease if it is this node's turn; see {@link Standing}. */
+    private void campaign(int expected, Version seen) {
+        store.get(Records.TERM, Urgency.LEASE).whenComplete((counter, unread) -> {
             if (!current(expected)) {
                 return;
             }
-            if (failure != null) {
+            if (unread != null || !isOurTurn(counter.map(StateStore.Entry::value).orElse(null))) {
                 later(RETRY, expected, () -> look(expected));
                 return;
             }
-            store.get(Records.TERM, Urgency.LEASE).whenComplete((counter, unread) -> {
+            Moment sentAt = loop.now();
+            store.grant(TTL).whenComplete((granted, failure) -> {
                 if (!current(expected)) {
                     return;
                 }
-                if (unread != null) {
+                if (failure != null) {
                     later(RETRY, expected, () -> look(expected));
                     return;
                 }
-                claim(expected, leaderVersion, granted, sentAt, counter);
+                claim(expected, seen, granted, sentAt, counter);
             });
         });
     }
 
+    private synchronized boolean isOurTurn(Map<String, Object> terms) {
+        Moment now = loop.now();
+        Duration free = freeSince == null ? Duration.ZERO : now.since(freeSince);
+        return free.compareTo(Standing.after(terms, member, hears(now), deaf)) >= 0;
+    }
+
     private void claim(int expected, Version leaderVersion, LeaseId granted, Moment sentAt,
             Optional<StateStore.Entry> counter) {
         Term next = counter.map(entry -> new Term(((Number) entry.value().get("term")).longValue()))
@@ -377,6 +457,8 @@
                 leading = true;
                 leader = member;
                 leaderTerm = next;
+                this.leaderVersion = commit.revision();
+                freeSince = null;
             }
             LOG.info("elected: {} leads in term {}", member, next);
             listener.elected(next, commit.revision());
--- /dev/null
+++ b/src/main/java/org/meadowhollow/coordination/Listening.java
@@ -0,0 +1,225 @@
+package org.meadowhollow.coordination;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.meadowhollow.bookkeeping.EventLoop;
+import org.meadowhollow.bookkeeping.Machine;
+import org.meadowhollow.bookkeeping.MachineId;
+import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.coordination.hearing.Deafness;
+import org.meadowhollow.coordination.hearing.Deafness.Hearing;
+import org.meadowhollow.coordination.hearing.Testimony;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * How well the leader hears its workers, and what the other controllers say of those that it does not hear. A leader
+ * whose network failed towards its workers alone took hundreds of healthy machines for silent, returned them to the
+ * cloud and was refused others. Guarded by the leader's lock.
+ */
+final class Listening {
+    private static final Logger LOG = LoggerFactory.getLogger(Listening.class);
+    /** Reports come up to a quarter late, and a worker that lost its connection turns to the next node a second later. */
+    private static final double LATEST_REPORT = 1.25;
+    private static final Duration NEXT_NODE = Duration.ofSeconds(1);
+    /** What a worker of a leader that ended without a word takes before it turns to the next node. */
+    private static final Duration NO_ANSWER = Duration.ofSeconds(4);
+    /**
+     * A round that comes this late shows that this process stood still or was starved, and so may have heard nothing:
+     * silence counts from then on. Rounds are a second apart.
+     */
+    private static final Duration HELD_UP = Duration.ofSeconds(3);
+    /** Machines named in one question: a few kilobytes, and more than a share below doubt at a thousand machines. */
+    private static final int MOST_ASKED = 300;
+    /** How long an answer about a machine holds, and how often it is asked for again. */
+    private static final Duration ASK_AGAIN = Duration.ofSeconds(3);
+    /** Workers whose leader is silent come to another node every 5 s and more; those sent back do not come again. */
+    private static final Duration WITNESSED = Duration.ofSeconds(6);
+    /** Giving up without knowing of a node that hears is not tried again for this long; a cut lasts about as long. */
+    private static final Duration TRY_AGAIN = Duration.ofSeconds(30);
+
+    /** A question to the other controllers, decided under the lock and sent outside it. */
+    private record Question(List<MachineId> machines) {
+    }
+
+    private final Leader leader;
+    private final Cluster cluster;
+    private final Platform platform;
+    private final EventLoop loop;
+    private final Peers peers;
+    private final Leadership leadership;
+    private final Moment begunAt;
+    private final Map<MachineId, Moment> askedAt = new HashMap<>();
+    private final Map<MachineId, Moment> unheardAt = new HashMap<>();
+    private final Map<MachineId, Moment> elsewhereAt = new HashMap<>();
+    private Moment awakeSince;
+    private Moment lastRoundAt;
+    private Hearing hearing = Hearing.GOOD;
+    private Moment deafSince;
+    private Question question;
+    private boolean asking;
+    private int answeredAbout;
+    private List<Testimony> answers = List.of();
+    private Moment answersAt;
+
+    Listening(Leader leader, Cluster cluster, Platform platform, EventLoop loop, Peers peers, Leadership leadership,
+            Moment begunAt) {
+        this.leader = leader;
+        this.cluster = cluster;
+        this.platform = platform;
+        this.loop = loop;
+        this.peers = peers;
+        this.leadership = leadership;
+        this.begunAt = begunAt;
+        this.awakeSince = begunAt;
+    }
+
+    Hearing hearing() {
+        return hearing;
+    }
+
+    /** One look at all machines. What follows from it is done by {@link #act}. */
+    void round(Moment now) {
+        if (lastRoundAt != null && now.since(lastRoundAt).compareTo(HELD_UP) > 0) {
+            LOG.info("this process was held up for {} ms; silence counts from now on", now.since(lastRoundAt).toMillis());
+            awakeSince = now;
+        }
+        lastRoundAt = now;
+        List<Machine> late = new ArrayList<>();
+        int known = cluster.unseen().size();
+        boolean allDue = now.since(begunAt).compareTo(reportDue().plus(NO_ANSWER)) > 0;
+        int lateCount = allDue ? cluster.unseen().size() : 0;
+        for (Machine machine : cluster.machines().values()) {
+            if (machine.releasing()) {
+                continue;
+            }
+            known++;
+            if (isLate(machine, now)) {
+                lateCount++;
+                late.add(machine);
+            }
+        }
+        note(Deafness.of(known, lateCount), known, lateCount, now);
+        Set<MachineId> asked = new HashSet<>();
+        late.forEach(machine -> asked.add(machine.id()));
+        askedAt.keySet().retainAll(asked);
+        unheardAt.keySet().retainAll(asked);
+        elsewhereAt.keySet().retainAll(asked);
+        question = ask(late, now);
+    }
+
+    private void note(Hearing heard, int known, int late, Moment now) {
+        if (heard != hearing) {
+            LOG.info("{} of {} machines are late with their reports: hearing is {}", late, known, heard);
+        }
+        hearing = heard;
+        if (heard != Hearing.DEAF) {
+            deafSince = null;
+        } else if (deafSince == null) {
+            deafSince = now;
+        }
+    }
+
+    private Duration reportDue() {
+        return Duration.ofNanos((long) (platform.reportEvery().toNanos() * LATEST_REPORT)).plus(NEXT_NODE);
+    }
+
+    /** Whether a machine's report is overdue; what it answers directly shows that it lives, and renews no lease. */
+    boolean isLate(Machine machine, Moment now) {
+        Moment last = machine.answeredAt() == null ? machine.knownSince().plus(NO_ANSWER) : machine.answeredAt();
+        return now.since(Moment.later(last, awakeSince)).compareTo(reportDue()) > 0;
+    }
+
+    /** How long nothing at all was heard of a machine, in seconds, while this process could have heard it. */
+    double silentS(Machine machine, Moment now) {
+        Moment last = machine.heardAt() == null ? machine.knownSince() : machine.heardAt();
+        return now.secondsSince(Moment.later(last, awakeSince));
+    }
+
+    /** The longest silent go first: those may be returned next, and what others say of them decides. */
+    private Question ask(List<Machine> late, Moment now) {
+        if (asking || late.isEmpty()) {
+            return null;
+        }
+        List<MachineId> machines = late.stream()
+                .filter(machine -> isOld(askedAt.get(machine.id()), now))
+                .sorted(Comparator.comparingDouble((Machine machine) -> -silentS(machine, now))
+                        .thenComparing(Machine::id))
+                .limit(MOST_ASKED).map(Machine::id).toList();
+        if (machines.isEmpty()) {
+            return null;
+        }
+        machines.forEach(machine -> askedAt.put(machine, now));
+        asking = true;
+        return new Question(machines);
+    }
+
+    private static boolean isOld(Moment at, Moment now) {
+        return at == null || now.since(at).compareTo(ASK_AGAIN) >= 0;
+    }
+
+    /** Asks what the round found worth asking, and gives the lease up if others hear better. Outside the lock. */
+    void act() {
+        Question next;
+        Deafness.Verdict verdict = null;
+        synchronized (leader) {
+            next = question;
+            question = null;
+            if (deafSince != null && answersAt != null && !answersAt.isBefore(deafSince)) {
+                Moment now = loop.now();
+                verdict = Deafness.judge(now.since(deafSince), answeredAbout, answers,
+                        leadership.mayResignAlone(TRY_AGAIN));
+            }
+        }
+        if (next != null) {
+            peers.hearing(next.machines(), WITNESSED).thenAccept(given -> answered(next, given));
+        }
+        if (verdict != null && verdict.resigns()) {
+            leadership.resign(verdict.heir());
+        }
+    }
+
+    private void answered(Question asked, List<Testimony> given) {
+        synchronized (leader) {
+            Moment now = loop.now();
+            asking = false;
+            answers = given;
+            answersAt = now;
+            answeredAbout = asked.machines().size();
+            Set<MachineId> heard = new HashSet<>();
+            given.forEach(each -> heard.addAll(each.heard()));
+            for (MachineId machine : asked.machines()) {
+                if (!askedAt.containsKey(machine)) {
+                    // Heard of in the meantime.
+                    continue;
+                }
+                if (heard.contains(machine)) {
+                    elsewhereAt.put(machine, now);
+                    unheardAt.remove(machine);
+                } else {
+                    unheardAt.put(machine, now);
+                }
+            }
+        }
+    }
+
+    /**
+     * Whether nobody who could be asked has heard a silent machine either. Without an answer from anybody the leader's
+     * own evidence has to do, or a machine would be paid for as long as the other controllers are out of reach.
+     */
+    boolean unheardByAll(Machine machine, Moment now) {
+        Moment at = unheardAt.get(machine.id());
+        return at != null && now.since(at).compareTo(ASK_AGAIN.plus(ASK_AGAIN)) <= 0;
+    }
+
+    /** When another controller last heard a machine that is silent here, or null. */
+    Moment elsewhereAt(Machine machine) {
+        return elsewhereAt.get(machine.id());
+    }
+}
--- a/src/main/java/org/meadowhollow/coordination/Node.java
+++ b/src/main/java/org/meadowhollow/coordination/Node.java
@@ -3,19 +3,23 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import org.meadowhollow.bookkeeping.Catalog;
 import org.meadowhollow.bookkeeping.EventLoop;
 import org.meadowhollow.bookkeeping.JobId;
+import org.meadowhollow.bookkeeping.MachineId;
 import org.meadowhollow.bookkeeping.Moment;
 import org.meadowhollow.bookkeeping.Records;
 import org.meadowhollow.bookkeeping.Report;
+import org.meadowhollow.bookkeeping.Session;
 import org.meadowhollow.bookkeeping.StateStore;
 import org.meadowhollow.bookkeeping.StateStore.Urgency;
 import org.meadowhollow.bookkeeping.Term;
 import org.meadowhollow.bookkeeping.Transaction;
 import org.meadowhollow.bookkeeping.Version;
+import org.meadowhollow.coordination.hearing.Earshot;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -32,6 +36,9 @@
      */
     private static final Duration MOST_ORPHANED = Duration.ofMillis(2500);
     private static final Duration SWEEP = Duration.ofMillis(500);
+    /** Workers that a deaf node asks whether they can be reached again, and how often; one answer will do. */
+    private static final int MOST_ASKED = 3;
+    private static final Duration LISTEN_AGAIN = Duration.ofSeconds(4);
 
     private final EventLoop loop;
     private final StateStore store;
@@ -42,6 +49,7 @@
     private final Leadership leadership;
     private final Peers peers;
     private final HeldReports orphans = new HeldReports();
+    private final Earshot earshot = new Earshot();
     private Leader leader;
     private boolean sweeping;
     private Moment othersServedAt;
@@ -57,7 +65,7 @@
         this.platform = platform;
         this.catalog = catalog;
         this.peers = peers;
-        this.leadership = new Leadership(store, loop, peers, platform, random, this);
+        this.leadership = new Leadership(store, loop, peers, platform, earshot, random, this);
     }
 
     public void start() {
@@ -139,7 +147,8 @@
 
     @Override
     public void elected(Term term, Version leaderVersion) {
-        Leader begun = new Leader(loop, store, workers, cloud, platform, catalog, leadership, term, leaderVersion);
+        Leader begun = new Leader(loop, store, workers, cloud, peers, platform, catalog, leadership, term,
+                leaderVersion);
         synchronized (this) {
             if (leader != null) {
                 leader.close();
@@ -153,11 +162,40 @@
     }
 
     @Override
-    public synchronized void deposed(String why) {
-        if (leader != null) {
-            leader.close();
-            leader = null;
+    public void deposed(String why) {
+        List<String> addresses = List.of();
+        synchronized (this) {
+            if (leader != null) {
+                addresses = leadership.isDeaf() ? leader.someAddresses(MOST_ASKED) : addresses;
+                leader.close();
+                leader = null;
+            }
+        }
+        listenAgain(addresses);
+    }
+
+    /** While this node is deaf: whether some workers answer it again, since none comes to a node that does not lead. */
+    private void listenAgain(List<String> addresses) {
+        if (isClosed() || addresses.isEmpty() || !leadership.isDeaf()) {
+            return;
         }
+        Term shown = leadership.term();
+        addresses.forEach(address -> workers.send(address, shown, new Session(1), List.of()).thenAccept(report -> {
+            LOG.info("worker {} answers this node again", report.machine());
+            leadership.hearsAgain();
+        }));
+        loop.after(LISTEN_AGAIN, () -> listenAgain(addresses));
+    }
+
+    /** Whether this node leads and misses the reports of more workers than fail by themselves. */
+    public boolean isHardOfHearing() {
+        Leader now = leader();
+        return now != null && !now.hearsWell();
+    }
+
+    /** Those of some machines whose reports have come to this node within a time. */
+    public Set<MachineId> heardAmong(List<MachineId> machines, Duration within) {
+        return earshot.among(machines, within, loop.now());
     }
 
     private synchronized Leader leader() {
@@ -166,6 +204,10 @@
 
     /** Answers a worker's report, or sends it to the leader; while none is known, the worker waits a little. */
     public CompletableFuture<Answer> report(Report report) {
+        earshot.heard(report.machine(), loop.now());
+        if (leadership.isDeaf()) {
+            leadership.hearsAgain();
+        }
         Leader now = leader();
         if (now != null && leadership.mayAnswer()) {
             return now.report(report);
--- a/src/main/java/org/meadowhollow/coordination/Peers.java
+++ b/src/main/java/org/meadowhollow/coordination/Peers.java
@@ -1,7 +1,11 @@
 package org.meadowhollow.coordination;
 
+import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.meadowhollow.bookkeeping.MachineId;
 import org.meadowhollow.bookkeeping.Term;
+import org.meadowhollow.coordination.hearing.Testimony;
 
 /** The other controllers. What they are told saves time and proves nothing. */
 public interface Peers {
@@ -10,8 +14,14 @@
     /** Whether the state service serves any of the others. */
     CompletableFuture<Boolean> anyServed();
 
-    /** How another controller takes a question: REFUSES if it alone does, while some other one answers. */
-    enum Sign { ANSWERS, REFUSES, SILENT }
+    /**
+     * How another controller takes a question: REFUSES if it alone does, while some other one answers; DEAF if it
+     * answers, leads, and misses the reports of many workers.
+     */
+    enum Sign { ANSWERS, DEAF, REFUSES, SILENT }
 
     CompletableFuture<Sign> signOf(String member);
+
+    /** What each of the others says of machines: which have reported to it within a time before its answer. */
+    CompletableFuture<List<Testimony>> hearing(List<MachineId> machines, Duration within);
 }
--- a/src/main/java/org/meadowhollow/protocol/peers/PeerLink.java
+++ b/src/main/java/org/meadowhollow/protocol/peers/PeerLink.java
@@ -5,32 +5,57 @@
 import com.esotericsoftware.kryo.io.Input;
 import com.esotericsoftware.kryo.io.Output;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.BitSet;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
+import org.meadowhollow.bookkeeping.MachineId;
 import org.meadowhollow.bookkeeping.Term;
 import org.meadowhollow.coordination.Peers;
+import org.meadowhollow.coordination.hearing.Testimony;
 import org.meadowhollow.protocol.Fields;
 import org.meadowhollow.protocol.Http;
 
-/** Hints between controllers: who leads, in which term, and whom the state service serves. */
+/** Hints between controllers: who leads, in which term, whom the state service serves, and who hears which workers. */
 public final class PeerLink implements Peers, Http.Handler {
     private static final String LEADER = "/leader";
     private static final String SERVED = "/served";
+    private static final String HEARING = "/hearing";
     private static final Duration ANSWER = Duration.ofSeconds(2);
     /** A node that is up but slow must not be taken for one that is silent too soon. */
     private static final Duration SIGN = Duration.ofSeconds(1);
-    /** Bytes; a hint is a name and a number. */
-    private static final int MOST_BYTES = 512;
+    /** Bytes; most hints are a name and a number, and a question about machines names some hundred. */
+    private static final int FIRST_BYTES = 512;
+    private static final int MOST_BYTES = 60 * 1024;
+    /** Machines that one question may name. */
+    private static final int MOST_MACHINES = 1000;
 
     /** What one controller tells another. */
     record LeaderHint(String member, long term) {
     }
 
-    /** Whether the state service serves a controller. */
-    record ServedHint(boolean served) {
+    /** Whether the state service serves a controller, and whether it leads and misses many workers' reports. */
+    record ServedHint(boolean served, boolean deaf) {
+    }
+
+    /** Which of some machines have reported to a controller within a time. */
+    record HearingQuestion(String[] machines, long withinMillis) {
+    }
+
+    /** The answer: a bit for each machine asked about, in their order. */
+    record HearingHint(boolean served, long[] heard) {
+    }
+
+    /** Those of some machines that have reported to this node within a time. */
+    public interface Ears {
+        Set<MachineId> among(List<MachineId> machines, Duration within);
     }
 
     private final Http.Client http;
@@ -38,6 +63,8 @@
     /** Made for the first hint: it brings many classes, and a node takes requests before it hears any. */
     private Kryo kryo;
     private volatile BooleanSupplier served = () -> false;
+    private volatile BooleanSupplier deaf = () -> false;
+    private volatile Ears ears = (machines, within) -> Set.of();
     private volatile BiConsumer<Term, String> listener = (term, member) -> { };
 
     /**
@@ -54,6 +81,10 @@
             kryo.setRegistrationRequired(true);
             kryo.register(LeaderHint.class);
             kryo.register(ServedHint.class);
+            kryo.register(String[].class);
+            kryo.register(long[].class);
+            kryo.register(HearingQuestion.class);
+            kryo.register(HearingHint.class);
         }
         return kryo;
     }
@@ -63,6 +94,12 @@
         served = now;
     }
 
+    /** Says to others whether this node leads and misses many reports, and which workers have come to it. */
+    public void hearing(BooleanSupplier deafNow, Ears heard) {
+        deaf = deafNow;
+        ears = heard;
+    }
+
     public void listener(BiConsumer<Term, String> told) {
         listener = told;
     }
@@ -79,7 +116,10 @@
     public CompletableFuture<Http.Reply> handle(String method, String path, byte[] body) {
         if (method.equals("GET") && path.equals(SERVED)) {
             return CompletableFuture.completedFuture(
-                    new Http.Reply(200, encode(new ServedHint(served.getAsBoolean())), 0));
+                    new Http.Reply(200, encode(new ServedHint(served.getAsBoolean(), deaf.getAsBoolean())), 0));
+        }
+        if (method.equals("POST") && path.equals(HEARING)) {
+            return CompletableFuture.completedFuture(heardOf(body));
         }
         if (!method.equals("POST") || !path.equals(LEADER)) {
             return CompletableFuture.completedFuture(Http.Reply.error(404, "no such path"));
@@ -94,10 +134,57 @@
         return CompletableFuture.completedFuture(Http.Reply.of(200, Fields.of()));
     }
 
+    private Http.Reply heardOf(byte[] body) {
+        HearingQuestion asked;
+        try {
+            asked = (HearingQuestion) decode(body);
+        } catch (KryoException | IllegalArgumentException | ClassCastException broken) {
+            return Http.Reply.error(400, "not a question");
+        }
+        if (asked.machines().length > MOST_MACHINES) {
+            return Http.Reply.error(400, "too many machines");
+        }
+        List<MachineId> machines = Arrays.stream(asked.machines()).map(MachineId::new).toList();
+        Set<MachineId> heard = ears.among(machines, Duration.ofMillis(asked.withinMillis()));
+        BitSet bits = new BitSet();
+        for (int at = 0; at < machines.size(); at++) {
+            bits.set(at, heard.contains(machines.get(at)));
+        }
+        return new Http.Reply(200, encode(new HearingHint(served.getAsBoolean(), bits.toLongArray())), 0);
+    }
+
+    @Override
+    public CompletableFuture<List<Testimony>> hearing(List<MachineId> machines, Duration within) {
+        byte[] question = encode(new HearingQuestion(
+                machines.stream().map(MachineId::value).toArray(String[]::new), within.toMillis()));
+        List<CompletableFuture<Testimony>> answers = new ArrayList<>();
+        addresses.forEach((member, address) -> answers.add(http.send(address, "POST", HEARING, question, SIGN)
+                .handle((reply, failure) -> failure == null ? testimony(member, machines, reply)
+                        : Testimony.none(member))));
+        return CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new))
+                .thenApply(unused -> answers.stream().map(CompletableFuture::join).toList());
+    }
+
+    private Testimony testimony(String member, List<MachineId> machines, Http.Reply reply) {
+        try {
+            if (reply.status() == 200 && decode(reply.body()) instanceof HearingHint hint) {
+                BitSet bits = BitSet.valueOf(hint.heard());
+                Set<MachineId> heard = new HashSet<>();
+                for (int at = bits.nextSetBit(0); at >= 0 && at < machines.size(); at = bits.nextSetBit(at + 1)) {
+                    heard.add(machines.get(at));
+                }
+                return new Testimony(member, true, hint.served(), heard);
+            }
+        } catch (KryoException | IllegalArgumentException broken) {
+            // Another version's answer tells nothing, like none.
+        }
+        return Testimony.none(member);
+    }
+
     @Override
     public CompletableFuture<Boolean> anyServed() {
         return any(addresses.values().stream().map(address -> http.send(address, "GET", SERVED, null, ANSWER)
-                .handle((reply, failure) -> failure == null && saysServed(reply))).toList());
+                .handle((reply, failure) -> failure == null && says(reply, ServedHint::served))).toList());
     }
 
     @Override
@@ -108,7 +195,7 @@
             }
             // A packet filter between the controllers refuses connections to all of them.
             return any(addresses.keySet().stream().filter(other -> !other.equals(member))
-                    .map(other -> ask(other).thenApply(its -> its == Sign.ANSWERS)).toList())
+                    .map(other -> ask(other).thenApply(its -> its == Sign.ANSWERS || its == Sign.DEAF)).toList())
                     .thenApply(othersAnswer -> othersAnswer ? Sign.REFUSES : Sign.SILENT);
         });
     }
@@ -131,19 +218,20 @@
             return CompletableFuture.completedFuture(Sign.SILENT);
         }
         return http.send(address, "GET", SERVED, null, SIGN).handle((reply, failure) -> failure == null
-                ? Sign.ANSWERS : failure instanceof Http.Refused ? Sign.REFUSES : Sign.SILENT);
+                ? says(reply, ServedHint::deaf) ? Sign.DEAF : Sign.ANSWERS
+                : failure instanceof Http.Refused ? Sign.REFUSES : Sign.SILENT);
     }
 
-    private boolean saysServed(Http.Reply reply) {
+    private boolean says(Http.Reply reply, Predicate<ServedHint> what) {
         try {
-            return reply.status() == 200 && decode(reply.body()) instanceof ServedHint hint && hint.served();
+            return reply.status() == 200 && decode(reply.body()) instanceof ServedHint hint && what.test(hint);
         } catch (KryoException | IllegalArgumentException broken) {
             return false;
         }
     }
 
     private synchronized byte[] encode(Object hint) {
-        Output output = new Output(MOST_BYTES);
+        Output output = new Output(FIRST_BYTES, MOST_BYTES);
         kryo().writeClassAndObject(output, hint);
         return output.toBytes();
     }
--- a/src/test/java/org/meadowhollow/story/FakeWorker.java
+++ b/src/test/java/org/meadowhollow/story/FakeWorker.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.meadowhollow.bookkeeping.Attempt;
 import org.meadowhollow.bookkeeping.Cause;
@@ -55,6 +57,7 @@
     private boolean hung;
     private boolean gone;
     private boolean deaf;
+    private final Set<Integer> unreachable = new HashSet<>();
     private double noticeS = Double.NaN;
 
     FakeWorker(World world, String id, String type, String zone) {
@@ -94,6 +97,19 @@
         deaf = now;
     }
 
+    /** Whether this machine alone has no way to a node and back. */
+    void cannotReach(int other, boolean cut) {
+        if (cut) {
+            unreachable.add(other);
+        } else {
+            unreachable.remove(other);
+        }
+    }
+
+    boolean reaches(int other) {
+        return !unreachable.contains(other);
+    }
+
     void notice(double seconds) {
         noticeS = seconds;
     }
@@ -207,7 +223,7 @@
         Report report = snapshot();
         Moment sentAt = world.loop().now();
         Session reporting = session;
-        CompletableFuture<Answer> answer = world.deliver(node, report);
+        CompletableFuture<Answer> answer = reaches(node) ? world.deliver(node, report) : new CompletableFuture<>();
         if (answer == null) {
             tryNext();
             return;
--- /dev/null
+++ b/src/test/java/org/meadowhollow/story/HearingTest.java
@@ -0,0 +1,236 @@
+package org.meadowhollow.story;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.MachineId;
+import org.meadowhollow.bookkeeping.TaskId;
+
+/** A leader that hears few workers or none: who leads then, and what happens to the machines. */
+class HearingTest {
+    private static final int MACHINES = 16;
+    private static final int REPLICAS = 32;
+
+    private World world;
+    private JobSpec service;
+    private int first;
+    private int startsBefore;
+    private MachineId lastOfFirst;
+
+    @BeforeEach
+    void aServiceOnMachinesOfTwoZones() {
+        world = new World();
+        for (int at = 0; at < MACHINES / 2; at++) {
+            world.machine(World.LARGE, "a");
+            world.machine(World.LARGE, "b");
+        }
+        world.runS(12);
+        lastOfFirst = world.workers().get(MACHINES - 1).id();
+        service = World.spec(1, Kind.SERVICE, REPLICAS, 4);
+        assertTrue(world.submit(0, service, Duration.ofHours(1)));
+        world.runS(10);
+        first = world.leader();
+        startsBefore = world.starts();
+        assertEquals(REPLICAS, startsBefore, "two on each machine");
+    }
+
+    private void assertNothingLost() {
+        assertEquals(startsBefore, world.starts(), "every replica ran on where it was");
+        assertEquals(List.of(), world.returned());
+    }
+
+    /** None of the first machines was returned; those rented in between go when they are of no more use. */
+    private void assertKept() {
+        world.returned().forEach(id -> assertTrue(id.compareTo(lastOfFirst) > 0, id + " is healthy"));
+    }
+
+    private int replicas() {
+        int on = 0;
+        for (int task = 0; task < REPLICAS; task++) {
+            on += world.on(new TaskId(service.id(), task)).size();
+        }
+        return on;
+    }
+
+    @Test
+    void aDeafLeaderHandsOverToANodeThatHearsBeforeAnyLeaseEnds() {
+        world.cutFromWorkers(first, true);
+        world.runS(11);
+        assertNotEquals(first, world.leader(), "well before the lease of a worker is over");
+        world.runS(22);
+        assertNothingLost();
+        world.cutFromWorkers(first, false);
+        world.runS(20);
+        assertNothingLost();
+    }
+
+    @Test
+    void aDeafLeaderWithoutPeersGivesUpOnItsOwnEvidence() {
+        world.peersCut(true);
+        world.cutFromWorkers(first, true);
+        world.runS(15);
+        assertNotEquals(first, world.leader());
+        assertTrue(world.leader() >= 0);
+        world.runS(22);
+        assertNothingLost();
+    }
+
+    @Test
+    void aDeafNodeDoesNotStandAgainBeforeItHears() {
+        world.cutFromWorkers(first, true);
+        world.runS(12);
+        int second = world.leader();
+        assertNotEquals(first, second);
+        int third = 3 - first - second;
+        world.losePower(second);
+        world.runS(9);
+        assertEquals(third, world.leader(), "the deaf one left the free lease to the third");
+        world.cutFromWorkers(first, false);
+        world.runS(6);
+        world.losePower(third);
+        world.runS(7);
+        assertEquals(first, world.leader(), "it can be reached again");
+    }
+
+    @Test
+    void ifNobodyHearsTheWorkersTheLeaderStays() {
+        long term = world.term();
+        for (int node = 0; node < 3; node++) {
+            world.cutFromWorkers(node, true);
+        }
+        world.runS(60);
+        assertEquals(term, world.term(), "turns gain nothing");
+        for (int node = 0; node < 3; node++) {
+            world.cutFromWorkers(node, false);
+        }
+        world.runS(60);
+        assertEquals(List.of(), world.returned(), "all of them are healthy");
+        assertEquals(REPLICAS, replicas());
+    }
+
+    @Test
+    void ifNobodyHearsAndNobodyCanBeAskedTheLeaseComesBackToWhereItWas() {
+        world.peersCut(true);
+        for (int node = 0; node < 3; node++) {
+            world.cutFromWorkers(node, true);
+        }
+        world.runS(20);
+        assertEquals(first, world.leader());
+        long term = world.term();
+        world.runS(10);
+        assertEquals(term, world.term(), "once is enough");
+        assertEquals(List.of(), world.returned());
+    }
+
+    @Test
+    void aLeaderDeafToOneZoneStaysAndKeepsItsMachines() {
+        long term = world.term();
+        world.cutFromZone(first, "b", true);
+        world.runS(60);
+        assertEquals(term, world.term(), "the other nodes may hear less of zone a");
+        assertKept();
+        world.cutFromZone(first, "b", false);
+        world.runS(20);
+        assertKept();
+        assertEquals(REPLICAS, replicas());
+    }
+
+    @Test
+    void aThirdOfTheMachinesThatOthersHearIsKept() {
+        List<FakeWorker> third = world.workers().subList(0, 5);
+        third.forEach(worker -> worker.cannotReach(first, true));
+        world.runS(60);
+        assertEquals(List.of(), world.returned(), "they come to the other nodes");
+    }
+
+    @Test
+    void aMachineThatAnotherNodeHearsIsNotReturned() {
+        FakeWorker alone = world.workers().get(3);
+        alone.cannotReach(first, true);
+        world.runS(60);
+        assertFalse(world.returned().contains(alone.id()));
+    }
+
+    @Test
+    void aLeaderThatWasFrozenDoesNotTakeTheTimeForSilence() {
+        world.freeze(first);
+        world.runS(4);
+        world.thaw(first);
+        world.runS(30);
+        assertNothingLost();
+        world.freeze(first);
+        world.runS(30);
+        assertNotEquals(first, world.leader());
+        world.thaw(first);
+        world.runS(30);
+        assertEquals(List.of(), world.returned(), "its lease is over, and it has heard nobody for 30 s");
+    }
+
+    @Test
+    void aFrozenLeaderThatWakesUpDeafReturnsNothing() {
+        world.freeze(first);
+        world.cutFromWorkers(first, true);
+        world.peersCut(true);
+        world.runS(4);
+        world.thaw(first);
+        world.runS(30);
+        assertNotEquals(first, world.leader());
+        assertEquals(List.of(), world.returned());
+    }
+
+    @Test
+    void machinesThatReallyDieAreReplacedAsFastAsEver() {
+        List<FakeWorker> dying = world.workers().subList(2, 4);
+        dying.forEach(worker -> worker.hang(true));
+        world.runS(11);
+        assertEquals(dying.stream().map(FakeWorker::id).toList(), world.returned().stream().sorted().toList());
+        world.runS(25);
+        assertEquals(REPLICAS, replicas());
+    }
+
+    @Test
+    void machinesThatReportLateStopTheReturnOfOthers() {
+        // Few enough for independent failures, and nobody else hears them either.
+        List<FakeWorker> silent = world.workers().subList(0, 4);
+        world.peersCut(true);
+        silent.get(0).hang(true);
+        silent.get(1).hang(true);
+        world.cloudOut(true);
+        world.runS(6);
+        silent.get(2).hang(true);
+        silent.get(3).hang(true);
+        world.runS(5);
+        silent.get(0).hang(false);
+        silent.get(1).hang(false);
+        world.runS(1);
+        world.cloudOut(false);
+        world.runS(5);
+        assertFalse(world.returned().contains(silent.get(2).id()), "two that seemed dead were not");
+        world.runS(25);
+        List<MachineId> dead = List.of(silent.get(2).id(), silent.get(3).id());
+        assertTrue(world.returned().containsAll(dead), "they stay silent, and no others report late");
+    }
+
+    @Test
+    void aLeaderWithoutItsLeaseReturnsNoIdleMachine() {
+        for (int at = 0; at < 4; at++) {
+            world.machine(World.LARGE, "a");
+        }
+        world.runS(28);
+        // Another leads in 5 s, and may place anything on the machines that the first still takes for idle.
+        world.line(first).cut(true);
+        world.runS(27);
+        assertNotEquals(first, world.leader());
+        assertEquals(List.of(), world.returned(), "idle for 50 s and more, for all that the first knows");
+        world.runS(60);
+        assertEquals(4, world.returned().size(), "whoever leads returns them");
+    }
+}
--- a/src/test/java/org/meadowhollow/story/World.java
+++ b/src/test/java/org/meadowhollow/story/World.java
@@ -38,6 +38,7 @@
 import org.meadowhollow.coordination.Peers;
 import org.meadowhollow.coordination.Platform;
 import org.meadowhollow.coordination.Workers;
+import org.meadowhollow.coordination.hearing.Testimony;
 
 /**
  * A deployment in memory and in virtual time: three nodes, the state service, a cloud and workers. It
@@ -65,6 +66,7 @@
     private final Set<TaskId> completed = new HashSet<>();
     private final Map<String, Platform.Team> teams = new HashMap<>();
     private Duration fetch = Duration.ofSeconds(2);
+    private final List<MachineId> returned = new ArrayList<>();
     private boolean cloudOut;
     private boolean peersCut;
     private int nextMachine;
@@ -79,7 +81,10 @@
         private FakeStore.Line line;
         private Node node;
         private Admission admission;
-        private boolean cutFromWorkers;
+        /** The zones whose workers it cannot hear or reach. */
+        private final Set<String> cutZones = new HashSet<>();
+        /** What it should have done since it stands still; null while it runs. */
+        private List<Runnable> frozen;
         private boolean busy;
         private boolean refusesPeers;
         /** Its machine gives no answer, rather than that nobody listens there. */
@@ -104,6 +109,18 @@
             node.start();
         }
 
+        void whenAwake(Runnable work) {
+            if (frozen == null) {
+                work.run();
+            } else {
+                frozen.add(work);
+            }
+        }
+
+        boolean hears(String zone) {
+            return !cutZones.contains(zone);
+        }
+
         void crash() {
             line.die();
             node.close();
@@ -131,7 +148,7 @@
 
         @Override
         public void after(Duration pause, Runnable work) {
-            loop.after(member.busy ? pause.plus(BUSY) : pause, work);
+            loop.after(member.busy ? pause.plus(BUSY) : pause, () -> member.whenAwake(work));
         }
     }
 
@@ -226,7 +243,33 @@
     }
 
     void cutFromWorkers(int node, boolean cut) {
-        members.get(node).cutFromWorkers = cut;
+        cutFromZone(node, "a", cut);
+        cutFromZone(node, "b", cut);
+    }
+
+    /** Neither reports nor direct commands pass between a node and the workers of a zone, and nothing says so. */
+    void cutFromZone(int node, String zone, boolean cut) {
+        if (cut) {
+            members.get(node).cutZones.add(zone);
+        } else {
+            members.get(node).cutZones.remove(zone);
+        }
+    }
+
+    /** A node's process stands still, while its clock runs on. */
+    void freeze(int node) {
+        members.get(node).frozen = new ArrayList<>();
+    }
+
+    void thaw(int node) {
+        List<Runnable> due = members.get(node).frozen;
+        members.get(node).frozen = null;
+        due.forEach(Runnable::run);
+    }
+
+    /** The machines that were returned to the cloud so far. */
+    List<MachineId> returned() {
+        return List.copyOf(returned);
     }
 
     /** Hints between the nodes are lost. */
@@ -426,17 +469,20 @@
     /** Hands a report to a node; null when there is no answer. */
     CompletableFuture<Answer> deliver(int node, Report report) {
         Member member = members.get(node);
-        if (member.node == null || member.cutFromWorkers) {
+        if (member.node == null) {
             return null;
         }
+        CompletableFuture<Answer> answer = new CompletableFuture<>();
+        if (!member.hears(report.zone())) {
+            return answer;
+        }
         Node asked = member.node;
         reports++;
-        CompletableFuture<Answer> answer = new CompletableFuture<>();
-        asked.report(report).thenAccept(given -> {
-            if (member.node == asked && !member.cutFromWorkers) {
+        member.whenAwake(() -> asked.report(report).thenAccept(given -> {
+            if (member.node == asked && member.hears(report.zone())) {
                 answer.complete(given);
             }
-        });
+        }));
         return answer;
     }
 
@@ -457,7 +503,8 @@
             Node sender = member.node;
             loop.after(Duration.ofMillis(5), () -> {
                 FakeWorker worker = workers.get(new MachineId(address.substring(0, address.indexOf(':'))));
-                Report report = worker == null || member.cutFromWorkers ? null
+                Report report = worker == null || !member.hears(worker.zone())
+                        || !worker.reaches(members.indexOf(member)) ? null
                         : worker.direct(token, session, orders);
                 if (report != null && member.node == sender) {
                     answer.complete(report);
@@ -497,11 +544,22 @@
                         other -> other != from && other != asked && other.node != null && !other.refusesPeers);
                 boolean refuses = asked.refusesPeers || asked.node == null && !asked.silent;
                 sign.complete(refuses && othersAnswer ? Sign.REFUSES
-                        : refuses || peersCut || asked.node == null ? Sign.SILENT : Sign.ANSWERS);
+                        : refuses || peersCut || asked.node == null || asked.frozen != null ? Sign.SILENT
+                        : asked.node.isHardOfHearing() ? Sign.DEAF : Sign.ANSWERS);
             });
             return sign;
         }
 
+        @Override
+        public CompletableFuture<List<Testimony>> hearing(List<MachineId> machines, Duration within) {
+            CompletableFuture<List<Testimony>> answers = new CompletableFuture<>();
+            loop.after(Duration.ofMillis(5), () -> answers.complete(members.stream().filter(other -> other != from)
+                    .map(other -> peersCut || other.refusesPeers || other.node == null || other.frozen != null
+                            ? Testimony.none(other.name) : new Testimony(other.name, true, !other.line.seemsOut(),
+                            other.node.heardAmong(machines, within))).toList()));
+            return answers;
+        }
+
         @Override
         public void announce(String leader, Term term) {
             loop.after(Duration.ofMillis(5), () -> {
@@ -556,6 +614,7 @@
             return after(answer, () -> {
                 for (MachineId id : machines) {
                     FakeWorker worker = workers.remove(id);
+                    returned.add(id);
                     if (worker != null) {
                         worker.remove();
                     }
