Connects given up close their sockets; callers are bounded, the idlest goes first

They were attempts to connect: a leader asks 100 silent machines a round, each attempt hangs behind the cut, and giving one up did not close its socket, which the system keeps trying for two minutes. The rest were callers' connections whose far end was behind the cut, kept for 120 s.

Change: the client keeps hold of its attempt (Dialer) and cancels it; a listener keeps at most what the process may have less a reserve for the state service, the cloud, peers and direct questions, closes the connection without a request for longest first, and one that says nothing for six reports.

The test of the attempts fails without the cancel (20 sockets left).

--- a/src/main/java/org/meadowhollow/cli/Controller.java
+++ b/src/main/java/org/meadowhollow/cli/Controller.java
@@ -3,11 +3,13 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.random.RandomGenerator;
 import org.meadowhollow.bookkeeping.Catalog;
 import org.meadowhollow.coordination.Admission;
 import org.meadowhollow.coordination.Node;
 import org.meadowhollow.coordination.Platform;
+import org.meadowhollow.coordination.SilenceWatch;
 import org.meadowhollow.protocol.NodeApi;
 import org.meadowhollow.protocol.RateBudget;
 import org.meadowhollow.protocol.cloud.CloudClient;
@@ -31,6 +33,19 @@
      */
     private static final double SHARE = 0.7;
 
+    /** Longer than the pause between two hints while there is anything to say. */
+    private static final Duration PEERS_IDLE = Duration.ofMinutes(2);
+    /**
+     * Workers report and users poll every few seconds, so that whoever says nothing for this many reports is gone or
+     * behind a cut; but at least for so long, since a slow caller loses a request on a connection that is closed.
+     */
+    private static final int IDLE_REPORTS = 6;
+    private static final Duration LEAST_IDLE = Duration.ofSeconds(20);
+    /** Sockets and files that the process itself needs beside its connections. */
+    private static final int OWN_SOCKETS = 64;
+    /** The least share of its sockets that a process leaves to those who come to it. */
+    private static final double LEAST_FOR_CALLERS = 0.5;
+
     private final XnioLoop loop;
     private final HttpServer front;
     private final HttpServer back;
@@ -52,11 +67,28 @@
         peers.hearing(node::isHardOfHearing, node::heardAmong);
         Admission admission = new Admission(state, loop, catalog, platform, node::counts);
         NodeApi api = new NodeApi(new UserApi(admission), new WorkerApi(node::report), node::isReady);
-        front = new HttpServer(loop, buffers, settings.listen().host(), settings.listen().port(), api);
-        back = new HttpServer(loop, buffers, settings.back().host(), settings.back().port(), peers);
+        front = new HttpServer(loop, buffers, settings.listen().host(), settings.listen().port(),
+                mostCallers(settings), idle(platform), api);
+        back = new HttpServer(loop, buffers, settings.back().host(), settings.back().port(), 0, PEERS_IDLE, peers);
         node.start();
     }
 
+    /**
+     * Connections for users and workers: what the process may have, less a reserve for those it opens itself, so that
+     * it can always reach the state service, the cloud, its peers and some silent workers.
+     */
+    static int mostCallers(Settings settings) {
+        int reserve = OWN_SOCKETS + HttpClient.MOST_OPEN * (2 + settings.peers().size())
+                + SilenceWatch.MOST_HANGING;
+        int least = (int) (settings.sockets() * LEAST_FOR_CALLERS);
+        return settings.sockets() == 0 ? 0 : Math.max(least, settings.sockets() - reserve);
+    }
+
+    private static Duration idle(Platform platform) {
+        Duration reports = platform.reportEvery().multipliedBy(IDLE_REPORTS);
+        return reports.compareTo(LEAST_IDLE) > 0 ? reports : LEAST_IDLE;
+    }
+
     static ByteBufferPool buffers() {
         return new DefaultByteBufferPool(false, BUFFER, MOST_BUFFERS, 0);
     }
--- a/src/main/java/org/meadowhollow/cli/Rehearsal.java
+++ b/src/main/java/org/meadowhollow/cli/Rehearsal.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.jar.JarEntry;
 import java.util.jar.JarFile;
 import org.meadowhollow.protocol.rehearsal.StandIn;
@@ -27,7 +28,8 @@
     static void run() throws IOException, Settings.Unusable, ClassNotFoundException {
         Path file = Files.createTempFile("meadowhollow", ".json");
         XnioLoop outside = new XnioLoop();
-        try (HttpServer standIn = new HttpServer(outside, Controller.buffers(), "127.0.0.1", 0, new StandIn())) {
+        try (HttpServer standIn = new HttpServer(outside, Controller.buffers(), "127.0.0.1", 0, 0,
+                Duration.ofMinutes(1), new StandIn())) {
             Files.writeString(file, """
                     {"member":"rehearsal","area":"z","listen":"127.0.0.1:0","back":"127.0.0.1:0",
                      "known":[{"member":"other","area":"z","addr":"127.0.0.1:9"}],
--- a/src/main/java/org/meadowhollow/cli/Settings.java
+++ b/src/main/java/org/meadowhollow/cli/Settings.java
@@ -14,9 +14,13 @@
 import org.meadowhollow.protocol.Fields;
 import org.meadowhollow.protocol.Malformed;
 
-/** The platform's settings file, checked. */
+/**
+ * The platform's settings file, checked.
+ *
+ * @param sockets how many sockets and files the process may have open, 0 if the file does not say
+ */
 public record Settings(Endpoint listen, Endpoint back, Map<String, String> peers, String cloud, String state,
-        Platform platform) {
+        int sockets, Platform platform) {
 
     /** An address of this machine. */
     public record Endpoint(String host, int port) {
@@ -58,7 +62,13 @@
         Endpoint listen = endpoint(file.text("listen"), "listen");
         Endpoint back = endpoint(file.text("back"), "back");
         return new Settings(listen, back, peers, address(external.text("cloud"), "cloud"),
-                address(external.text("state"), "state"), platform(file.text("member"), file.fields("settings")));
+                address(external.text("state"), "state"),
+                sockets(file.fields("settings")), platform(file.text("member"), file.fields("settings")));
+    }
+
+    private static int sockets(Fields settings) throws Malformed {
+        return settings.has("quota") && settings.fields("quota").has("fd_limit")
+                ? (int) Math.min(Integer.MAX_VALUE, positive(settings.fields("quota"), "fd_limit")) : 0;
     }
 
     private static Platform platform(String member, Fields settings) throws Malformed {
--- a/src/main/java/org/meadowhollow/coordination/Listening.java
+++ b/src/main/java/org/meadowhollow/coordination/Listening.java
@@ -86,7 +86,7 @@
 
     /** One look at all machines. What follows from it is done by {@link #act}. */
     void round(Moment now) {
-        if (lastRoundAt != null && now.since(lastRoundAt).compareTo(HELD_UP) > 0) {
+        if (wasHeldUp(now)) {
             LOG.info("this process was held up for {} ms; silence counts from now on", now.since(lastRoundAt).toMillis());
             awakeSince = now;
         }
@@ -133,13 +133,22 @@
     /** Whether a machine's report is overdue; what it answers directly shows that it lives, and renews no lease. */
     boolean isLate(Machine machine, Moment now) {
         Moment last = machine.answeredAt() == null ? machine.knownSince().plus(NO_ANSWER) : machine.answeredAt();
-        return now.since(Moment.later(last, awakeSince)).compareTo(reportDue()) > 0;
+        return now.since(Moment.later(last, awakeSince(now))).compareTo(reportDue()) > 0;
+    }
+
+    /** Since when this process has been able to hear anything; now, if it has only just come to itself. */
+    private Moment awakeSince(Moment now) {
+        return wasHeldUp(now) ? now : awakeSince;
+    }
+
+    private boolean wasHeldUp(Moment now) {
+        return lastRoundAt != null && now.since(lastRoundAt).compareTo(HELD_UP) > 0;
     }
 
     /** How long nothing at all was heard of a machine, in seconds, while this process could have heard it. */
     double silentS(Machine machine, Moment now) {
         Moment last = machine.heardAt() == null ? machine.knownSince() : machine.heardAt();
-        return now.secondsSince(Moment.later(last, awakeSince));
+        return now.secondsSince(Moment.later(last, awakeSince(now)));
     }
 
     /** The longest silent go first: those may be returned next, and what others say of them decides. */
--- a/src/main/java/org/meadowhollow/coordination/SilenceWatch.java
+++ b/src/main/java/org/meadowhollow/coordination/SilenceWatch.java
@@ -16,7 +16,7 @@
  * Watches over machines that are silent, on notice or idle. What was on a silent one counts as running until its
  * worker's lease has certainly ended. Guarded by the leader's lock.
  */
-final class SilenceWatch {
+public final class SilenceWatch {
     /** Clock drift and timer steps on top of a worker's lease. */
     private static final double LEASE_SLACK = 1.001;
     private static final Duration LEASE_MARGIN = Duration.ofMillis(500);
@@ -25,6 +25,8 @@
      * for as long as it hangs, which users and workers need as well.
      */
     private static final int MOST_PROBES = 100;
+    /** Questions that may hang at a time: each for 3 s, before the connection is given up. */
+    public static final int MOST_HANGING = 3 * MOST_PROBES;
 
     private final Leader leader;
     private final Cluster cluster;
--- a/src/main/java/org/meadowhollow/transport/HttpClient.java
+++ b/src/main/java/org/meadowhollow/transport/HttpClient.java
@@ -21,8 +21,10 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.meadowhollow.protocol.Http;
+import org.xnio.IoFuture;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
+import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
@@ -35,17 +37,19 @@
     /** Idle connections kept for an address: as many as a busy caller has requests on their way. */
     private static final int MOST_IDLE = 12;
     /** Open and opening connections for an address; a dead one must not eat the process's sockets. */
-    private static final int MOST_OPEN = 24;
+    public static final int MOST_OPEN = 24;
     /** A list of the state service holds 512 KiB; a watch may answer with all that has changed. */
     private static final int MOST_BODY = 8 * 1024 * 1024;
 
     private final XnioLoop loop;
     private final ByteBufferPool buffers;
+    private final Dialer dialer;
     private final Map<String, Target> targets = new HashMap<>();
 
     public HttpClient(XnioLoop loop, ByteBufferPool buffers) {
         this.loop = loop;
         this.buffers = buffers;
+        this.dialer = new Dialer(loop.thread());
     }
 
     private static final class Target {
@@ -78,6 +82,7 @@
         private ClientConnection connection;
         /** Where this call waits for its connection, until it has it or gives it up. */
         private Target connecting;
+        private IoFuture<StreamConnection> attempt;
         private boolean sent;
         private boolean refused;
 
@@ -132,7 +137,8 @@
                     refused = failure instanceof ConnectException;
                     fail("no connection to " + address);
                 }
-            }, URI.create("http://" + address), loop.thread(), buffers, OptionMap.EMPTY);
+            }, URI.create("http://" + address), dialer, buffers, OptionMap.EMPTY);
+            attempt = dialer.takeLatest();
         }
 
         private void closed(Target target) {
@@ -296,6 +302,9 @@
                 // Given up, it counts no more: behind a cut, attempts that hang would use up all that may be open.
                 closed(connecting);
                 connecting = null;
+                if (attempt != null) {
+                    attempt.cancel();
+                }
             }
             IoUtils.safeClose(connection);
             if (sent) {
--- a/src/main/java/org/meadowhollow/transport/HttpServer.java
+++ b/src/main/java/org/meadowhollow/transport/HttpServer.java
@@ -5,33 +5,42 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.io.Receiver;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.meadowhollow.protocol.Http;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.xnio.IoUtils;
 
 /** Listens on one address and hands whole requests to a handler. */
 public final class HttpServer implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
     /** The protocol's limit of a request's body, in bytes. */
     private static final int MOST_BODY = 64 * 1024;
-    /** Longer than any caller keeps a connection without a word; then the socket is wanted elsewhere. */
-    private static final int IDLE_MS = 120_000;
 
     private final Undertow server;
+    private final Connections<ServerConnection> connections;
 
-    public HttpServer(XnioLoop loop, ByteBufferPool buffers, String host, int port, Http.Handler handler) {
+    /**
+     * @param most connections kept open at a time, 0 for no bound; the one without a request for longest goes first
+     * @param idle longer than any caller keeps a connection without a word; then the socket is wanted elsewhere
+     */
+    public HttpServer(XnioLoop loop, ByteBufferPool buffers, String host, int port, int most, Duration idle,
+            Http.Handler handler) {
+        connections = new Connections<>(most, IoUtils::safeClose);
+        int idleMs = (int) idle.toMillis();
         server = Undertow.builder()
                 .setWorker(loop.worker())
                 .setByteBufferPool(buffers)
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
                 .setServerOption(UndertowOptions.ENABLE_HTTP2, false)
-                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_MS)
-                .setServerOption(UndertowOptions.IDLE_TIMEOUT, IDLE_MS)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, idleMs)
+                .setServerOption(UndertowOptions.IDLE_TIMEOUT, idleMs)
                 .addHttpListener(port, host, exchange -> receive(exchange, handler))
                 .build();
         server.start();
@@ -42,7 +51,15 @@
         return ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
     }
 
-    private static void receive(HttpServerExchange exchange, Http.Handler handler) {
+    private void receive(HttpServerExchange exchange, Http.Handler handler) {
+        ServerConnection connection = exchange.getConnection();
+        if (connections.begins(connection)) {
+            connection.addCloseListener(connections::closed);
+        }
+        exchange.addExchangeCompleteListener((over, next) -> {
+            connections.ends(connection);
+            next.proceed();
+        });
         if (exchange.getRequestContentLength() > MOST_BODY) {
             refuse(exchange);
             return;
--- a/src/test/java/org/meadowhollow/cli/ControllerTest.java
+++ b/src/test/java/org/meadowhollow/cli/ControllerTest.java
@@ -72,10 +72,21 @@
         }
     }
 
+    @Test
+    void someSocketsAreLeftForWhatANodeOpensItself() throws Exception {
+        assertEquals(0, Controller.mostCallers(settings(SETTINGS)), "the file does not say how many there are");
+        String more = SETTINGS.replace("\"state\":{\"rps\"", "\"quota\":{\"fd_limit\":2000},\"state\":{\"rps\"");
+        int most = Controller.mostCallers(settings(more));
+        assertTrue(most >= 1500 && most <= 1700, "a few hundred are kept back: " + most);
+        int few = Controller.mostCallers(settings(more.replace("2000", "300")));
+        assertEquals(150, few, "callers get half in any case");
+    }
+
     @Test
     void settingsThatCannotBeUsedAreNamed() {
         for (String[] wrong : new String[][] {{"127.0.0.1:0\",\"back", "nowhere\",\"back"}, {"\"lease_s\":18.0,", ""},
-                {"48.0", "18.0"}, {"\"rps\":80.0", "\"rps\":\"many\""}, {"{\"member\"", "[\"member\""}}) {
+                {"48.0", "18.0"}, {"\"rps\":80.0", "\"rps\":\"many\""},
+                {"\"size\":1", "\"quota\":{\"fd_limit\":-1}"}, {"{\"member\"", "[\"member\""}}) {
             String text = SETTINGS.replace(wrong[0], wrong[1]);
             Settings.Unusable unusable = assertThrows(Settings.Unusable.class, () -> settings(text), wrong[1]);
             assertEquals(1, unusable.getMessage().lines().count());
--- /dev/null
+++ b/src/test/java/org/meadowhollow/transport/HttpClientTest.java
@@ -0,0 +1,74 @@
+package org.meadowhollow.transport;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.SocketTimeoutException;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.condition.EnabledOnOs;
+import org.junit.jupiter.api.condition.OS;
+import org.meadowhollow.protocol.Http;
+
+class HttpClientTest {
+    private static final int CALLS = 20;
+    /** How the system's table of connections writes the state of one whose first packet has no answer. */
+    private static final String SYN_SENT = "02";
+
+    /** Connections to a port whose first packet was sent and not answered. */
+    private static long attempts(int port) throws IOException {
+        String remote = ":%04X".formatted(port);
+        long count = 0;
+        for (String table : List.of("/proc/net/tcp", "/proc/net/tcp6")) {
+            count += Files.readAllLines(Path.of(table)).stream().map(line -> line.trim().split("\\s+"))
+                    .filter(row -> row[2].endsWith(remote) && row[3].equals(SYN_SENT)).count();
+        }
+        return count;
+    }
+
+    @Test
+    @EnabledOnOs(OS.LINUX)
+    void anAttemptToConnectThatIsGivenUpLeavesNoSocketBehind() throws Exception {
+        InetAddress here = InetAddress.getByName("127.0.0.1");
+        List<Socket> filling = new ArrayList<>();
+        try (ServerSocket full = new ServerSocket(0, 1, here); XnioLoop loop = new XnioLoop()) {
+            // Nobody accepts, and once its queue is full the system leaves further attempts without an answer.
+            assertThrows(SocketTimeoutException.class, () -> {
+                while (filling.size() < 100) {
+                    Socket next = new Socket();
+                    filling.add(next);
+                    next.connect(new InetSocketAddress(here, full.getLocalPort()), 100);
+                }
+            });
+            HttpClient client = new HttpClient(loop, new DefaultByteBufferPool(false, 8192, 4, 0));
+            List<CompletableFuture<Http.Reply>> calls = new ArrayList<>();
+            for (int at = 0; at < CALLS; at++) {
+                calls.add(client.send("127.0.0.1:" + full.getLocalPort(), "GET", "/", null, Duration.ofMillis(200)));
+            }
+            for (CompletableFuture<Http.Reply> call : calls) {
+                CompletionException failure = assertThrows(CompletionException.class, call::join);
+                assertTrue(failure.getCause() instanceof Http.NotSent);
+            }
+            // Closed on the loop's thread, by whatever stands behind this in its queue.
+            loop.call(() -> true);
+            assertEquals(0, attempts(full.getLocalPort()));
+        } finally {
+            for (Socket socket : filling) {
+                socket.close();
+            }
+        }
+    }
+}
