--- a/src/main/java/org/meadowhollow/bookkeeping/Machine.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Machine.java
@@ -25,6 +25,7 @@
     private long seq = -1;
     private Term shown = Term.NONE;
     private Moment knownSince;
+    private Moment listedAt;
     private Moment heardAt;
     private Moment answeredAt;
     private Moment noticeEndsAt;
@@ -100,6 +101,15 @@
         knownSince = now;
     }
 
+    /** When the cloud's list last named the machine, or null. */
+    public Moment listedAt() {
+        return listedAt;
+    }
+
+    public void listed(Moment now) {
+        listedAt = now;
+    }
+
     /** When the last news came of the machine, by a report or by an answer to a direct command, or null. */
     public Moment heardAt() {
         return heardAt;
--- a/src/main/java/org/meadowhollow/coordination/GivingUp.java
+++ b/src/main/java/org/meadowhollow/coordination/GivingUp.java
@@ -23,7 +23,7 @@
  * mostly silent, not what another controller hears, and not many in a short time.
  *
  * <p>Keeping a dead machine costs little, since the cloud lists it as failed within a minute, from when on it is free;
- * only one that hangs is paid for. So what is not returned for silence alone waits for the cloud's word, or for
+ * and one that it took away is left out; only one that hangs is paid for. So what is not returned for silence alone waits for the cloud's word, or for
  * {@link #LAST_RESORT_LEASES}.
  */
 final class GivingUp {
@@ -119,14 +119,13 @@
         forgetBefore(returned, now);
         int mostNow = Math.max(1, (int) (count * Deafness.DOUBTFUL)) - returned.size();
         double lastResortS = seconds(platform.lease()) * LAST_RESORT_LEASES;
-        List<MachineId> chosen = candidates.stream()
-                .filter(machine -> !common && !cutOff.contains(machine.zone())
+        return candidates.stream()
+                .filter(machine -> !common && !cutOff.contains(machine.zone()) || listening.isUnlisted(machine)
                         || listening.silentS(machine, now) > lastResortS)
                 .filter(machine -> listening.unheardByAll(machine, now) && !heardElsewhere(machine, now))
                 .sorted(Comparator.comparingDouble((Machine machine) -> -listening.silentS(machine, now))
                         .thenComparing(Machine::id))
                 .limit(Math.max(0, mostNow)).map(Machine::id).toList();
-        return chosen;
     }
 
     /** Notes that machines were returned for silence, which counts against how many more may be. */
--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -604,12 +604,15 @@
     /** Takes in what the cloud lists: machines not yet heard of, their addresses, and failed ones. */
     synchronized void listed(List<Cloud.Listed> list) {
         listed = true;
+        Moment now = loop.now();
+        listening.listed(now);
         for (Cloud.Listed item : list) {
             Machine machine = machines.get(item.id());
             if (machine == null && item.phase() == Cloud.Phase.RUNNING && catalog.type(item.type()) != null) {
                 machine = add(new Machine(item.id(), catalog.type(item.type()), item.zone(), item.spot()));
             }
             if (machine != null) {
+                machine.listed(now);
                 if (machine.address() == null) {
                     machine.address(item.address());
                 }
--- a/src/main/java/org/meadowhollow/coordination/Listening.java
+++ b/src/main/java/org/meadowhollow/coordination/Listening.java
@@ -44,6 +44,9 @@
     /** Giving up without knowing of a node that hears is not tried again for this long; a cut lasts about as long. */
     private static final Duration TRY_AGAIN = Duration.ofSeconds(30);
 
+    /** A list is at times twice as late as usual, and so may be older than the one before it. */
+    private static final int LISTS_LATE_BY = 2;
+
     /** A question to the other controllers, decided under the lock and sent outside it. */
     private record Question(List<MachineId> machines) {
     }
@@ -60,6 +63,7 @@
     private final Map<MachineId, Moment> elsewhereAt = new HashMap<>();
     private Moment awakeSince;
     private Moment lastRoundAt;
+    private Moment lastListAt;
     private Hearing hearing = Hearing.GOOD;
     private Moment deafSince;
     private Question question;
@@ -99,11 +103,14 @@
             if (machine.releasing()) {
                 continue;
             }
-            known++;
-            if (isLate(machine, now)) {
-                lateCount++;
+            boolean isLate = isLate(machine, now);
+            if (isLate) {
                 late.add(machine);
             }
+            if (!isLate || !isUnlisted(machine)) {
+                known++;
+                lateCount += isLate ? 1 : 0;
+            }
         }
         note(Deafness.of(known, lateCount), known, lateCount, now);
         Set<MachineId> asked = new HashSet<>();
@@ -151,6 +158,20 @@
         return now.secondsSince(Moment.later(last, awakeSince(now)));
     }
 
+    /** The cloud has given a list. */
+    void listed(Moment now) {
+        lastListAt = now;
+    }
+
+    /**
+     * Whether the cloud has left out a machine that it listed before for longer than its lists are late, as it does with
+     * one that it took away. A hint that its silence is its own: what was on it still counts until that is proven.
+     */
+    boolean isUnlisted(Machine machine) {
+        return machine.listedAt() != null && lastListAt != null && lastListAt.since(machine.listedAt())
+                .compareTo(platform.listLag().multipliedBy(LISTS_LATE_BY)) > 0;
+    }
+
     /** The longest silent go first: those may be returned next, and what others say of them decides. */
     private Question ask(List<Machine> late, Moment now) {
         if (asking || late.isEmpty()) {
--- a/src/test/java/org/meadowhollow/story/HearingTest.java
+++ b/src/test/java/org/meadowhollow/story/HearingTest.java
@@ -196,6 +196,16 @@
         assertEquals(REPLICAS, replicas());
     }
 
+    @Test
+    void machinesThatTheCloudTookAndListsNoMoreDoNotSpeakAgainstTheListener() {
+        List<FakeWorker> wave = world.workers().subList(0, 7);
+        wave.forEach(world::take);
+        world.runS(60);
+        assertTrue(world.returned().containsAll(wave.stream().map(FakeWorker::id).toList()),
+                "seven of sixteen are silent, but they are gone");
+        assertEquals(REPLICAS, replicas());
+    }
+
     @Test
     void machinesThatReportLateStopTheReturnOfOthers() {
         // Few enough for independent failures, and nobody else hears them either.
--- a/src/test/java/org/meadowhollow/story/World.java
+++ b/src/test/java/org/meadowhollow/story/World.java
@@ -67,6 +67,7 @@
     private final Map<String, Platform.Team> teams = new HashMap<>();
     private Duration fetch = Duration.ofSeconds(2);
     private final List<MachineId> returned = new ArrayList<>();
+    private final Set<MachineId> taken = new HashSet<>();
     private boolean cloudOut;
     private boolean peersCut;
     private int nextMachine;
@@ -267,6 +268,12 @@
         due.forEach(Runnable::run);
     }
 
+    /** The cloud takes a machine away without notice, and lists it no more. */
+    void take(FakeWorker worker) {
+        worker.hang(true);
+        taken.add(worker.id());
+    }
+
     /** The machines that were returned to the cloud so far. */
     List<MachineId> returned() {
         return List.copyOf(returned);
@@ -626,7 +633,7 @@
         @Override
         public CompletableFuture<List<Listed>> list() {
             CompletableFuture<List<Listed>> answer = new CompletableFuture<>();
-            return after(answer, () -> answer.complete(workers.values().stream()
+            return after(answer, () -> answer.complete(workers.values().stream().filter(worker -> !taken.contains(worker.id()))
                     .map(worker -> new Listed(worker.id(), worker.id().value() + ":9000", worker.type(),
                             worker.zone(), false, Phase.RUNNING, 60)).toList()));
         }
