Stories for each guard of hearing; idle time counts only while a machine is heard

Need: guards without a story that fails without them. Found on the way: a machine whose tasks were taken for lost behind a cut counted as idle from then on, and was returned as soon as it reported again; returns that failed counted against the pace of further ones; machines that answered directly did not count as reporting late; and a call given up after its time-out was reported as 'connection lost', since closing the connection came back with a cause of its own before the first was told. The latter explains the lost connections of nodes that are far behind: they are time-outs of this process, 2 to 6 s late.

--- a/src/main/java/org/meadowhollow/coordination/Fleet.java
+++ b/src/main/java/org/meadowhollow/coordination/Fleet.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.IntConsumer;
 import org.meadowhollow.bookkeeping.Catalog;
 import org.meadowhollow.bookkeeping.EventLoop;
 import org.meadowhollow.bookkeeping.JobSpec;
@@ -160,7 +161,7 @@
                 failed.add(item.id());
             }
         }
-        release(failed, "failed");
+        release(failed, "failed", returned -> { });
     }
 
     /**
@@ -199,10 +200,8 @@
             }
         }
         wanted.forEach(this::rent);
-        if (!silent.isEmpty() && release(silent, "silent")) {
-            givingUp.returned(silent.size(), now);
-        }
-        release(unwanted, "idle or faulty");
+        release(silent, "silent", returned -> givingUp.returned(returned, loop.now()));
+        release(unwanted, "idle or faulty", returned -> { });
     }
 
     private boolean unwanted(Machine machine, Moment now) {
@@ -219,8 +218,7 @@
             return machine.noticeEndsAt().isBefore(now) && machine.heardAt() != null
                     && now.secondsSince(machine.heardAt()) > 1;
         }
-        if (machine.idleSince() == null || machine.heardAt() == null || leader.isSilent(machine, now)) {
-            // Of a silent machine nobody knows whether it is idle; see GivingUp.
+        if (machine.idleSince() == null || machine.heardAt() == null) {
             return false;
         }
         return machine.draining() || !reserved.contains(machine.id())
@@ -381,11 +379,11 @@
     }
 
     /** Returns machines that nothing is placed on any more, or that have given no sign for long. */
-    private boolean release(List<MachineId> ids, String why) {
+    private void release(List<MachineId> ids, String why, IntConsumer returned) {
         List<MachineId> batch;
         synchronized (this) {
             if (releasing || ids.isEmpty() || closed) {
-                return false;
+                return;
             }
             releasing = true;
             batch = ids.stream().sorted(Comparator.naturalOrder()).limit(MOST_RELEASED).toList();
@@ -405,6 +403,7 @@
                 }
             }
             if (failure == null) {
+                returned.accept(batch.size());
                 batch.forEach(id -> leader.gone(id, "its machine was returned", true));
             } else {
                 // It may still be executed late, so nothing is placed there; the next round tries again.
@@ -412,6 +411,5 @@
                 machines.forEach(machine -> machine.releasing(false));
             }
         });
-        return true;
     }
 }
--- a/src/main/java/org/meadowhollow/coordination/GivingUp.java
+++ b/src/main/java/org/meadowhollow/coordination/GivingUp.java
@@ -98,7 +98,7 @@
             count++;
             known.merge(machine.zone(), 1, Integer::sum);
             double silentS = listening.silentS(machine, now);
-            if (silentS > givenUpS()) {
+            if (silentS > givenUpS() && !listening.isUnlisted(machine)) {
                 silent.merge(machine.zone(), 1, Integer::sum);
             }
             if (silentS > limitS(machine)) {
@@ -120,7 +120,7 @@
         int mostNow = Math.max(1, (int) (count * Deafness.DOUBTFUL)) - returned.size();
         double lastResortS = seconds(platform.lease()) * LAST_RESORT_LEASES;
         return candidates.stream()
-                .filter(machine -> !common && !cutOff.contains(machine.zone()) || listening.isUnlisted(machine)
+                .filter(machine -> !common && !cutOff.contains(machine.zone())
                         || listening.silentS(machine, now) > lastResortS)
                 .filter(machine -> listening.unheardByAll(machine, now) && !heardElsewhere(machine, now))
                 .sorted(Comparator.comparingDouble((Machine machine) -> -listening.silentS(machine, now))
@@ -128,7 +128,7 @@
                 .limit(Math.max(0, mostNow)).map(Machine::id).toList();
     }
 
-    /** Notes that machines were returned for silence, which counts against how many more may be. */
+    /** Notes that machines were returned, which counts against how many more may be. */
     void returned(int machines, Moment now) {
         for (int at = 0; at < machines; at++) {
             returned.add(now);
--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -406,6 +406,7 @@
         Moment now = loop.now();
         Machine machine = machine(report);
         if (machine != null && reconciliation.take(machine, report, now)) {
+            givingUp.reported(machine, now);
             machine.heard(now);
             ledger.flush();
         }
--- a/src/main/java/org/meadowhollow/coordination/SilenceWatch.java
+++ b/src/main/java/org/meadowhollow/coordination/SilenceWatch.java
@@ -84,7 +84,8 @@
                 }
             }
         }
-        if (machine.placements().isEmpty() && machine.strays().isEmpty()) {
+        // Of a silent machine nobody knows whether it is idle; behind a cut its tasks only count as lost.
+        if (machine.placements().isEmpty() && machine.strays().isEmpty() && !leader.isSilent(machine, now)) {
             if (machine.idleSince() == null) {
                 machine.idleSince(now);
             }
--- a/src/main/java/org/meadowhollow/transport/HttpClient.java
+++ b/src/main/java/org/meadowhollow/transport/HttpClient.java
@@ -85,6 +85,7 @@
         private IoFuture<StreamConnection> attempt;
         private boolean sent;
         private boolean refused;
+        private boolean over;
 
         Call(String address, String method, String path, byte[] body, Patience patience) {
             this.address = address;
@@ -265,9 +266,10 @@
         }
 
         private void succeed(ClientExchange exchange, byte[] bytes) {
-            if (answer.isDone()) {
+            if (over) {
                 return;
             }
+            over = true;
             timer.remove();
             Target target = targets.get(address);
             String keep = exchange.getResponse().getResponseHeaders().getFirst(Headers.CONNECTION);
@@ -294,9 +296,11 @@
         }
 
         private void fail(String why) {
-            if (answer.isDone()) {
+            if (over) {
+                // Closing the connection below comes back here, with a cause that hides the first one.
                 return;
             }
+            over = true;
             timer.remove();
             if (connecting != null) {
                 // Given up, it counts no more: behind a cut, attempts that hang would use up all that may be open.
--- a/src/test/java/org/meadowhollow/story/HearingTest.java
+++ b/src/test/java/org/meadowhollow/story/HearingTest.java
@@ -72,6 +72,36 @@
         assertNothingLost();
     }
 
+    @Test
+    void workersThatLeaveADeafLeaderWaitWhereTheyComeForItsSuccessor() {
+        world.cutFromWorkers(first, true);
+        world.runS(9.5);
+        long term = world.term();
+        world.workers().forEach(worker -> assertEquals(term, worker.token().value(),
+                worker.id() + " was sent back to the deaf leader"));
+    }
+
+    @Test
+    void aLeaderThatReachesItsWorkersButGetsNoReportsHandsOver() {
+        world.loseReports(first, true);
+        world.runS(12);
+        assertNotEquals(first, world.leader(), "what they answer directly renews no lease");
+        world.runS(20);
+        assertNothingLost();
+    }
+
+    @Test
+    void noMoreThanAQuarterIsGivenUpWithinALease() {
+        world.workers().subList(0, 3).forEach(worker -> worker.hang(true));
+        world.runS(10);
+        assertEquals(3, world.returned().size());
+        world.workers().subList(0, 3).forEach(worker -> worker.hang(true));
+        world.runS(12);
+        assertEquals(4, world.returned().size(), "six of sixteen in one lease are too many for chance");
+        world.runS(20);
+        assertEquals(6, world.returned().size());
+    }
+
     @Test
     void aDeafLeaderWithoutPeersGivesUpOnItsOwnEvidence() {
         world.peersCut(true);
@@ -93,11 +123,22 @@
         world.losePower(second);
         world.runS(9);
         assertEquals(third, world.leader(), "the deaf one left the free lease to the third");
+    }
+
+    @Test
+    void aNodeThatCanBeReachedAgainStandsLikeAnyOther() {
+        world.cutFromWorkers(first, true);
+        world.runS(12);
         world.cutFromWorkers(first, false);
         world.runS(6);
-        world.losePower(third);
-        world.runS(7);
-        assertEquals(first, world.leader(), "it can be reached again");
+        // Nobody comes to a node that does not lead, so it has asked some workers itself.
+        for (int node = 0; node < 3; node++) {
+            if (node != first) {
+                world.losePower(node);
+            }
+        }
+        world.runS(5.75);
+        assertEquals(first, world.leader(), "before any worker has come to it");
     }
 
     @Test
@@ -134,15 +175,70 @@
     void aLeaderDeafToOneZoneStaysAndKeepsItsMachines() {
         long term = world.term();
         world.cutFromZone(first, "b", true);
-        world.runS(60);
+        world.runS(100);
         assertEquals(term, world.term(), "the other nodes may hear less of zone a");
         assertKept();
+        assertEquals(List.of(), world.returnedFrom("b"), "nor those that came up there since and could not be heard");
         world.cutFromZone(first, "b", false);
         world.runS(20);
         assertKept();
         assertEquals(REPLICAS, replicas());
     }
 
+    @Test
+    void manyThatFallSilentAtOnceAreKept() {
+        world.peersCut(true);
+        List<FakeWorker> many = List.copyOf(world.workers().subList(3, 10));
+        many.forEach(worker -> worker.hang(true));
+        world.runS(60);
+        many.forEach(worker -> worker.hang(false));
+        world.runS(10);
+        assertKept();
+    }
+
+    @Test
+    void aLeaderFrozenInAnOutageDoesNotTakeTheTimeForSilence() {
+        world.store().out(true);
+        world.peersCut(true);
+        world.freeze(first);
+        List<FakeWorker> slow = world.workers().subList(0, 3);
+        slow.forEach(worker -> worker.cannotReach(first, true));
+        world.runS(24);
+        world.store().out(false);
+        world.thaw(first);
+        world.runS(6);
+        slow.forEach(worker -> worker.cannotReach(first, false));
+        world.runS(20);
+        assertEquals(first, world.leader(), "an outage gives every lease its full time again");
+        assertKept();
+    }
+
+    @Test
+    void aSmallZoneThatIsCutOffIsKeptThoughTheRestIsHeard() {
+        for (int at = 0; at < 20; at++) {
+            world.machine(World.SMALL, "a");
+        }
+        world.runS(6);
+        world.peersCut(true);
+        world.cutFromZone(first, "b", true);
+        world.runS(60);
+        assertKept();
+    }
+
+    @Test
+    void aMachineIsGivenUpWhenAllWhoHeardItHaveMissedItForLongEnough() {
+        FakeWorker lost = world.workers().get(2);
+        lost.cannotReach(first, true);
+        world.runS(5);
+        lost.goTo((first + 1) % 3);
+        world.runS(1);
+        lost.hang(true);
+        world.runS(8);
+        assertFalse(world.returned().contains(lost.id()), "another node heard it until 8 s ago");
+        world.runS(18);
+        assertTrue(world.returned().contains(lost.id()));
+    }
+
     @Test
     void aThirdOfTheMachinesThatOthersHearIsKept() {
         List<FakeWorker> third = world.workers().subList(0, 5);
@@ -237,6 +333,7 @@
         world.runS(28);
         // Another leads in 5 s, and may place anything on the machines that the first still takes for idle.
         world.line(first).cut(true);
+        world.peersCut(true);
         world.runS(27);
         assertNotEquals(first, world.leader());
         assertEquals(List.of(), world.returned(), "idle for 50 s and more, for all that the first knows");
--- a/src/test/java/org/meadowhollow/story/World.java
+++ b/src/test/java/org/meadowhollow/story/World.java
@@ -66,7 +66,7 @@
     private final Set<TaskId> completed = new HashSet<>();
     private final Map<String, Platform.Team> teams = new HashMap<>();
     private Duration fetch = Duration.ofSeconds(2);
-    private final List<MachineId> returned = new ArrayList<>();
+    private final List<FakeWorker> returned = new ArrayList<>();
     private final Set<MachineId> taken = new HashSet<>();
     private boolean cloudOut;
     private boolean peersCut;
@@ -84,6 +84,8 @@
         private Admission admission;
         /** The zones whose workers it cannot hear or reach. */
         private final Set<String> cutZones = new HashSet<>();
+        /** Reports do not come here, while its own messages go out and are answered. */
+        private boolean mute;
         /** What it should have done since it stands still; null while it runs. */
         private List<Runnable> frozen;
         private boolean busy;
@@ -97,6 +99,7 @@
         }
 
         void start() {
+            silent = false;
             line = store.new Line();
             FakeStore.Line mine = line;
             Catalog catalog = new Catalog();
@@ -257,6 +260,11 @@
         }
     }
 
+    /** Reports to a node get lost, while its direct commands are answered. */
+    void loseReports(int node, boolean lose) {
+        members.get(node).mute = lose;
+    }
+
     /** A node's process stands still, while its clock runs on. */
     void freeze(int node) {
         members.get(node).frozen = new ArrayList<>();
@@ -276,7 +284,11 @@
 
     /** The machines that were returned to the cloud so far. */
     List<MachineId> returned() {
-        return List.copyOf(returned);
+        return returned.stream().map(FakeWorker::id).toList();
+    }
+
+    List<MachineId> returnedFrom(String zone) {
+        return returned.stream().filter(worker -> worker.zone().equals(zone)).map(FakeWorker::id).toList();
     }
 
     /** Hints between the nodes are lost. */
@@ -476,11 +488,11 @@
     /** Hands a report to a node; null when there is no answer. */
     CompletableFuture<Answer> deliver(int node, Report report) {
         Member member = members.get(node);
-        if (member.node == null) {
+        if (member.node == null && !member.silent) {
             return null;
         }
         CompletableFuture<Answer> answer = new CompletableFuture<>();
-        if (!member.hears(report.zone())) {
+        if (member.node == null || member.mute || !member.hears(report.zone())) {
             return answer;
         }
         Node asked = member.node;
@@ -621,8 +633,8 @@
             return after(answer, () -> {
                 for (MachineId id : machines) {
                     FakeWorker worker = workers.remove(id);
-                    returned.add(id);
                     if (worker != null) {
+                        returned.add(worker);
                         worker.remove();
                     }
                 }
--- a/src/test/java/org/meadowhollow/transport/HttpClientTest.java
+++ b/src/test/java/org/meadowhollow/transport/HttpClientTest.java
@@ -71,4 +71,17 @@
             }
         }
     }
+
+    @Test
+    void aCallThatIsGivenUpSaysThatNoAnswerCame() throws Exception {
+        InetAddress here = InetAddress.getByName("127.0.0.1");
+        try (ServerSocket mute = new ServerSocket(0, 5, here); XnioLoop loop = new XnioLoop()) {
+            HttpClient client = new HttpClient(loop, new DefaultByteBufferPool(false, 8192, 4, 0));
+            CompletableFuture<Http.Reply> call = client.send("127.0.0.1:" + mute.getLocalPort(), "GET", "/", null,
+                    Duration.ofMillis(300));
+            CompletionException failure = assertThrows(CompletionException.class, call::join);
+            assertTrue(failure.getCause() instanceof Http.NoAnswer);
+            assertEquals("no answer in time", failure.getCause().getMessage());
+        }
+    }
 }
