--- /dev/null
+++ b/src/test/java/org/meadowhollow/story/MachineStoriesTest.java
@@ -0,0 +1,135 @@
+package org.meadowhollow.story;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.meadowhollow.bookkeeping.Cause;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.Report;
+import org.meadowhollow.bookkeeping.TaskId;
+import org.meadowhollow.bookkeeping.TaskState;
+import org.meadowhollow.coordination.Admission.Phase;
+
+/** Machines that hang, fall silent, are taken back, rented and returned. */
+class MachineStoriesTest extends Story {
+    @Test
+    void aStartNeedNotWaitForTheNextReport() {
+        // All machines report every 3 s from the same moment on, and have just done so.
+        world.runS(3.25);
+        JobSpec job = array(1, 6);
+        assertTrue(world.submit(0, job, LONG));
+        world.runS(1.5);
+        assertTrue(world.workers().stream().anyMatch(worker -> worker.holds(new TaskId(job.id(), 0))));
+    }
+
+    @Test
+    void aHungMachinesTasksRunElsewhereAndItMayGoOnLater() {
+        JobSpec job = World.spec(1, Kind.SERVICE, 1, 1);
+        assertTrue(world.submit(0, job, null));
+        world.runS(10);
+        FakeWorker hung = placeOf(job, 0);
+        world.cloudOut(true);
+        hung.hang(true);
+        world.runS(12);
+        assertEquals(1, world.starts(), "its lease may still hold");
+        world.runS(20);
+        assertEquals(2, world.starts());
+        hung.hang(false);
+        world.runS(20);
+        assertEquals(1, world.on(new TaskId(job.id(), 0)).size());
+    }
+
+    @Test
+    void aMachineThatNeverShowedTheNewTokenHoldsItsTasksForTheWholeLimit() {
+        JobSpec job = World.spec(1, Kind.SERVICE, 1, 1);
+        assertTrue(world.submit(0, job, null));
+        world.runS(10);
+        FakeWorker hung = placeOf(job, 0);
+        world.cloudOut(true);
+        hung.hang(true);
+        world.crash(world.leader());
+        world.runS(40);
+        assertEquals(1, world.starts(), "an earlier leader might still renew its lease");
+        world.runS(30);
+        assertEquals(2, world.starts());
+    }
+
+    @Test
+    void aStartWhoseAnswerWasLostIsSentAgain() {
+        world.workers().forEach(worker -> worker.deaf(true));
+        JobSpec job = array(1, 2);
+        assertTrue(world.submit(0, job, SHORT));
+        world.runS(7);
+        assertEquals(0, world.starts());
+        world.workers().forEach(worker -> worker.deaf(false));
+        world.runS(25);
+        assertEquals(2, world.starts());
+        assertEquals(Phase.DONE, phase(job));
+    }
+
+    @Test
+    void aReplicaIsMovedFromASilentMachineBeforeItsLeaseEnds() {
+        JobSpec job = World.spec(1, Kind.SERVICE, 1, 1);
+        assertTrue(world.submit(0, job, null));
+        world.runS(10);
+        placeOf(job, 0).hang(true);
+        world.runS(16);
+        assertEquals(2, world.starts());
+    }
+
+    @Test
+    void manySilentMachinesAreNotGivenUpAtOnce() {
+        JobSpec job = zoned(World.spec(1, Kind.SERVICE, 4, 8), false, false);
+        assertTrue(world.submit(0, job, null));
+        world.runS(10);
+        int before = world.workers().size();
+        for (int task = 0; task < 4; task++) {
+            placeOf(job, task).hang(true);
+        }
+        world.runS(16);
+        assertEquals(before, world.workers().size(), "the fault may be on this side");
+    }
+
+    @Test
+    void aReportThatComesLateIsDropped() {
+        JobSpec job = World.spec(1, Kind.SERVICE, 1, 1);
+        assertTrue(world.submit(0, job, null));
+        world.runS(10);
+        FakeWorker place = placeOf(job, 0);
+        Report now = place.snapshot();
+        Report late = new Report(now.machine(), now.address(), now.type(), now.zone(), now.spot(), now.session(), 1,
+                now.token(), Double.NaN, List.of(new Report.Task(new TaskId(job.id(), 0),
+                        place.attempt(new TaskId(job.id(), 0)), TaskState.EXITED, Cause.ERROR)));
+        world.deliver(world.leader(), late);
+        world.runS(15);
+        assertEquals(1, world.starts());
+    }
+
+    @Test
+    void aReplicaLeavesAMachineThatIsTakenBack() {
+        JobSpec job = World.spec(1, Kind.SERVICE, 1, 1);
+        assertTrue(world.submit(0, job, null));
+        world.runS(10);
+        FakeWorker first = placeOf(job, 0);
+        first.notice(25);
+        world.runS(15);
+        FakeWorker second = placeOf(job, 0);
+        assertTrue(second != null && second != first);
+    }
+
+    @Test
+    void machinesAreRentedForWorkAndReturnedWhenIdle() {
+        JobSpec job = array(1, 60);
+        int before = world.workers().size();
+        assertTrue(world.submit(0, job, Duration.ofSeconds(30)));
+        world.runS(40);
+        assertTrue(world.workers().size() > before);
+        world.runS(200);
+        assertEquals(Phase.DONE, phase(job));
+        assertTrue(world.workers().size() <= 1, world.workers().size() + " are left idle");
+    }
+}
--- /dev/null
+++ b/src/test/java/org/meadowhollow/story/Story.java
@@ -0,0 +1,53 @@
+package org.meadowhollow.story;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.Priority;
+import org.meadowhollow.bookkeeping.TaskId;
+import org.meadowhollow.coordination.Admission.Phase;
+
+/** A small deployment for stories of what happens while things fail; {@link World} checks the protocol's rules. */
+abstract class Story {
+    static final Duration SHORT = Duration.ofSeconds(10);
+    static final Duration LONG = Duration.ofMinutes(5);
+
+    World world;
+
+    @BeforeEach
+    void threeNodesAndSomeMachines() {
+        world = new World();
+        for (int at = 0; at < 3; at++) {
+            world.machine(World.LARGE, "a");
+            world.machine(World.LARGE, "b");
+        }
+        world.runS(12);
+    }
+
+    static JobSpec array(int number, int tasks) {
+        return World.spec(number, Kind.ARRAY, tasks, 1);
+    }
+
+    Phase phase(JobSpec spec) {
+        for (int node = 0; node < 3; node++) {
+            var state = world.poll(node, spec.id());
+            if (state.isPresent()) {
+                return state.get().phase();
+            }
+        }
+        return null;
+    }
+
+    FakeWorker placeOf(JobSpec spec, int task) {
+        List<FakeWorker> places = world.on(new TaskId(spec.id(), task));
+        return places.isEmpty() ? null : places.get(0);
+    }
+
+    static JobSpec zoned(JobSpec spec, boolean oneZone, boolean spread) {
+        return new JobSpec(spec.id(), spec.jobClass(), spec.team(), spec.kind(), Priority.HIGH, spec.tasks(),
+                spec.perTask(), List.of("large"), spec.zone(), oneZone, spread, spec.spot(), spec.image(),
+                spec.imageGb(), spec.estimateS(), spec.checkpointS(), spec.saveS(), spec.deadlineS());
+    }
+}
