--- a/src/main/java/org/meadowhollow/bookkeeping/Job.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Job.java
@@ -20,8 +20,17 @@
     private Moment holdUntil;
     private Moment roomMadeAt;
     private int failures;
+    private final Companion companion;
 
     public Job(JobSpec spec, long acceptedAtMillis, int chunkSize, Version version) {
+        this(spec, acceptedAtMillis, chunkSize, version, null);
+    }
+
+    /**
+     * @param companion what another interface keeps beside the job, or null
+     */
+    public Job(JobSpec spec, long acceptedAtMillis, int chunkSize, Version version, Companion companion) {
+        this.companion = companion;
         this.spec = spec;
         this.acceptedAtMillis = acceptedAtMillis;
         this.chunkSize = chunkSize;
@@ -29,6 +38,30 @@
         this.chunks = new Chunk[(spec.tasks() + chunkSize - 1) / chunkSize];
     }
 
+    /** What another interface keeps beside the job, or null. */
+    public Companion companion() {
+        return companion;
+    }
+
+    /** Whether the job has used up the attempts that its user allowed. */
+    public boolean isGivenUp() {
+        return companion != null && companion.failure() != null;
+    }
+
+    /** How far the job has come. */
+    Progress progress() {
+        if (allDone()) {
+            return Progress.DONE;
+        }
+        if (cancelled) {
+            return placements.isEmpty() ? Progress.CANCELLED : Progress.CANCELING;
+        }
+        if (placements.isEmpty()) {
+            return isGivenUp() ? companion.failure() : Progress.QUEUED;
+        }
+        return placements.values().iterator().next().runningSince() != null ? Progress.RUNNING : Progress.PREPARING;
+    }
+
     public JobSpec spec() {
         return spec;
     }
@@ -126,6 +159,9 @@
 
     /** The first task from {@code from} on that is neither done nor placed, or -1. */
     public int nextWaiting(int from) {
+        if (isGivenUp()) {
+            return -1;
+        }
         for (int task = done.nextClearBit(from); task < spec.tasks(); task = done.nextClearBit(task + 1)) {
             if (!placements.containsKey(task)) {
                 return task;
@@ -135,7 +171,7 @@
     }
 
     public int waitingCount() {
-        return cancelled || ended ? 0 : spec.tasks() - done.cardinality() - placements.size();
+        return cancelled || ended || isGivenUp() ? 0 : spec.tasks() - done.cardinality() - placements.size();
     }
 
     /** The number for the next attempt of a task. */
--- a/src/main/java/org/meadowhollow/bookkeeping/Ledger.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Ledger.java
@@ -45,6 +45,7 @@
     private final EventLoop loop;
     private final int mostWrites;
     private final Version leaderVersion;
+    private final OrderLog order;
     private final Listener listener;
     private final Set<Chunk> dirty = new LinkedHashSet<>();
     private final Set<Job> ending = new LinkedHashSet<>();
@@ -54,7 +55,9 @@
     private boolean paused;
     private boolean closed;
 
-    public Ledger(StateStore store, EventLoop loop, int mostWrites, Version leaderVersion, Listener listener) {
+    public Ledger(StateStore store, EventLoop loop, int mostWrites, Version leaderVersion, OrderLog order,
+            Listener listener) {
+        this.order = order;
         this.store = store;
         this.loop = loop;
         this.mostWrites = mostWrites;
@@ -89,7 +92,10 @@
         closed = true;
     }
 
-    private record Saving(Chunk chunk, long change) {
+    /**
+     * @param placed where the chunk's tasks are in the record, null while nobody wants to know
+     */
+    private record Saving(Chunk chunk, long change, Map<Integer, OrderLog.Placed> placed) {
     }
 
     /** Sends what is waiting, as far as transactions may be in flight. */
@@ -119,7 +125,8 @@
     private void takeEnds(Transaction transaction, List<Job> ends, Map<String, Object> touched) {
         for (Iterator<Job> jobs = ending.iterator(); jobs.hasNext();) {
             Job job = jobs.next();
-            if (transaction.writes().size() + 3 > mostWrites && !transaction.writes().isEmpty()) {
+            int writes = job.companion() == null ? 3 : 4;
+            if (transaction.writes().size() + writes > mostWrites && !transaction.writes().isEmpty()) {
                 return;
             }
             if (chunkInFlight(job)) {
@@ -134,6 +141,7 @@
             touched.put(Records.job(job.id()), job);
             transaction.guard(Records.job(job.id()), job.version())
                     .put(Records.ended(job.id()), Records.ended(job)).delete(Records.job(job.id()));
+            putCompanion(transaction, job);
             for (int at = 0; at < job.chunkCount(); at++) {
                 if (job.hasChunk(at)) {
                     String key = Records.chunk(job.chunk(at));
@@ -170,18 +178,27 @@
                 continue;
             }
             bytes += ENTRY_BYTES * (chunk.endTask() - chunk.firstTask() + 2);
-            if (transaction.writes().size() >= mostWrites || bytes > MOST_BYTES && !saves.isEmpty()) {
+            int writes = job.companion() == null ? 1 : 2;
+            if (transaction.writes().size() + writes > mostWrites || bytes > MOST_BYTES && !saves.isEmpty()) {
                 return;
             }
             chunks.remove();
             chunk.inFlight(true);
-            saves.add(new Saving(chunk, chunk.changed()));
+            saves.add(new Saving(chunk, chunk.changed(), order.isOn() ? chunk.placed() : null));
             String key = Records.chunk(chunk);
             touched.put(key, chunk);
             touched.put(Records.job(job.id()), job);
             // A start must not be committed after the user was told of a cancellation.
             transaction.guard(Records.job(job.id()), job.version()).guard(key, chunk.version())
                     .put(key, Records.encode(chunk));
+            putCompanion(transaction, job);
+        }
+    }
+
+    /** In the same transaction, so that nobody reads an entry that is older than the job's records. */
+    private void putCompanion(Transaction transaction, Job job) {
+        if (job.companion() != null) {
+            transaction.put(job.companion().key(), job.companion().encode(job.progress(), loop.wallMillis()));
         }
     }
 
@@ -192,6 +209,9 @@
             saving.chunk().inFlight(false);
             if (applied) {
                 saving.chunk().saved(saving.change(), commit.revision());
+                if (saving.placed() != null) {
+                    saving.chunk().tell(order, commit.revision(), saving.placed());
+                }
             }
             if (saving.chunk().isDirty()) {
                 dirty.add(saving.chunk());
@@ -200,6 +220,10 @@
         for (Job job : ends) {
             endingInFlight.remove(job.id());
             if (applied) {
+                for (int at = 0; at < job.chunkCount() && order.isOn(); at++) {
+                    job.chunk(at).tell(order, commit.revision(), Map.of());
+                }
+                order.job(commit.revision(), OrderLog.What.ENDED, job.id(), job.spec().team());
                 job.end();
             } else {
                 ending.add(job);
--- a/src/main/java/org/meadowhollow/bookkeeping/Records.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Records.java
@@ -15,6 +15,8 @@
     public static final String JOBS = "job/";
     public static final String TASKS = "task/";
     public static final String IMAGES = "image/";
+    private static final String COMPANION = "companion";
+    private static final String LOG = "log";
     /** Image names that can be part of a key as they are. */
     private static final Pattern IMAGE_KEY = Pattern.compile("[A-Za-z0-9._:/-]{1,150}");
     /** Bytes around a machine's name in a list, and around the list. */
@@ -48,6 +50,14 @@
     }
 
     public static Map<String, Object> job(JobSpec spec, long acceptedAtMillis, int chunkSize, boolean cancelled) {
+        return job(spec, acceptedAtMillis, chunkSize, cancelled, null);
+    }
+
+    /**
+     * @param companion what another interface keeps beside the job, or null
+     */
+    public static Map<String, Object> job(JobSpec spec, long acceptedAtMillis, int chunkSize, boolean cancelled,
+            Companion companion) {
         Map<String, Object> map = new LinkedHashMap<>();
         map.put("class", spec.jobClass());
         map.put("team", spec.team());
@@ -71,6 +81,9 @@
         map.put("accepted", acceptedAtMillis);
         map.put("chunk", (long) chunkSize);
         map.put("cancelled", cancelled);
+        if (companion != null) {
+            map.put(COMPANION, companion.record());
+        }
         return map;
     }
 
@@ -87,13 +100,20 @@
                 number(map, "imageGb").doubleValue(), number(map, "estimate").doubleValue(),
                 number(map, "checkpoint").doubleValue(), number(map, "save").doubleValue(),
                 deadline == null ? Double.NaN : ((Number) deadline).doubleValue());
-        Job job = new Job(spec, number(map, "accepted").longValue(), number(map, "chunk").intValue(), version);
+        Job job = new Job(spec, number(map, "accepted").longValue(), number(map, "chunk").intValue(), version,
+                Companion.of(map.get(COMPANION)));
         if (flag(map, "cancelled")) {
             job.cancel(now);
         }
         return job;
     }
 
+    /** The key of what another interface keeps beside a job, or null. */
+    public static String companionKey(Map<String, Object> jobRecord) {
+        Companion companion = Companion.of(jobRecord.get(COMPANION));
+        return companion == null ? null : companion.key();
+    }
+
     public static boolean isCancelled(Map<String, Object> jobRecord) {
         return flag(jobRecord, "cancelled");
     }
@@ -105,6 +125,10 @@
         return copy;
     }
 
+    public static String teamOf(Map<String, Object> jobRecord) {
+        return (String) jobRecord.get("team");
+    }
+
     public static int tasksOf(Map<String, Object> record) {
         return number(record, "tasks").intValue();
     }
@@ -146,6 +170,9 @@
         map.put("last", (long) chunk.lastAttempt());
         map.put("done", runs);
         map.put("placed", placed);
+        if (job.companion() != null) {
+            map.put(LOG, job.companion().encodeLog());
+        }
         return map;
     }
 
@@ -160,6 +187,9 @@
         Chunk chunk = job.chunk(name.index());
         chunk.adopt(entry.version());
         chunk.attempted(number(entry.value(), "last").intValue());
+        if (job.companion() != null) {
+            job.companion().restoreLog(entry.value().get(LOG));
+        }
         List<?> runs = (List<?>) entry.value().get("done");
         for (int at = 0; at < runs.size(); at += 2) {
             job.restoreDone(((Number) runs.get(at)).intValue(), ((Number) runs.get(at + 1)).intValue());
@@ -169,6 +199,7 @@
             job.restore(((Number) placed.get(0)).intValue(), new Attempt(((Number) placed.get(1)).intValue()),
                     new MachineId((String) placed.get(2)), new Session(((Number) placed.get(3)).longValue()), now);
         }
+        chunk.restored();
         return true;
     }
 
--- a/src/main/java/org/meadowhollow/bookkeeping/StateStore.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/StateStore.java
@@ -33,7 +33,18 @@
 
     CompletableFuture<Optional<Entry>> get(String key, Urgency urgency);
 
-    CompletableFuture<Page> list(String prefix, String after, Urgency urgency);
+    /** The longest page that is asked for; a page ends earlier where the service's own limits end it. */
+    int MOST_LISTED = 1000;
+
+    default CompletableFuture<Page> list(String prefix, String after, Urgency urgency) {
+        return list(prefix, after, MOST_LISTED, urgency);
+    }
+
+    /**
+     * @param after the key to begin after, or null
+     * @param most entries in the page, up to {@link #MOST_LISTED}
+     */
+    CompletableFuture<Page> list(String prefix, String after, int most, Urgency urgency);
 
     CompletableFuture<Commit> commit(Transaction transaction, Urgency urgency);
 
--- a/src/main/java/org/meadowhollow/cli/Controller.java
+++ b/src/main/java/org/meadowhollow/cli/Controller.java
@@ -5,7 +5,9 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.random.RandomGenerator;
+import javax.net.ssl.SSLContext;
 import org.meadowhollow.bookkeeping.Catalog;
+import org.meadowhollow.bookkeeping.OrderLog;
 import org.meadowhollow.coordination.Admission;
 import org.meadowhollow.coordination.Node;
 import org.meadowhollow.coordination.Platform;
@@ -15,11 +17,13 @@
 import org.meadowhollow.protocol.cloud.CloudClient;
 import org.meadowhollow.protocol.peers.PeerLink;
 import org.meadowhollow.protocol.state.StateClient;
+import org.meadowhollow.protocol.tes.TesApi;
 import org.meadowhollow.protocol.users.UserApi;
 import org.meadowhollow.protocol.workers.WorkerApi;
 import org.meadowhollow.protocol.workers.WorkerClient;
 import org.meadowhollow.transport.HttpClient;
 import org.meadowhollow.transport.HttpServer;
+import org.meadowhollow.transport.PemKeys;
 import org.meadowhollow.transport.XnioLoop;
 
 /** One controller node, to start and to close; the daemon is a thin shell around it. */
@@ -45,13 +49,18 @@
     private static final int OWN_SOCKETS = 64;
     /** The least share of its sockets that a process leaves to those who come to it. */
     private static final double LEAST_FOR_CALLERS = 0.5;
+    /** The share of callers' connections that clients of the task execution API may take beside them. */
+    private static final int TES_SHARE = 8;
 
     private final XnioLoop loop;
     private final HttpServer front;
     private final HttpServer back;
+    /** Null unless the task execution API is served. */
+    private final HttpServer tes;
     private final Node node;
 
-    private Controller(XnioLoop loop, Settings settings, RandomGenerator random) {
+    private Controller(XnioLoop loop, Settings settings, TesOptions tesOptions, SSLContext tesKeys,
+            OrderLog order, RandomGenerator random) {
         this.loop = loop;
         Platform platform = settings.platform();
         ByteBufferPool buffers = buffers();
@@ -61,14 +70,17 @@
         CloudClient cloud = new CloudClient(http, settings.cloud(), loop, budget(platform.cloudRps()));
         PeerLink peers = new PeerLink(http, settings.peers());
         Catalog catalog = new Catalog();
-        node = new Node(loop, state, new WorkerClient(http), cloud, peers, platform, catalog, random);
+        node = new Node(loop, state, new WorkerClient(http), cloud, peers, platform, catalog, order, random);
         peers.listener(node::heardOf);
         peers.served(() -> !state.seemsOut());
         peers.hearing(node::isHardOfHearing, node::heardAmong);
-        Admission admission = new Admission(state, loop, catalog, platform, node::counts);
+        Admission admission = new Admission(state, loop, catalog, platform, order, node::counts);
         NodeApi api = new NodeApi(new UserApi(admission), new WorkerApi(node::report), node::isReady);
         front = new HttpServer(loop, buffers, settings.listen().host(), settings.listen().port(),
                 mostCallers(settings), idle(platform), api);
+        tes = tesOptions == null ? null : new HttpServer(loop, buffers, tesOptions.listen().host(),
+                tesOptions.listen().port(), mostCallers(settings) / TES_SHARE, idle(platform), tesKeys,
+                new TesApi(admission, state, loop, platform, tesOptions.tokens(), random));
         back = new HttpServer(loop, buffers, settings.back().host(), settings.back().port(), 0, PEERS_IDLE, peers);
         node.start();
     }
@@ -105,6 +117,8 @@
     public static final class Builder {
         private final Settings settings;
         private RandomGenerator random = RandomGenerator.getDefault();
+        private TesOptions tes;
+        private OrderLog order = OrderLog.NONE;
 
         private Builder(Settings settings) {
             this.settings = settings;
@@ -115,11 +129,24 @@
             return this;
         }
 
+        /** Serves the task execution API as well; null, as by default, does not. */
+        public Builder tes(TesOptions options) {
+            tes = options;
+            return this;
+        }
+
+        /** Tells what happens to jobs, in one sequence; by default nobody is told. */
+        public Builder order(OrderLog log) {
+            order = log;
+            return this;
+        }
+
         public Controller start() throws IOException {
+            SSLContext keys = tes == null || tes.chain() == null ? null : PemKeys.context(tes.chain(), tes.key());
             XnioLoop loop = new XnioLoop();
             try {
                 // Built where it runs, so that one thread alone loads classes and reads files while it starts.
-                return loop.call(() -> new Controller(loop, settings, random));
+                return loop.call(() -> new Controller(loop, settings, tes, keys, order, random));
             } catch (RuntimeException failure) {
                 loop.close();
                 throw failure;
@@ -131,8 +158,16 @@
         return front.port();
     }
 
+    /** The port of the task execution API, or -1 if it is not served. */
+    public int tesPort() {
+        return tes == null ? -1 : tes.port();
+    }
+
     @Override
     public void close() {
+        if (tes != null) {
+            tes.close();
+        }
         front.close();
         back.close();
         node.close();
--- a/src/main/java/org/meadowhollow/cli/Main.java
+++ b/src/main/java/org/meadowhollow/cli/Main.java
@@ -3,9 +3,11 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Instant;
+import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.Callable;
+import org.meadowhollow.bookkeeping.OrderLog;
 import org.slf4j.LoggerFactory;
 import picocli.CommandLine;
 import picocli.CommandLine.Model.CommandSpec;
@@ -19,6 +21,11 @@
     private static final Set<String> LEVELS = Set.of("error", "info", "debug");
     private static final String CONFIG = "--config";
     private static final String CHECK = "--check";
+    private static final String TES_LISTEN = "--tes-listen";
+    private static final String TES_TOKEN = "--tes-token";
+    private static final String TES_CERT = "--tes-cert";
+    private static final String TES_KEY = "--tes-key";
+    private static final String ORDER_LOG = "--order-log";
     private static final String REHEARSE = "--rehearse";
 
     private final CommandSpec spec = CommandSpec.wrapWithoutInspection(this)
@@ -27,6 +34,17 @@
             .addOption(OptionSpec.builder(CONFIG).paramLabel("FILE").type(Path.class)
                     .description("the platform's settings file").build())
             .addOption(OptionSpec.builder(CHECK).description("check the settings and exit").build())
+            .addOption(OptionSpec.builder(TES_LISTEN).paramLabel("HOST:PORT").type(String.class)
+                    .description("serve the GA4GH task execution API there (default: not at all)").build())
+            .addOption(OptionSpec.builder(TES_TOKEN).paramLabel("TEAM=SHA256").type(List.class)
+                    .auxiliaryTypes(String.class).arity("1")
+                    .description("a team's bearer token, by its SHA-256 in hex; may be repeated").build())
+            .addOption(OptionSpec.builder(TES_CERT).paramLabel("FILE").type(Path.class)
+                    .description("certificate for that API, in PEM").build())
+            .addOption(OptionSpec.builder(TES_KEY).paramLabel("FILE").type(Path.class)
+                    .description("key of that certificate, in PEM").build())
+            .addOption(OptionSpec.builder(ORDER_LOG)
+                    .description("log what happens to jobs and tasks, numbered in one order for all nodes").build())
             .addOption(OptionSpec.builder(REHEARSE).hidden(true).build())
             .addOption(OptionSpec.builder("-h", "--help").usageHelp(true)
                     .description("Show this help message and exit.").build())
@@ -35,7 +53,8 @@
 
     private Main() {
         spec.usageMessage().description("Runs one controller of the meadowhollow cluster scheduler until it is killed.")
-                .footer("", "The variable LOG_LEVEL (error, info or debug) sets how much goes to standard error.");
+                .footer("", "The variable LOG_LEVEL (error, info or debug) sets how much goes to standard error.",
+                        TesOptions.TOKENS + " holds tokens as " + TES_TOKEN + " takes them, separated by blanks.");
     }
 
     /** The version that the build wrote into the manifest. */
@@ -92,8 +111,12 @@
             return CommandLine.ExitCode.USAGE;
         }
         Settings settings;
+        TesOptions tes;
         try {
             settings = Settings.read(config);
+            tes = TesOptions.of(given.matchedOptionValue(TES_LISTEN, null),
+                    given.matchedOptionValue(TES_TOKEN, List.of()), given.matchedOptionValue(TES_CERT, null),
+                    given.matchedOptionValue(TES_KEY, null), System.getenv(), settings);
         } catch (Settings.Unusable unusable) {
             System.err.println("meadowhollow: " + unusable.getMessage());
             return CommandLine.ExitCode.USAGE;
@@ -102,7 +125,9 @@
             return CommandLine.ExitCode.OK;
         }
         try {
-            Controller.builder(settings).start();
+            Controller.builder(settings).tes(tes).order(given.hasMatchedOption(ORDER_LOG)
+                    ? new OrderLog(event -> LoggerFactory.getLogger(OrderLog.class).info("{}", event)) : OrderLog.NONE)
+                    .start();
             // The log counts milliseconds from the start, for formatting the time of day made every start a fifth
             // longer. This line tells what the count was at which time.
             LoggerFactory.getLogger(Main.class).info("{} runs, at {}", settings.platform().member(), Instant.now());
--- a/src/main/java/org/meadowhollow/cli/Settings.java
+++ b/src/main/java/org/meadowhollow/cli/Settings.java
@@ -1,6 +1,5 @@
 package org.meadowhollow.cli;
 
-import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -12,6 +11,7 @@
 import org.meadowhollow.bookkeeping.Resources;
 import org.meadowhollow.coordination.Platform;
 import org.meadowhollow.protocol.Fields;
+import org.meadowhollow.protocol.Json;
 import org.meadowhollow.protocol.Malformed;
 
 /**
@@ -40,14 +40,8 @@
         } catch (IOException unreadable) {
             throw new Unusable("cannot read the settings file " + file);
         }
-        Map<String, Object> map;
         try {
-            map = JSON.std.mapFrom(bytes);
-        } catch (IOException broken) {
-            throw new Unusable(file + " is not a JSON object");
-        }
-        try {
-            return of(new Fields(widened(map)));
+            return of(new Fields(Json.decode(bytes)));
         } catch (Malformed wrong) {
             throw new Unusable(file + ": " + wrong.getMessage());
         }
@@ -115,7 +109,7 @@
         return text;
     }
 
-    private static Endpoint endpoint(String text, String key) throws Malformed {
+    static Endpoint endpoint(String text, String key) throws Malformed {
         int colon = text.lastIndexOf(':');
         try {
             int port = Integer.parseInt(text.substring(colon + 1));
@@ -127,25 +121,4 @@
         }
         throw new Malformed(key + " is not an address of the form host:port");
     }
-
-    /** JSON whole numbers come as int or long; the checks know one kind. */
-    private static Map<String, Object> widened(Map<String, Object> map) {
-        Map<String, Object> wide = new LinkedHashMap<>();
-        map.forEach((key, value) -> wide.put(key, widened(value)));
-        return wide;
-    }
-
-    @SuppressWarnings("unchecked")
-    private static Object widened(Object value) {
-        if (value instanceof Integer number) {
-            return number.longValue();
-        }
-        if (value instanceof Map<?, ?> map) {
-            return widened((Map<String, Object>) map);
-        }
-        if (value instanceof List<?> list) {
-            return list.stream().map(Settings::widened).toList();
-        }
-        return value;
-    }
 }
--- a/src/main/java/org/meadowhollow/coordination/Admission.java
+++ b/src/main/java/org/meadowhollow/coordination/Admission.java
@@ -6,12 +6,14 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.meadowhollow.bookkeeping.Catalog;
+import org.meadowhollow.bookkeeping.Companion;
 import org.meadowhollow.bookkeeping.EventLoop;
 import org.meadowhollow.bookkeeping.JobId;
 import org.meadowhollow.bookkeeping.JobSpec;
 import org.meadowhollow.bookkeeping.Kind;
 import org.meadowhollow.bookkeeping.MachineType;
 import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.OrderLog;
 import org.meadowhollow.bookkeeping.Records;
 import org.meadowhollow.bookkeeping.Resources;
 import org.meadowhollow.bookkeeping.StateException;
@@ -72,6 +74,7 @@
     private final EventLoop loop;
     private final Catalog catalog;
     private final Platform platform;
+    private final OrderLog order;
     private final Counts counts;
     private final Map<JobId, JobState> over = new LinkedHashMap<>() {
         @Override
@@ -80,7 +83,9 @@
         }
     };
 
-    public Admission(StateStore store, EventLoop loop, Catalog catalog, Platform platform, Counts counts) {
+    public Admission(StateStore store, EventLoop loop, Catalog catalog, Platform platform, OrderLog order,
+            Counts counts) {
+        this.order = order;
         this.store = store;
         this.loop = loop;
         this.catalog = catalog;
@@ -89,6 +94,17 @@
     }
 
     public CompletableFuture<Accepted> submit(JobSpec spec) {
+        return submit(spec, null, Map.of());
+    }
+
+    /**
+     * Accepts a job together with what another interface keeps of it, all or nothing.
+     *
+     * @param companion kept beside the job for as long as it lives, or null
+     * @param records new keys to write with it
+     */
+    public CompletableFuture<Accepted> submit(JobSpec spec, Companion companion,
+            Map<String, Map<String, Object>> records) {
         JobState known = cached(spec.id());
         if (known != null) {
             return CompletableFuture.completedFuture(new Accepted(known, false));
@@ -111,13 +127,18 @@
             return CompletableFuture.failedFuture(new TryLater("the state service is out"));
         }
         Map<String, Object> record = Records.job(spec, loop.wallMillis(),
-                Records.chunkSize(platform.valueBytes()), false);
+                Records.chunkSize(platform.valueBytes()), false, companion);
         Transaction accept = new Transaction()
                 .guard(Records.job(spec.id()), Version.ABSENT)
                 .guard(Records.ended(spec.id()), Version.ABSENT)
                 .put(Records.job(spec.id()), record);
+        if (companion != null) {
+            accept.put(companion.key(), companion.accepted());
+        }
+        records.forEach((key, value) -> accept.guard(key, Version.ABSENT).put(key, value));
         return commit(accept, loop.now()).thenCompose(commit -> {
             if (commit.applied()) {
+                order.job(commit.revision(), OrderLog.What.ACCEPTED, spec.id(), spec.team());
                 return CompletableFuture.completedFuture(
                         new Accepted(new JobState(spec.id(), Phase.QUEUED, 0, 0), true));
             }
@@ -152,7 +173,8 @@
             Transaction cancel = new Transaction()
                     .guard(Records.job(id), found.get().version())
                     .put(Records.job(id), Records.cancelled(found.get().record()));
-            return commit(cancel, begun).thenCompose(commit -> {
+            return withCompanion(cancel, found.get().record()).thenCompose(whole -> commit(whole, begun))
+                    .thenCompose(commit -> {
                 if (!commit.applied()) {
                     if (loop.now().since(begun).compareTo(PATIENCE) > 0) {
                         return CompletableFuture.failedFuture(new TryLater("the job's record keeps changing"));
@@ -160,12 +182,23 @@
                     return cancel(id, begun);
                 }
                 LOG.info("cancelled {} for its user", id);
+                order.job(commit.revision(), OrderLog.What.CANCELLED, id, Records.teamOf(found.get().record()));
                 return CompletableFuture.completedFuture(
                         Optional.of(new JobState(id, Phase.CANCELLED, 0, 0)));
             });
         });
     }
 
+    /** Notes the cancellation beside the job as well, so that nobody is told an older state afterwards. */
+    private CompletableFuture<Transaction> withCompanion(Transaction cancel, Map<String, Object> jobRecord) {
+        String key = Records.companionKey(jobRecord);
+        if (key == null) {
+            return CompletableFuture.completedFuture(cancel);
+        }
+        return store.get(key, Urgency.USER).thenApply(entry -> entry.map(found -> cancel
+                .guard(key, found.version()).put(key, Companion.canceling(found.value()))).orElse(cancel));
+    }
+
     /** A transaction that may have been applied unanswered is guarded, so it can be sent once more. */
     private CompletableFuture<StateStore.Commit> commit(Transaction transaction, Moment begun) {
         return store.commit(transaction, Urgency.USER).handle((commit, failure) -> {
--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -14,6 +14,8 @@
 import org.meadowhollow.bookkeeping.Attempt;
 import org.meadowhollow.bookkeeping.Catalog;
 import org.meadowhollow.bookkeeping.Cause;
+import org.meadowhollow.bookkeeping.Chunk;
+import org.meadowhollow.bookkeeping.Companion;
 import org.meadowhollow.bookkeeping.EventLoop;
 import org.meadowhollow.bookkeeping.Job;
 import org.meadowhollow.bookkeeping.JobId;
@@ -25,7 +27,9 @@
 import org.meadowhollow.bookkeeping.MachineType;
 import org.meadowhollow.bookkeeping.Moment;
 import org.meadowhollow.bookkeeping.Order;
+import org.meadowhollow.bookkeeping.OrderLog;
 import org.meadowhollow.bookkeeping.Placement;
+import org.meadowhollow.bookkeeping.Progress;
 import org.meadowhollow.bookkeeping.Records;
 import org.meadowhollow.bookkeeping.Report;
 import org.meadowhollow.bookkeeping.Session;
@@ -103,7 +107,7 @@
     private long byRoom;
 
     public Leader(EventLoop loop, StateStore store, Workers workers, Cloud cloud, Peers peers, Platform platform,
-            Catalog catalog, Leadership leadership, Term term, Version leaderVersion) {
+            Catalog catalog, Leadership leadership, Term term, Version leaderVersion, OrderLog order) {
         this.loop = loop;
         this.store = store;
         this.workers = workers;
@@ -117,7 +121,7 @@
         this.machines = cluster.machines();
         this.aims = new Aims(platform, catalog);
         this.rooms = new RoomMaker(cluster, platform, aims);
-        this.ledger = new Ledger(store, loop, platform.txnOps(), leaderVersion, this);
+        this.ledger = new Ledger(store, loop, platform.txnOps(), leaderVersion, order, this);
         this.images = new ImageNotes(store, leaderVersion, platform);
         this.loading = new Loading(this, store, loop, cluster, aims, expected, ledger, images, term);
         this.silence = new SilenceWatch(this, cluster, platform, term, begunAt);
@@ -299,6 +303,8 @@
                 failed(machine, job, cause, now);
             }
         }
+        attemptOver(placement, cause == Cause.STOPPED ? Companion.PREEMPTED : cause.name(), cause == Cause.DONE
+                ? Progress.DONE : cause == Cause.STOPPED ? Progress.PREEMPTED : Progress.FAILED);
         long change = remove(machine, placement, now, true);
         machine.settling().put(placement.task(),
                 new Machine.Settling(placement.attempt(), job.chunkOf(task), change));
@@ -325,10 +331,30 @@
         if (machine != null) {
             machine.lost(1);
         }
+        boolean taken = machine != null && machine.noticeEndsAt() != null;
+        attemptOver(placement, taken ? Companion.PREEMPTED : Companion.LOST, taken ? Progress.PREEMPTED : Progress.LOST);
         // A gang that has not begun waits on for a replacement with the attempt's number.
         remove(machine, placement, now, placement.job().hasBegun() || placement.runningSince() != null);
     }
 
+    /** Notes the end of an attempt for those who ask about the job through another interface. */
+    private void attemptOver(Placement placement, String cause, Progress failed) {
+        Companion companion = placement.job().companion();
+        if (companion != null) {
+            companion.over(placement.attempt(), cause, failed, loop.wallMillis());
+        }
+    }
+
+    /** A worker has reported a task as running. */
+    void began(Placement placement) {
+        Companion companion = placement.job().companion();
+        if (companion != null && companion.started(placement.attempt(), loop.wallMillis())) {
+            Chunk chunk = placement.job().chunkOf(placement.task().index());
+            chunk.touch();
+            ledger.changed(chunk);
+        }
+    }
+
     /**
      * @param endsAttempt whether a gang's attempt is over with this task; its others must then be gone before the next
      */
@@ -343,7 +369,7 @@
         if (endsAttempt && job.spec().kind() == Kind.GANG && !job.allDone()) {
             stopOthers(job, placement.task());
         }
-        if (job.cancelled() && job.placements().isEmpty()) {
+        if ((job.cancelled() || job.isGivenUp()) && job.placements().isEmpty()) {
             ledger.ending(job);
         }
         return change;
@@ -527,6 +553,9 @@
                     ? attempts.computeIfAbsent(job.id(), unused -> job.gangAttempt())
                     : job.nextAttempt(decision.task());
             Placement placement = job.place(decision.task(), attempt, machine.id(), machine.session(), now);
+            if (job.companion() != null) {
+                job.companion().placed(attempt, machine.id(), loop.wallMillis());
+            }
             machine.placements().add(placement);
             machine.idleSince(null);
             ledger.changed(job.chunkOf(decision.task()));
--- a/src/main/java/org/meadowhollow/coordination/Node.java
+++ b/src/main/java/org/meadowhollow/coordination/Node.java
@@ -11,6 +11,7 @@
 import org.meadowhollow.bookkeeping.JobId;
 import org.meadowhollow.bookkeeping.MachineId;
 import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.OrderLog;
 import org.meadowhollow.bookkeeping.Records;
 import org.meadowhollow.bookkeeping.Report;
 import org.meadowhollow.bookkeeping.Session;
@@ -46,6 +47,7 @@
     private final Cloud cloud;
     private final Platform platform;
     private final Catalog catalog;
+    private final OrderLog order;
     private final Leadership leadership;
     private final Peers peers;
     private final HeldReports orphans = new HeldReports();
@@ -57,7 +59,8 @@
     private boolean cloudSilent;
 
     public Node(EventLoop loop, StateStore store, Workers workers, Cloud cloud, Peers peers, Platform platform,
-            Catalog catalog, RandomGenerator random) {
+            Catalog catalog, OrderLog order, RandomGenerator random) {
+        this.order = order;
         this.loop = loop;
         this.store = store;
         this.workers = workers;
@@ -148,7 +151,7 @@
     @Override
     public void elected(Term term, Version leaderVersion) {
         Leader begun = new Leader(loop, store, workers, cloud, peers, platform, catalog, leadership, term,
-                leaderVersion);
+                leaderVersion, order);
         synchronized (this) {
             if (leader != null) {
                 leader.close();
--- a/src/main/java/org/meadowhollow/coordination/Reconciliation.java
+++ b/src/main/java/org/meadowhollow/coordination/Reconciliation.java
@@ -71,6 +71,9 @@
                         LOG.debug("task {} on {} is {}", task.id(), machine.id(), task.state());
                     }
                     placement.state(task.state(), now);
+                    if (task.state() == TaskState.RUNNING) {
+                        leader.began(placement);
+                    }
                     if (task.state() != TaskState.FETCHING && task.state() != TaskState.EXITED) {
                         images.has(machine, placement.job().spec().image(),
                                 placement.job().spec().imageGb());
--- a/src/main/java/org/meadowhollow/protocol/Http.java
+++ b/src/main/java/org/meadowhollow/protocol/Http.java
@@ -1,13 +1,21 @@
 package org.meadowhollow.protocol;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.UnaryOperator;
 
 /** What the protocols need of HTTP; the transport layer supplies it. */
 public interface Http {
     /** An answer: a status, a body, and the headers that matter here. */
-    record Reply(int status, byte[] body, int retryAfterS) {
+    record Reply(int status, byte[] body, int retryAfterS, String type) {
+        private static final String MESSAGE_PACK = "application/msgpack";
+
+        public Reply(int status, byte[] body, int retryAfterS) {
+            this(status, body, retryAfterS, MESSAGE_PACK);
+        }
+
         public static Reply of(int status, Map<String, ?> body) {
             return new Reply(status, Wire.encode(body), 0);
         }
@@ -48,8 +56,33 @@
         CompletableFuture<Reply> send(String address, String method, String path, byte[] body, Duration timeout);
     }
 
+    /**
+     * A request as it came.
+     *
+     * @param query the values of each parameter, decoded, in their order
+     * @param header the value of a header by its name, or null
+     */
+    record Request(String method, String path, Map<String, List<String>> query, UnaryOperator<String> header,
+            byte[] body) {
+    }
+
     /** Answers the requests that arrive at one listening address. */
-    interface Handler {
+    interface Service {
+        CompletableFuture<Reply> answer(Request request);
+
+        /** The answer to a body that is too large or was cut short. */
+        default Reply refusal() {
+            return Reply.error(400, "the body is too large or was cut short");
+        }
+    }
+
+    /** A service that needs no more than method, path and body. */
+    interface Handler extends Service {
         CompletableFuture<Reply> handle(String method, String path, byte[] body);
+
+        @Override
+        default CompletableFuture<Reply> answer(Request request) {
+            return handle(request.method(), request.path(), request.body());
+        }
     }
 }
--- /dev/null
+++ b/src/main/java/org/meadowhollow/protocol/Json.java
@@ -0,0 +1,74 @@
+package org.meadowhollow.protocol;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** JSON objects from and to maps with the same kinds of values as {@link Wire} gives. */
+public final class Json {
+    private Json() {
+    }
+
+    /**
+     * Reads an object. Nesting and the length of numbers are bounded by the library, the size by who hands the bytes over.
+     *
+     * @throws Malformed if the bytes are no JSON object
+     */
+    public static Map<String, Object> decode(byte[] bytes) throws Malformed {
+        try {
+            return widened(JSON.std.mapFrom(bytes));
+        } catch (IOException | ClassCastException broken) {
+            throw new Malformed("not a JSON object");
+        } catch (IllegalArgumentException broken) {
+            throw new Malformed(broken.getMessage());
+        }
+    }
+
+    public static byte[] encode(Map<String, ?> map) {
+        try {
+            return JSON.std.asBytes(map);
+        } catch (IOException impossible) {
+            throw new IllegalStateException("maps of plain values can always be written", impossible);
+        }
+    }
+
+    /** Whole numbers come as int or long; the checks know one kind. */
+    private static Map<String, Object> widened(Map<String, Object> map) {
+        Map<String, Object> wide = new LinkedHashMap<>();
+        map.forEach((key, value) -> wide.put(whole(key), widened(value)));
+        return wide;
+    }
+
+    /** JSON can name half of a character, which no other encoding can hold. */
+    private static String whole(String text) {
+        for (int at = 0; at < text.length(); at++) {
+            char unit = text.charAt(at);
+            boolean paired = Character.isHighSurrogate(unit) && at + 1 < text.length()
+                    && Character.isLowSurrogate(text.charAt(at + 1));
+            if (Character.isSurrogate(unit) && !paired) {
+                throw new IllegalArgumentException("a text holds half of a character");
+            }
+            at += paired ? 1 : 0;
+        }
+        return text;
+    }
+
+    @SuppressWarnings("unchecked")
+    private static Object widened(Object value) {
+        if (value instanceof Integer number) {
+            return number.longValue();
+        }
+        if (value instanceof String text) {
+            return whole(text);
+        }
+        if (value instanceof Map<?, ?> map) {
+            return widened((Map<String, Object>) map);
+        }
+        if (value instanceof List<?> list) {
+            return list.stream().map(Json::widened).toList();
+        }
+        return value;
+    }
+}
--- a/src/main/java/org/meadowhollow/protocol/state/StateClient.java
+++ b/src/main/java/org/meadowhollow/protocol/state/StateClient.java
@@ -79,8 +79,8 @@
     }
 
     @Override
-    public CompletableFuture<Page> list(String prefix, String after, Urgency urgency) {
-        String path = "/kv?prefix=" + prefix + (after == null ? "" : "&after=" + after) + "&most=1000";
+    public CompletableFuture<Page> list(String prefix, String after, int most, Urgency urgency) {
+        String path = "/kv?prefix=" + prefix + (after == null ? "" : "&after=" + after) + "&most=" + most;
         return call("GET", path, null, 0, urgency).thenApply(reply -> {
             Fields body = body(reply);
             return read(() -> {
--- a/src/main/java/org/meadowhollow/transport/HttpServer.java
+++ b/src/main/java/org/meadowhollow/transport/HttpServer.java
@@ -4,14 +4,20 @@
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.io.Receiver;
+import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.ServerConnection;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
+import io.undertow.util.StatusCodes;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import javax.net.ssl.SSLContext;
 import org.meadowhollow.protocol.Http;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -31,18 +37,27 @@
      * @param idle longer than any caller keeps a connection without a word; then the socket is wanted elsewhere
      */
     public HttpServer(XnioLoop loop, ByteBufferPool buffers, String host, int port, int most, Duration idle,
-            Http.Handler handler) {
+            Http.Service service) {
+        this(loop, buffers, host, port, most, idle, null, service);
+    }
+
+    /**
+     * @param tls what connections are secured with, or null for plain ones
+     */
+    public HttpServer(XnioLoop loop, ByteBufferPool buffers, String host, int port, int most, Duration idle,
+            SSLContext tls, Http.Service service) {
         connections = new Connections<>(most, IoUtils::safeClose);
         int idleMs = (int) idle.toMillis();
-        server = Undertow.builder()
+        HttpHandler handler = exchange -> receive(exchange, service);
+        Undertow.Builder builder = Undertow.builder()
                 .setWorker(loop.worker())
                 .setByteBufferPool(buffers)
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
                 .setServerOption(UndertowOptions.ENABLE_HTTP2, false)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, idleMs)
-                .setServerOption(UndertowOptions.IDLE_TIMEOUT, idleMs)
-                .addHttpListener(port, host, exchange -> receive(exchange, handler))
-                .build();
+                .setServerOption(UndertowOptions.IDLE_TIMEOUT, idleMs);
+        server = (tls == null ? builder.addHttpListener(port, host, handler)
+                : builder.addHttpsListener(port, host, tls, handler)).build();
         server.start();
     }
 
@@ -51,7 +66,7 @@
         return ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
     }
 
-    private void receive(HttpServerExchange exchange, Http.Handler handler) {
+    private void receive(HttpServerExchange exchange, Http.Service service) {
         ServerConnection connection = exchange.getConnection();
         if (connections.begins(connection)) {
             connection.addCloseListener(connections::closed);
@@ -61,24 +76,25 @@
             next.proceed();
         });
         if (exchange.getRequestContentLength() > MOST_BODY) {
-            refuse(exchange);
+            refuse(exchange, service);
             return;
         }
         Receiver receiver = exchange.getRequestReceiver();
         receiver.setMaxBufferSize(MOST_BODY);
         receiver.receiveFullBytes((same, body) -> exchange.dispatch(SameThreadExecutor.INSTANCE, () ->
-                handle(exchange, handler, body)), (same, failure) -> refuse(exchange));
+                handle(exchange, service, body)), (same, failure) -> refuse(exchange, service));
     }
 
-    private static void refuse(HttpServerExchange exchange) {
+    private static void refuse(HttpServerExchange exchange, Http.Service service) {
         exchange.setPersistent(false);
-        send(exchange, Http.Reply.error(400, "the body is too large or was cut short"));
+        send(exchange, service.refusal());
     }
 
-    private static void handle(HttpServerExchange exchange, Http.Handler handler, byte[] body) {
+    private static void handle(HttpServerExchange exchange, Http.Service service, byte[] body) {
         CompletableFuture<Http.Reply> answer;
         try {
-            answer = handler.handle(exchange.getRequestMethod().toString(), exchange.getRequestPath(), body);
+            answer = service.answer(new Http.Request(exchange.getRequestMethod().toString(), exchange.getRequestPath(),
+                    query(exchange), name -> exchange.getRequestHeaders().getFirst(name), body));
         } catch (RuntimeException mistake) {
             answer = CompletableFuture.failedFuture(mistake);
         }
@@ -93,9 +109,21 @@
         });
     }
 
+    private static Map<String, List<String>> query(HttpServerExchange exchange) {
+        if (exchange.getQueryParameters().isEmpty()) {
+            return Map.of();
+        }
+        Map<String, List<String>> query = new HashMap<>();
+        exchange.getQueryParameters().forEach((name, values) -> query.put(name, List.copyOf(values)));
+        return query;
+    }
+
     private static void send(HttpServerExchange exchange, Http.Reply reply) {
         exchange.setStatusCode(reply.status());
-        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/msgpack");
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, reply.type());
+        if (reply.status() == StatusCodes.UNAUTHORIZED) {
+            exchange.getResponseHeaders().put(Headers.WWW_AUTHENTICATE, "Bearer");
+        }
         if (reply.retryAfterS() > 0) {
             exchange.getResponseHeaders().put(Headers.RETRY_AFTER, reply.retryAfterS());
         }
--- a/src/test/java/org/meadowhollow/story/FakeStore.java
+++ b/src/test/java/org/meadowhollow/story/FakeStore.java
@@ -217,7 +217,7 @@
         }
 
         @Override
-        public CompletableFuture<Page> list(String prefix, String after, Urgency urgency) {
+        public CompletableFuture<Page> list(String prefix, String after, int most, Urgency urgency) {
             return call(() -> {
                 List<Entry> entries = new ArrayList<>();
                 keys.tailMap(after == null ? prefix : after, after == null).forEach((key, stored) -> {
@@ -225,7 +225,8 @@
                         entries.add(new Entry(key, decode(stored.value()), new Version(stored.version())));
                     }
                 });
-                return new Page(entries, false, new Version(revision));
+                return new Page(List.copyOf(entries.subList(0, Math.min(most, entries.size()))), entries.size() > most,
+                        new Version(revision));
             });
         }
 
--- /dev/null
+++ b/src/test/java/org/meadowhollow/story/TesStoriesTest.java
@@ -0,0 +1,382 @@
+package org.meadowhollow.story;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.meadowhollow.bookkeeping.JobId;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.OrderLog;
+import org.meadowhollow.bookkeeping.TaskId;
+import org.meadowhollow.protocol.Fields;
+import org.meadowhollow.protocol.Http;
+import org.meadowhollow.protocol.Json;
+import org.meadowhollow.protocol.Malformed;
+
+/** Tasks that come by the task execution API, beside native jobs, while things fail. */
+class TesStoriesTest extends Story {
+    private static final String TASK = """
+            {"name": "%s", "executors": [{"image": "image", "command": ["true"]}], "tags": {"night": "%s"},
+             "inputs": [{"content": "abc", "path": "/in"}],
+             "resources": {"cpu_cores": 1, "ram_gb": 4, "backend_parameters": {"gpus": "1" %s}}}""";
+
+    private Http.Reply create(int node, String body, String key) {
+        return world.tes(node, "secret", "POST", "/tasks", Map.of(), key == null ? Map.of()
+                : Map.of("Idempotency-Key", key), body);
+    }
+
+    private Http.Reply ask(int node, String method, String path, Map<String, List<String>> query) {
+        return world.tes(node, "secret", method, path, query, Map.of(), "");
+    }
+
+    private static Map<String, Object> body(Http.Reply reply) {
+        try {
+            assertEquals(200, reply.status(), new String(reply.body()));
+            return Json.decode(reply.body());
+        } catch (Malformed wrong) {
+            throw new AssertionError(wrong);
+        }
+    }
+
+    private String created(String name, String tag, String parameters, Duration runs) {
+        String id = (String) body(create(0, TASK.formatted(name, tag, parameters), null)).get("id");
+        world.runs(new JobId(id), runs);
+        return id;
+    }
+
+    private String created(Duration runs) {
+        return created("task", "1", "", runs);
+    }
+
+    private String state(int node, String id) {
+        return (String) body(ask(node, "GET", "/tasks/" + id, Map.of())).get("state");
+    }
+
+    private TaskId task(String id) {
+        return new TaskId(new JobId(id), 0);
+    }
+
+    /** Whether the task is on some machine, with its image or without. */
+    private boolean isSomewhere(String id) {
+        return world.workers().stream().anyMatch(worker -> !worker.hung() && worker.holds(task(id))
+                && (worker.running().contains(task(id)) || world.fetch().toSeconds() > 30));
+    }
+
+    @Test
+    void aTaskRunsAndEveryNodeTellsTheSameOfIt() throws Malformed {
+        String id = created(SHORT);
+        assertEquals("QUEUED", state(1, id));
+        world.runS(6);
+        assertEquals("RUNNING", state(2, id));
+        world.runS(20);
+        for (int node = 0; node < 3; node++) {
+            Map<String, Object> full = body(ask(node, "GET", "/tasks/" + id, Map.of("view", List.of("FULL"))));
+            assertEquals("COMPLETE", full.get("state"));
+            Fields told = new Fields(full);
+            assertEquals("abc", told.list("inputs").get(0).text("content"));
+            Fields log = told.list("logs").get(0);
+            assertEquals(0, log.list("logs").get(0).count("exit_code"));
+            assertTrue(log.text("start_time").compareTo(log.text("end_time")) < 0);
+            assertTrue(told.text("creation_time").compareTo(log.text("start_time")) < 0);
+        }
+        Map<String, Object> basic = body(ask(1, "GET", "/tasks/" + id, Map.of("view", List.of("BASIC"))));
+        assertFalse(new Fields(basic).list("inputs").get(0).has("content"));
+    }
+
+    @Test
+    void anImageOnItsWayIsToldAsInitializing() {
+        world.fetch(Duration.ofSeconds(20));
+        String id = created(SHORT);
+        world.runS(8);
+        assertEquals("INITIALIZING", state(1, id));
+        world.runS(20);
+        assertEquals("RUNNING", state(1, id));
+    }
+
+    @Test
+    void aCancelledTaskNeverRunsAfterwardsWhereverItIs() {
+        // Nothing has room: cancelled while it waits.
+        world.workers().forEach(worker -> worker.hang(true));
+        world.cloudOut(true);
+        world.runS(10);
+        String waiting = created(LONG);
+        body(ask(1, "POST", "/tasks/" + waiting + ":cancel", Map.of()));
+        assertTrue(Set.of("CANCELING", "CANCELED").contains(state(2, waiting)));
+        world.runS(2);
+        assertEquals("CANCELED", state(0, waiting));
+        world.workers().forEach(worker -> worker.hang(false));
+        world.runS(10);
+        // Its start is committed, but every answer that holds it is lost.
+        world.workers().forEach(worker -> worker.deaf(true));
+        String unsent = created(LONG);
+        world.runS(2);
+        body(ask(1, "POST", "/tasks/" + unsent + ":cancel", Map.of()));
+        assertTrue(Set.of("CANCELING", "CANCELED").contains(state(2, unsent)));
+        world.workers().forEach(worker -> worker.deaf(false));
+        world.runS(20);
+        assertEquals("CANCELED", state(0, unsent));
+        assertEquals(0, world.starts());
+        // Its image is on the way.
+        world.fetch(Duration.ofSeconds(40));
+        String fetching = created(LONG);
+        world.runS(6);
+        assertEquals("INITIALIZING", state(0, fetching));
+        body(ask(1, "POST", "/tasks/" + fetching + ":cancel", Map.of()));
+        world.runS(10);
+        assertEquals("CANCELED", state(2, fetching));
+        world.runS(50);
+        assertEquals(0, world.starts());
+    }
+
+    @Test
+    void aTaskCancelledDuringATakeoverIsGoneAndSaysSo() {
+        String id = created(LONG);
+        world.runS(6);
+        assertEquals("RUNNING", state(0, id));
+        int leader = world.leader();
+        world.crash(leader);
+        int other = (leader + 1) % 3;
+        body(ask(other, "POST", "/tasks/" + id + ":cancel", Map.of()));
+        assertEquals("CANCELING", state((leader + 2) % 3, id));
+        world.runS(30);
+        assertFalse(isSomewhere(id));
+        assertEquals("CANCELED", state(other, id));
+        assertEquals(1, world.starts());
+    }
+
+    @Test
+    void aCancellationIsNeverToldAsTakenBack() {
+        String id = created(LONG);
+        world.runS(6);
+        // The leader cannot see the cancellation by itself for a while, and has news of its own to write.
+        world.line(world.leader()).blind(true);
+        body(ask((world.leader() + 1) % 3, "POST", "/tasks/" + id + ":cancel", Map.of()));
+        world.workers().forEach(worker -> {
+            if (worker.holds(task(id))) {
+                worker.fail(task(id));
+            }
+        });
+        for (int second = 0; second < 20; second++) {
+            assertTrue(Set.of("CANCELING", "CANCELED").contains(state(second % 3, id)));
+            world.runS(1);
+        }
+        assertEquals("CANCELED", state(0, id));
+    }
+
+    @Test
+    void whatIsOverIsToldForEverAlsoAfterAllNodesWereRestarted() {
+        List<String> ids = new ArrayList<>();
+        for (int at = 0; at < 20; at++) {
+            ids.add(created(Duration.ofSeconds(2)));
+        }
+        world.runS(30);
+        world.crashAll();
+        world.runS(8);
+        world.restartAll();
+        world.runS(8);
+        for (String id : ids) {
+            assertEquals("COMPLETE", state(1, id));
+            body(ask(2, "POST", "/tasks/" + id + ":cancel", Map.of()));
+            assertEquals("COMPLETE", state(0, id), "a cancellation comes too late");
+        }
+        assertEquals(20, world.starts());
+    }
+
+    @Test
+    void aCreateThatIsRepeatedMakesOneTask() {
+        String body = TASK.formatted("once", "1", "");
+        world.line(0).loseAnswers(true);
+        Http.Reply lost = create(0, body, "night-1");
+        assertTrue(lost == null || lost.status() == 503);
+        world.line(0).loseAnswers(false);
+        String id = (String) body(create(1, body, "night-1")).get("id");
+        world.runs(new JobId(id), SHORT);
+        assertEquals(id, body(create(2, body, "night-1")).get("id"));
+        assertEquals(400, create(2, TASK.formatted("another", "1", ""), "night-1").status());
+        world.runS(30);
+        assertEquals(id, body(create(0, body, "night-1")).get("id"), "also when it is over");
+        assertEquals(1, world.starts());
+    }
+
+    @Test
+    void attemptsEndWhereTheClientSaysAndElseGoOn() throws Malformed {
+        String bounded = created("bounded", "1", ", \"max_attempts\": \"2\"", LONG);
+        String free = created("free", "1", "", LONG);
+        for (int second = 0; second < 60; second++) {
+            world.workers().forEach(worker -> {
+                for (String id : List.of(bounded, free)) {
+                    if (worker.running().contains(task(id))) {
+                        worker.fail(task(id));
+                    }
+                }
+            });
+            world.runS(1);
+        }
+        assertEquals("EXECUTOR_ERROR", state(1, bounded));
+        Map<String, Object> full = body(ask(2, "GET", "/tasks/" + bounded, Map.of("view", List.of("FULL"))));
+        List<Fields> logs = new Fields(full).list("logs");
+        assertEquals(2, logs.size());
+        assertEquals("ERROR", logs.get(1).fields("metadata").text("cause"));
+        assertNotEquals("EXECUTOR_ERROR", state(1, free));
+    }
+
+    @Test
+    void aBoundedTaskWhoseLeaderDiesBetweenItsAttemptsKeepsItsCount() {
+        String id = created("bounded", "1", ", \"max_attempts\": \"2\"", LONG);
+        world.runS(6);
+        for (int attempt = 1; attempt <= 2; attempt++) {
+            world.on(task(id)).forEach(worker -> worker.fail(task(id)));
+            world.runS(4);
+            world.crash(world.leader());
+            world.runS(2);
+            world.restartAll();
+            world.runS(12);
+        }
+        assertEquals("EXECUTOR_ERROR", state(0, id));
+        assertEquals(2, world.starts());
+    }
+
+    @Test
+    void aTaskIsItsTeamsAlone() {
+        String id = created(LONG);
+        assertEquals(401, world.tes(0, "wrong", "GET", "/tasks/" + id, Map.of(), Map.of(), "").status());
+        assertEquals(403, world.tes(0, "other secret", "GET", "/tasks/" + id, Map.of(), Map.of(), "").status());
+        assertEquals(403, world.tes(0, "other secret", "POST", "/tasks/" + id + ":cancel", Map.of(), Map.of(), "")
+                .status());
+        assertEquals(200, world.tes(0, "reader", "GET", "/tasks/" + id, Map.of(), Map.of(), "").status());
+        assertEquals(403, world.tes(0, "reader", "POST", "/tasks/" + id + ":cancel", Map.of(), Map.of(), "").status());
+        Http.Reply others = world.tes(1, "other secret", "GET", "/tasks", Map.of(), Map.of(), "");
+        assertEquals(List.of(), body(others).get("tasks"));
+        assertEquals(404, ask(0, "GET", "/tasks/tes-00000000000000000000000000", Map.of()).status());
+        assertEquals(404, ask(0, "GET", "/tasks/req-1", Map.of()).status(), "a native job is no task");
+        assertFalse(JobId.wellFormed(id), "and a task no native job");
+    }
+
+    @Test
+    void pagesMissNothingAndTellNothingTwiceWhileTasksComeAndGo() throws Malformed {
+        Set<String> there = new HashSet<>();
+        for (int at = 0; at < 12; at++) {
+            there.add(created("a" + at, String.valueOf(at % 2), "", Duration.ofSeconds(at % 3 == 0 ? 2 : 200)));
+        }
+        List<String> told = new ArrayList<>();
+        String token = null;
+        int node = 0;
+        do {
+            Map<String, List<String>> query = token == null ? Map.of("page_size", List.of("5"))
+                    : Map.of("page_size", List.of("5"), "page_token", List.of(token));
+            Fields page = new Fields(body(ask(node, "GET", "/tasks", query)));
+            for (Fields task : page.list("tasks")) {
+                told.add(task.text("id"));
+            }
+            token = page.textOrNull("next_page_token");
+            // The next page is asked of another node, after a takeover, and others have come in between.
+            created("later", "9", "", LONG);
+            world.crash(world.leader());
+            world.runS(8);
+            world.restartAll();
+            world.runS(6);
+            node = (node + 1) % 3;
+        } while (token != null);
+        assertEquals(told.size(), new HashSet<>(told).size());
+        assertEquals(there, new HashSet<>(told));
+        Fields tagged = new Fields(body(ask(0, "GET", "/tasks", Map.of("tag_key", List.of("night"), "tag_value",
+                List.of("1"), "name_prefix", List.of("a"), "view", List.of("BASIC")))));
+        assertEquals(6, tagged.list("tasks").size());
+        assertTrue(new Fields(body(ask(0, "GET", "/tasks", Map.of("state", List.of("COMPLETE"))))).list("tasks")
+                .size() >= 4);
+    }
+
+    @Test
+    void whatCannotBeDecidedIsAnsweredAtOnce() {
+        world.line(1).cut(true);
+        world.runS(5);
+        Http.Reply refused = create(1, TASK.formatted("task", "1", ""), null);
+        assertEquals(503, refused.status());
+        assertEquals(1, refused.retryAfterS());
+        world.store().out(true);
+        assertEquals(503, create(0, TASK.formatted("task", "1", ""), null).status());
+    }
+
+    @Test
+    void whatCanNeverRunAndWhatIsWrongIsRefusedByName() {
+        for (String[] wrong : new String[][] {
+                {"{\"executors\": []}", "executors"}, {"[]", "JSON"},
+                {"{\"executors\": [{\"image\": \"i\", \"command\": []}]}", "command"},
+                {TASK.formatted("t", "1", ", \"priority\": \"high\""), "priority"},
+                {TASK.formatted("t", "1", ", \"max_attempts\": \"2.5\""), "max_attempts"},
+                {TASK.formatted("t", "1", "").replace("\"1\" }", "\"9\"}"), "machine type"},
+                {TASK.formatted("t", "1", ", \"machine_types\": \"huge\""), "machine type"},
+                {TASK.formatted("t", "1", "").replace("\"cpu_cores\"", "\"zones\": [\"z\"], \"cpu_cores\""), "zone"},
+                {TASK.formatted("t", "1", ", \"x\": \"1\"").replace("}}}",
+                        "}, \"backend_parameters_strict\": true}}"), "backend parameter x"}}) {
+            Http.Reply reply = create(0, wrong[0], null);
+            String said = new String(reply.body());
+            assertEquals(400, reply.status(), said);
+            assertTrue(said.contains(wrong[1]), said);
+        }
+        assertEquals(413, create(0, TASK.formatted("x".repeat(20_000), "1", ""), null).status());
+    }
+
+    @Test
+    void nativeJobsAndTasksOfATeamShareItsLimitAndNeitherOvertakes() {
+        world.team("team", 0, 4);
+        List<JobId> came = new ArrayList<>();
+        for (int at = 1; at <= 6; at++) {
+            JobSpec job = World.spec(at, Kind.ARRAY, 2, 1);
+            assertTrue(world.submit(at % 3, job, SHORT));
+            came.add(job.id());
+            came.add(new JobId(created(SHORT)));
+        }
+        JobId cancelled = new JobId(created(SHORT));
+        body(ask(1, "POST", "/tasks/" + cancelled + ":cancel", Map.of()));
+        world.runS(20);
+        world.crash(world.leader());
+        world.runS(8);
+        world.restartAll();
+        world.runS(150);
+        assertEquals(18, world.starts());
+        List<OrderLog.Event> events = world.events();
+        assertEquals(came, events.stream().filter(event -> event.what() == OrderLog.What.ACCEPTED)
+                .map(OrderLog.Event::job).filter(job -> !job.equals(cancelled)).toList());
+        assertEquals(came, events.stream().filter(event -> event.what() == OrderLog.What.PLACED)
+                .map(OrderLog.Event::job).distinct().toList(), "first come, first placed, by either way");
+        checkRules(events, 4);
+        assertEquals(came.size() + 1, events.stream().filter(event -> event.what() == OrderLog.What.ENDED).count());
+    }
+
+    /** What the ordering log shows of the rules: nothing twice at a time, nothing before or after its time, the limit. */
+    private static void checkRules(List<OrderLog.Event> events, int most) {
+        Set<JobId> accepted = new HashSet<>();
+        Set<JobId> closed = new HashSet<>();
+        Map<TaskId, String> placed = new HashMap<>();
+        for (OrderLog.Event event : events) {
+            TaskId task = new TaskId(event.job(), event.task());
+            switch (event.what()) {
+                case ACCEPTED -> assertTrue(accepted.add(event.job()), "accepted twice: " + event);
+                case CANCELLED -> assertTrue(accepted.contains(event.job()) && closed.add(event.job()), () -> "" + event);
+                case PLACED -> {
+                    assertTrue(accepted.contains(event.job()) && !closed.contains(event.job()), () -> "" + event);
+                    assertEquals(null, placed.put(task, event.machine()), "twice at a time: " + event);
+                    assertTrue(placed.size() <= most, "over the limit: " + event);
+                }
+                case GONE -> assertEquals(event.machine(), placed.remove(task), "gone from elsewhere: " + event);
+                case ENDED -> {
+                    closed.add(event.job());
+                    assertTrue(placed.keySet().stream().noneMatch(left -> left.job().equals(event.job())),
+                            () -> "ended too soon: " + event);
+                }
+            }
+        }
+        assertEquals(Map.of(), placed);
+    }
+}
--- a/src/test/java/org/meadowhollow/story/World.java
+++ b/src/test/java/org/meadowhollow/story/World.java
@@ -3,8 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.junit.jupiter.api.Assertions.fail;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -23,12 +25,15 @@
 import org.meadowhollow.bookkeeping.MachineType;
 import org.meadowhollow.bookkeeping.Moment;
 import org.meadowhollow.bookkeeping.Order;
+import org.meadowhollow.bookkeeping.OrderLog;
 import org.meadowhollow.bookkeeping.Priority;
+import org.meadowhollow.bookkeeping.Records;
 import org.meadowhollow.bookkeeping.Report;
 import org.meadowhollow.bookkeeping.Resources;
 import org.meadowhollow.bookkeeping.Session;
 import org.meadowhollow.bookkeeping.TaskId;
 import org.meadowhollow.bookkeeping.Term;
+import org.meadowhollow.bookkeeping.Version;
 import org.meadowhollow.coordination.Admission;
 import org.meadowhollow.coordination.Admission.JobState;
 import org.meadowhollow.coordination.Admission.Phase;
@@ -39,6 +44,10 @@
 import org.meadowhollow.coordination.Platform;
 import org.meadowhollow.coordination.Workers;
 import org.meadowhollow.coordination.hearing.Testimony;
+import org.meadowhollow.protocol.Http;
+import org.meadowhollow.protocol.Malformed;
+import org.meadowhollow.protocol.tes.TesApi;
+import org.meadowhollow.protocol.tes.TesTokens;
 
 /**
  * A deployment in memory and in virtual time: three nodes, the state service, a cloud and workers. It
@@ -65,6 +74,8 @@
     private final Map<JobId, Moment> toldCancelled = new HashMap<>();
     private final Set<TaskId> completed = new HashSet<>();
     private final Map<String, Platform.Team> teams = new HashMap<>();
+    private final List<OrderLog.Event> events = new ArrayList<>();
+    private final OrderLog order = new OrderLog(events::add);
     private Duration fetch = Duration.ofSeconds(2);
     private final List<FakeWorker> returned = new ArrayList<>();
     private final Set<MachineId> taken = new HashSet<>();
@@ -82,6 +93,7 @@
         private FakeStore.Line line;
         private Node node;
         private Admission admission;
+        private TesApi tes;
         /** The zones whose workers it cannot hear or reach. */
         private final Set<String> cutZones = new HashSet<>();
         /** Reports do not come here, while its own messages go out and are answered. */
@@ -108,8 +120,9 @@
                     Duration.ofSeconds(8));
             EventLoop own = new OwnLoop(this);
             node = new Node(own, mine, new Direct(this), new Offer(), new Hints(this), platform, catalog,
-                    new Random(nextSeed++));
-            admission = new Admission(mine, own, catalog, platform, node::counts);
+                    order, new Random(nextSeed++));
+            admission = new Admission(mine, own, catalog, platform, order, node::counts);
+            tes = new TesApi(admission, mine, own, platform, tokens(), new Random(nextSeed++));
             node.start();
         }
 
@@ -158,11 +171,50 @@
 
     World() {
         team("team", 0, 0);
+        team("other", 0, 0);
         for (String name : List.of("n0", "n1", "n2")) {
             members.add(new Member(name));
         }
     }
 
+    private static TesTokens tokens() {
+        try {
+            // The SHA-256 of "secret", "other secret" and "reader".
+            return TesTokens.of(List.of(
+                    "team=2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b",
+                    "other=bd4106123e659e259c401119d0c7ef0a221df306a5a414b6fb6a579499962d26", "*=3d0941964aa3ebdcb00ccef58b1bb399f9f898465e9886d5aec7f31090a0fb30"));
+        } catch (Malformed wrong) {
+            throw new AssertionError(wrong);
+        }
+    }
+
+    /** Sends a request of a client of the task execution API, and waits five seconds for the answer; null if none. */
+    Http.Reply tes(int node, String token, String method, String path, Map<String, List<String>> query,
+            Map<String, String> headers, String body) {
+        if (members.get(node).node == null) {
+            return null;
+        }
+        Map<String, String> all = new HashMap<>(headers);
+        all.put("Authorization", "Bearer " + token);
+        CompletableFuture<Http.Reply> answer = members.get(node).tes.answer(new Http.Request(method,
+                "/ga4gh/tes/v1" + path, query, all::get, body.getBytes(StandardCharsets.UTF_8)));
+        for (int step = 0; step < 20 && !answer.isDone(); step++) {
+            run(STEP);
+        }
+        return answer.isDone() ? answer.join() : null;
+    }
+
+    /** How long the tasks of a job run that was not submitted here. */
+    void runs(JobId id, Duration span) {
+        runTimes.put(id, span);
+    }
+
+    /** What a job's user asked for, as submitted here or as its live record has it. */
+    JobSpec spec(JobId id) {
+        return specs.computeIfAbsent(id, unknown -> Records.job(id, store.value(Records.job(id)), Version.ABSENT,
+                loop.now()).spec());
+    }
+
     World team(String name, double guaranteedGpus, double mostGpus) {
         teams.put(name, new Platform.Team(name, Resources.of(0, guaranteedGpus, 0),
                 Resources.of(0, mostGpus, 0)));
@@ -216,6 +268,11 @@
         return taken;
     }
 
+    /** What all nodes wrote, in the order of the state service. */
+    List<OrderLog.Event> events() {
+        return events.stream().sorted(Comparator.comparingLong(event -> event.revision().value())).toList();
+    }
+
     long term() {
         return ((Number) store.value("meta/term").get("term")).longValue();
     }
@@ -399,7 +456,7 @@
             toldCancelled.putIfAbsent(state.id(), loop.now());
         }
         if (state.phase() == Phase.DONE) {
-            for (int task = 0; task < specs.get(state.id()).tasks(); task++) {
+            for (int task = 0; task < spec(state.id()).tasks(); task++) {
                 assertTrue(completed.contains(new TaskId(state.id(), task)),
                         "not_done: task " + task + " of " + state.id());
             }
@@ -429,7 +486,7 @@
         Map<String, Resources> used = new HashMap<>();
         for (FakeWorker worker : workers.values()) {
             for (TaskId task : worker.running()) {
-                used.merge(specs.get(task.job()).team(), specs.get(task.job()).perTask(), Resources::plus);
+                used.merge(spec(task.job()).team(), spec(task.job()).perTask(), Resources::plus);
                 Moment since = toldCancelled.get(task.job());
                 assertTrue(worker.hung() || since == null || loop.now().since(since).compareTo(CANCEL) <= 0,
                         "ran_cancelled: " + task);
@@ -444,7 +501,7 @@
     /** A task has its image now and is on its machine. */
     void started(FakeWorker worker, TaskId task) {
         starts++;
-        JobSpec spec = specs.get(task.job());
+        JobSpec spec = spec(task.job());
         assertTrue(spec.allowsZone(worker.zone()) && spec.allowsType(worker.type()), "wrong_place: " + task);
         int inZone = 0;
         for (FakeWorker other : workers.values()) {
@@ -462,7 +519,7 @@
 
     void completed(TaskId task) {
         completed.add(task);
-        JobSpec spec = specs.get(task.job());
+        JobSpec spec = spec(task.job());
         if (spec.kind() == Kind.GANG) {
             // The tasks of a gang complete together.
             for (int other = 0; other < spec.tasks(); other++) {
