The word null alone is no JSON object; tests of the API over real connections and of its flags

Found by a test of wrong bodies: the JSON library reads the word null as no map, which ended in an answer of 500 and, as a settings file, in a stack trace. Tests over loopback: the API's own listener, 401, 404, 405 and 413, off by default, and each wrong flag named without its hash.

--- a/src/main/java/org/meadowhollow/protocol/Json.java
+++ b/src/main/java/org/meadowhollow/protocol/Json.java
@@ -18,12 +18,17 @@
      */
     public static Map<String, Object> decode(byte[] bytes) throws Malformed {
         try {
-            return widened(JSON.std.mapFrom(bytes));
+            Map<String, Object> map = JSON.std.mapFrom(bytes);
+            if (map != null) {
+                return widened(map);
+            }
         } catch (IOException | ClassCastException broken) {
             throw new Malformed("not a JSON object");
         } catch (IllegalArgumentException broken) {
             throw new Malformed(broken.getMessage());
         }
+        // The word null alone.
+        throw new Malformed("not a JSON object");
     }
 
     public static byte[] encode(Map<String, ?> map) {
--- a/src/test/java/org/meadowhollow/cli/ControllerTest.java
+++ b/src/test/java/org/meadowhollow/cli/ControllerTest.java
@@ -1,6 +1,7 @@
 package org.meadowhollow.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -10,6 +11,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.meadowhollow.protocol.Fields;
@@ -72,6 +75,48 @@
         }
     }
 
+    private static final String HASH = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b";
+
+    private TesOptions tes(String listen, String token, Map<String, String> variables) throws Exception {
+        return TesOptions.of(listen, token == null ? List.of() : List.of(token), null, null, variables,
+                settings(SETTINGS));
+    }
+
+    @Test
+    void theTaskExecutionApiAnswersOnAListenerOfItsOwn() throws Exception {
+        TesOptions options = tes("127.0.0.1:0", null, Map.of(TesOptions.TOKENS, "t=" + HASH));
+        try (Controller controller = Controller.builder(settings(SETTINGS)).tes(options).start()) {
+            int port = controller.tesPort();
+            byte[] none = new byte[0];
+            assertEquals("404", status(ask(controller.port(), "GET", "/ga4gh/tes/v1/service-info", none)));
+            String info = ask(port, "GET", "/ga4gh/tes/v1/service-info", none);
+            assertEquals("200", status(info));
+            assertTrue(info.contains("Content-Type: application/json") && info.contains("\"1.1.0\""), info);
+            String unknown = ask(port, "GET", "/ga4gh/tes/v1/tasks", none);
+            assertEquals("401", status(unknown));
+            assertTrue(unknown.contains("WWW-Authenticate: Bearer"), unknown);
+            assertEquals("404", status(ask(port, "GET", "/submissions/req-1", none)));
+            assertEquals("405", status(ask(port, "DELETE", "/ga4gh/tes/v1/service-info", none)));
+            assertEquals("413", status(ask(port, "POST", "/ga4gh/tes/v1/tasks", new byte[70_000])));
+        }
+        try (Controller controller = Controller.builder(settings(SETTINGS)).start()) {
+            assertEquals(-1, controller.tesPort(), "off by default");
+        }
+    }
+
+    @Test
+    void flagsOfTheTaskExecutionApiThatCannotBeUsedAreNamed() throws Exception {
+        assertNull(tes(null, null, Map.of()));
+        assertEquals(List.of("t"), tes("127.0.0.1:0", "t=" + HASH, Map.of()).tokens().teams());
+        for (String[] wrong : new String[][] {{null, "t=" + HASH, "--tes-listen"}, {"nowhere", "t=" + HASH, "--tes-listen"},
+                {"127.0.0.1:0", null, "--tes-token"}, {"127.0.0.1:0", "t=12", "TEAM=SHA256"},
+                {"127.0.0.1:0", "nobody=" + HASH, "nobody"}}) {
+            Settings.Unusable unusable = assertThrows(Settings.Unusable.class, () -> tes(wrong[0], wrong[1], Map.of()));
+            assertTrue(unusable.getMessage().contains(wrong[2]) && !unusable.getMessage().contains(HASH),
+                    unusable.getMessage());
+        }
+    }
+
     @Test
     void someSocketsAreLeftForWhatANodeOpensItself() throws Exception {
         assertEquals(0, Controller.mostCallers(settings(SETTINGS)), "the file does not say how many there are");
--- /dev/null
+++ b/src/test/java/org/meadowhollow/protocol/JsonTest.java
@@ -0,0 +1,34 @@
+package org.meadowhollow.protocol;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class JsonTest {
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void whatIsNoObjectIsRefusedQuickly() {
+        for (String wrong : List.of("", "[]", "1", "null", "{", "{\"a\":}", "{\"x\":".repeat(30_000),
+                "{\"x\":" + "[".repeat(30_000), "{\"x\":" + "9".repeat(60_000) + "}", "{\"a\":\"\\ud800\"}",
+                "{\"\\udc00\":1}")) {
+            assertTimeoutPreemptively(Duration.ofSeconds(20), () -> assertThrows(Malformed.class,
+                    () -> Json.decode(bytes(wrong)), wrong.substring(0, Math.min(20, wrong.length()))));
+        }
+    }
+
+    @Test
+    void valuesComeBackAsTheWireWouldGiveThem() throws Malformed {
+        Map<String, Object> map = Json.decode(bytes("{\"a\":1,\"b\":[1.5,true,null,\"\\ud83d\\ude91\"],\"c\":{}}"));
+        assertEquals(1L, map.get("a"));
+        assertEquals(map, Json.decode(Json.encode(map)));
+    }
+}
