--- a/src/test/java/org/meadowhollow/story/MachineStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/MachineStoriesTest.java
@@ -16,6 +16,14 @@
 
 /** Machines that hang, fall silent, are taken back, rented and returned. */
 class MachineStoriesTest extends Story {
+    /** A service of one replica, which is on its machine. */
+    private JobSpec runningReplica() {
+        JobSpec job = World.spec(1, Kind.SERVICE, 1, 1);
+        assertTrue(world.submit(0, job, null));
+        world.runS(10);
+        return job;
+    }
+
     @Test
     void aStartNeedNotWaitForTheNextReport() {
         // All machines report every 3 s from the same moment on, and have just done so.
@@ -28,9 +36,7 @@
 
     @Test
     void aHungMachinesTasksRunElsewhereAndItMayGoOnLater() {
-        JobSpec job = World.spec(1, Kind.SERVICE, 1, 1);
-        assertTrue(world.submit(0, job, null));
-        world.runS(10);
+        JobSpec job = runningReplica();
         FakeWorker hung = placeOf(job, 0);
         world.cloudOut(true);
         hung.hang(true);
@@ -45,9 +51,7 @@
 
     @Test
     void aMachineThatNeverShowedTheNewTokenHoldsItsTasksForTheWholeLimit() {
-        JobSpec job = World.spec(1, Kind.SERVICE, 1, 1);
-        assertTrue(world.submit(0, job, null));
-        world.runS(10);
+        JobSpec job = runningReplica();
         FakeWorker hung = placeOf(job, 0);
         world.cloudOut(true);
         hung.hang(true);
@@ -73,9 +77,7 @@
 
     @Test
     void aReplicaIsMovedFromASilentMachineBeforeItsLeaseEnds() {
-        JobSpec job = World.spec(1, Kind.SERVICE, 1, 1);
-        assertTrue(world.submit(0, job, null));
-        world.runS(10);
+        JobSpec job = runningReplica();
         placeOf(job, 0).hang(true);
         world.runS(16);
         assertEquals(2, world.starts());
@@ -96,9 +98,7 @@
 
     @Test
     void aReportThatComesLateIsDropped() {
-        JobSpec job = World.spec(1, Kind.SERVICE, 1, 1);
-        assertTrue(world.submit(0, job, null));
-        world.runS(10);
+        JobSpec job = runningReplica();
         FakeWorker place = placeOf(job, 0);
         Report now = place.snapshot();
         Report late = new Report(now.machine(), now.address(), now.type(), now.zone(), now.spot(), now.session(), 1,
@@ -111,9 +111,7 @@
 
     @Test
     void aReplicaLeavesAMachineThatIsTakenBack() {
-        JobSpec job = World.spec(1, Kind.SERVICE, 1, 1);
-        assertTrue(world.submit(0, job, null));
-        world.runS(10);
+        JobSpec job = runningReplica();
         FakeWorker first = placeOf(job, 0);
         first.notice(25);
         world.runS(15);
