--- a/src/main/java/org/meadowhollow/bookkeeping/Companion.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Companion.java
@@ -17,23 +17,27 @@
     public static final String LOST = "LOST";
     private static final String PROGRESS = "progress";
     private static final String LOG = "log";
-    private static final String ENDED = "ended";
 
     private final String key;
     private final Map<String, Object> entry;
     private final int mostAttempts;
+    private final String trace;
     private final List<AttemptLog> log = new ArrayList<>();
     private Progress failure;
+    /** The last attempt whose end those who trace the task were told. */
+    private int lastTraced;
 
     /**
      * @param key of the entry in the state service
      * @param entry what never changes of it
      * @param mostAttempts after which the job is given up, 0 for as many as it takes
+     * @param trace the context in which the job is traced, or null
      */
-    public Companion(String key, Map<String, Object> entry, int mostAttempts) {
+    public Companion(String key, Map<String, Object> entry, int mostAttempts, String trace) {
         this.key = key;
         this.entry = Map.copyOf(entry);
         this.mostAttempts = mostAttempts;
+        this.trace = trace;
     }
 
     public String key() {
@@ -45,16 +49,24 @@
         map.put("key", key);
         map.put("entry", entry);
         map.put("most", (long) mostAttempts);
+        if (trace != null) {
+            map.put("trace", trace);
+        }
         return map;
     }
 
+    /** The key in a record, without the rest of it. */
+    static String keyOf(Object record) {
+        return record instanceof Map<?, ?> map ? (String) map.get("key") : null;
+    }
+
     @SuppressWarnings("unchecked")
     static Companion of(Object record) {
         if (!(record instanceof Map<?, ?> map)) {
             return null;
         }
         return new Companion((String) map.get("key"), (Map<String, Object>) map.get("entry"),
-                ((Number) map.get("most")).intValue());
+                ((Number) map.get("most")).intValue(), (String) map.get("trace"));
     }
 
     // ---- attempts ----
@@ -77,18 +89,18 @@
         return true;
     }
 
-    /**
-     * An attempt is over; when it was the last one allowed, so is the job.
-     *
-     * @param failed how the job ends if this was its last attempt; DONE if the attempt completed it
-     */
-    public void over(Attempt attempt, String cause, Progress failed, long millis) {
+    /** An attempt is over; when it was the last one allowed and did not complete the job, so is the job. */
+    public void over(Attempt attempt, String cause, long millis) {
         int at = find(attempt);
         if (at >= 0 && log.get(at).cause() == null) {
             log.set(at, log.get(at).ended(millis, cause));
         }
-        if (mostAttempts > 0 && attempt.value() >= mostAttempts && failed != Progress.DONE) {
-            failure = failed;
+        giveUpAfter(attempt.value(), cause);
+    }
+
+    private void giveUpAfter(int attempt, String cause) {
+        if (mostAttempts > 0 && attempt >= mostAttempts) {
+            failure = failureOf(cause);
         }
     }
 
@@ -117,10 +129,12 @@
             items.forEach(item -> log.add(AttemptLog.decode(item)));
             if (!log.isEmpty()) {
                 AttemptLog last = log.get(log.size() - 1);
-                if (last.cause() != null && mostAttempts > 0 && last.attempt() >= mostAttempts) {
-                    failure = failureOf(last.cause());
+                if (last.cause() != null) {
+                    giveUpAfter(last.attempt(), last.cause());
                 }
             }
+            // The predecessor told of those that its records show as over.
+            untraced(0).forEach(each -> lastTraced = each.attempt().attempt());
         }
     }
 
@@ -129,23 +143,57 @@
                 : cause.equals(LOST) ? Progress.LOST : Progress.FAILED;
     }
 
+    // ---- for those who trace the job ----
+
+    /** An attempt that is over, and since when the job had waited for it. */
+    record Over(long waitedFromMillis, AttemptLog attempt) {
+    }
+
+    /** The job as it is traced, or null. */
+    public TaskTraces.Traced traced(JobId id, String team) {
+        return trace == null ? null : new TaskTraces.Traced(trace, id, team);
+    }
+
+    /** The attempts that are over and that nobody was told of. */
+    List<Over> untraced(long acceptedMillis) {
+        List<Over> over = new ArrayList<>();
+        for (int at = 0; at < log.size(); at++) {
+            AttemptLog each = log.get(at);
+            if (each.cause() != null && each.attempt() > lastTraced) {
+                long since = at > 0 ? log.get(at - 1).endedMillis()
+                        : each.attempt() == 1 ? acceptedMillis : each.placedMillis();
+                over.add(new Over(since, each));
+            }
+        }
+        return over;
+    }
+
+    /** Tells of what a record that was written says is over. */
+    void trace(TaskTraces traces, TaskTraces.Traced task, List<Over> over) {
+        for (Over each : over) {
+            if (each.attempt().attempt() > lastTraced) {
+                lastTraced = each.attempt().attempt();
+                traces.attempt(task, each.waitedFromMillis(), each.attempt());
+            }
+        }
+    }
+
     // ---- the entry ----
 
     /** The entry of a job that was just accepted. */
     public Map<String, Object> accepted() {
-        return with(Progress.QUEUED, List.of(), 0);
+        return with(Progress.QUEUED, List.of());
     }
 
-    /** The entry of a job as it is; {@code millis} is when it ended, if it has. */
-    Map<String, Object> encode(Progress progress, long millis) {
-        return with(progress, encodeLog(), progress.isFinal() ? millis : 0);
+    /** The entry of a job as it is. */
+    Map<String, Object> encode(Progress progress) {
+        return with(progress, encodeLog());
     }
 
-    private Map<String, Object> with(Progress progress, List<Object> attempts, long endedMillis) {
+    private Map<String, Object> with(Progress progress, List<Object> attempts) {
         Map<String, Object> map = new LinkedHashMap<>(entry);
         map.put(PROGRESS, progress.name());
         map.put(LOG, attempts);
-        map.put(ENDED, endedMillis);
         return map;
     }
 
@@ -163,9 +211,4 @@
     public static List<AttemptLog> logOf(Map<String, Object> entry) {
         return ((List<?>) entry.get(LOG)).stream().map(AttemptLog::decode).toList();
     }
-
-    /** When the job ended, in milliseconds of the time of day; 0 if it has not. */
-    public static long endedMillisOf(Map<String, Object> entry) {
-        return ((Number) entry.get(ENDED)).longValue();
-    }
 }
--- a/src/main/java/org/meadowhollow/bookkeeping/Ledger.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Ledger.java
@@ -45,7 +45,7 @@
     private final EventLoop loop;
     private final int mostWrites;
     private final Version leaderVersion;
-    private final OrderLog order;
+    private final Observers observers;
     private final Listener listener;
     private final Set<Chunk> dirty = new LinkedHashSet<>();
     private final Set<Job> ending = new LinkedHashSet<>();
@@ -55,9 +55,9 @@
     private boolean paused;
     private boolean closed;
 
-    public Ledger(StateStore store, EventLoop loop, int mostWrites, Version leaderVersion, OrderLog order,
+    public Ledger(StateStore store, EventLoop loop, int mostWrites, Version leaderVersion, Observers observers,
             Listener listener) {
-        this.order = order;
+        this.observers = observers;
         this.store = store;
         this.loop = loop;
         this.mostWrites = mostWrites;
@@ -92,10 +92,28 @@
         closed = true;
     }
 
+    /** Takes in what a predecessor wrote of a job, all of which is loaded. */
+    public void restored(Job job) {
+        for (int at = 0; at < job.chunkCount() && observers.order().isOn(); at++) {
+            job.chunk(at).restored();
+        }
+    }
+
+    /** The job's end is in the state service, by a transaction of ours that was never answered. */
+    public void endedUnanswered(Job job) {
+        trace(job, untraced(job), loop.wallMillis());
+        job.end();
+        listener.ended(job);
+    }
+
     /**
      * @param placed where the chunk's tasks are in the record, null while nobody wants to know
+     * @param over the attempts that the record shows as over, for those who trace the job
      */
-    private record Saving(Chunk chunk, long change, Map<Integer, OrderLog.Placed> placed) {
+    private record Saving(Chunk chunk, long change, Map<Integer, OrderLog.Placed> placed, List<Companion.Over> over) {
+    }
+
+    private record Ending(Job job, List<Companion.Over> over, long millis) {
     }
 
     /** Sends what is waiting, as far as transactions may be in flight. */
@@ -103,7 +121,7 @@
         while (!closed && !paused && inFlight < MOST_IN_FLIGHT && !(dirty.isEmpty() && ending.isEmpty()
                 && leftovers.isEmpty())) {
             Transaction transaction = new Transaction().guard(Records.LEADER, leaderVersion);
-            List<Job> ends = new ArrayList<>();
+            List<Ending> ends = new ArrayList<>();
             List<Saving> saves = new ArrayList<>();
             Map<String, Object> touched = new HashMap<>();
             takeEnds(transaction, ends, touched);
@@ -122,7 +140,7 @@
         }
     }
 
-    private void takeEnds(Transaction transaction, List<Job> ends, Map<String, Object> touched) {
+    private void takeEnds(Transaction transaction, List<Ending> ends, Map<String, Object> touched) {
         for (Iterator<Job> jobs = ending.iterator(); jobs.hasNext();) {
             Job job = jobs.next();
             int writes = job.companion() == null ? 3 : 4;
@@ -137,7 +155,7 @@
                 continue;
             }
             endingInFlight.add(job.id());
-            ends.add(job);
+            ends.add(new Ending(job, untraced(job), loop.wallMillis()));
             touched.put(Records.job(job.id()), job);
             transaction.guard(Records.job(job.id()), job.version())
                     .put(Records.ended(job.id()), Records.ended(job)).delete(Records.job(job.id()));
@@ -184,7 +202,8 @@
             }
             chunks.remove();
             chunk.inFlight(true);
-            saves.add(new Saving(chunk, chunk.changed(), order.isOn() ? chunk.placed() : null));
+            saves.add(new Saving(chunk, chunk.changed(), observers.order().isOn() ? chunk.placed() : null,
+                    untraced(job)));
             String key = Records.chunk(chunk);
             touched.put(key, chunk);
             touched.put(Records.job(job.id()), job);
@@ -198,11 +217,36 @@
     /** In the same transaction, so that nobody reads an entry that is older than the job's records. */
     private void putCompanion(Transaction transaction, Job job) {
         if (job.companion() != null) {
-            transaction.put(job.companion().key(), job.companion().encode(job.progress(), loop.wallMillis()));
+            transaction.put(job.companion().key(), job.companion().encode(job.progress()));
         }
     }
 
-    private void settle(List<Job> ends, List<Saving> saves, Map<String, Object> touched,
+    // ---- what others are told ----
+
+    private static List<Companion.Over> untraced(Job job) {
+        return isTraced(job) ? job.companion().untraced(job.acceptedAtMillis()) : List.of();
+    }
+
+    private static boolean isTraced(Job job) {
+        return job.companion() != null && job.companion().traced(job.id(), job.spec().team()) != null;
+    }
+
+    /**
+     * @param endedMillis when the job ended, 0 if it has not
+     */
+    private void trace(Job job, List<Companion.Over> over, long endedMillis) {
+        if (isTraced(job)) {
+            TaskTraces.Traced task = job.companion().traced(job.id(), job.spec().team());
+            job.companion().trace(observers.traces(), task, over);
+            if (endedMillis > 0) {
+                observers.traces().ended(task, job.progress(), job.acceptedAtMillis(), endedMillis);
+            }
+        }
+    }
+
+    // ---- answers ----
+
+    private void settle(List<Ending> ends, List<Saving> saves, Map<String, Object> touched,
             StateStore.Commit commit, Throwable failure) {
         boolean applied = failure == null && commit.applied();
         for (Saving saving : saves) {
@@ -210,27 +254,30 @@
             if (applied) {
                 saving.chunk().saved(saving.change(), commit.revision());
                 if (saving.placed() != null) {
-                    saving.chunk().tell(order, commit.revision(), saving.placed());
+                    saving.chunk().tell(observers.order(), commit.revision(), saving.placed());
                 }
+                trace(saving.chunk().job(), saving.over(), 0);
             }
             if (saving.chunk().isDirty()) {
                 dirty.add(saving.chunk());
             }
         }
-        for (Job job : ends) {
+        for (Ending ending : ends) {
+            Job job = ending.job();
             endingInFlight.remove(job.id());
             if (applied) {
-                for (int at = 0; at < job.chunkCount() && order.isOn(); at++) {
-                    job.chunk(at).tell(order, commit.revision(), Map.of());
+                for (int at = 0; at < job.chunkCount() && observers.order().isOn(); at++) {
+                    job.chunk(at).tell(observers.order(), commit.revision(), Map.of());
                 }
-                order.job(commit.revision(), OrderLog.What.ENDED, job.id(), job.spec().team());
+                observers.order().job(commit.revision(), OrderLog.What.ENDED, job.id(), job.spec().team());
+                trace(job, ending.over(), ending.millis());
                 job.end();
             } else {
-                ending.add(job);
+                this.ending.add(job);
             }
         }
         if (applied) {
-            ends.forEach(listener::ended);
+            ends.forEach(each -> listener.ended(each.job()));
             saves.forEach(saving -> listener.saved(saving.chunk().job()));
             flush();
             return;
--- a/src/main/java/org/meadowhollow/bookkeeping/Progress.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Progress.java
@@ -16,10 +16,5 @@
     /** Out of attempts, the last of which was lost with its machine. */
     LOST,
     /** Out of attempts, the last of which was stopped for others or taken with its machine. */
-    PREEMPTED;
-
-    /** Whether it stays so for ever. */
-    public boolean isFinal() {
-        return ordinal() >= DONE.ordinal();
-    }
+    PREEMPTED
 }
--- a/src/main/java/org/meadowhollow/bookkeeping/Records.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Records.java
@@ -110,8 +110,7 @@
 
     /** The key of what another interface keeps beside a job, or null. */
     public static String companionKey(Map<String, Object> jobRecord) {
-        Companion companion = Companion.of(jobRecord.get(COMPANION));
-        return companion == null ? null : companion.key();
+        return Companion.keyOf(jobRecord.get(COMPANION));
     }
 
     public static boolean isCancelled(Map<String, Object> jobRecord) {
@@ -199,7 +198,6 @@
             job.restore(((Number) placed.get(0)).intValue(), new Attempt(((Number) placed.get(1)).intValue()),
                     new MachineId((String) placed.get(2)), new Session(((Number) placed.get(3)).longValue()), now);
         }
-        chunk.restored();
         return true;
     }
 
--- a/src/main/java/org/meadowhollow/cli/Controller.java
+++ b/src/main/java/org/meadowhollow/cli/Controller.java
@@ -7,7 +7,7 @@
 import java.util.random.RandomGenerator;
 import javax.net.ssl.SSLContext;
 import org.meadowhollow.bookkeeping.Catalog;
-import org.meadowhollow.bookkeeping.OrderLog;
+import org.meadowhollow.bookkeeping.Observers;
 import org.meadowhollow.coordination.Admission;
 import org.meadowhollow.coordination.Node;
 import org.meadowhollow.coordination.Platform;
@@ -58,10 +58,12 @@
     /** Null unless the task execution API is served. */
     private final HttpServer tes;
     private final Node node;
+    private final Observers observers;
 
     private Controller(XnioLoop loop, Settings settings, TesOptions tesOptions, SSLContext tesKeys,
-            OrderLog order, RandomGenerator random) {
+            Observers observers, RandomGenerator random) {
         this.loop = loop;
+        this.observers = observers;
         Platform platform = settings.platform();
         ByteBufferPool buffers = buffers();
         HttpClient http = new HttpClient(loop, buffers);
@@ -70,17 +72,18 @@
         CloudClient cloud = new CloudClient(http, settings.cloud(), loop, budget(platform.cloudRps()));
         PeerLink peers = new PeerLink(http, settings.peers());
         Catalog catalog = new Catalog();
-        node = new Node(loop, state, new WorkerClient(http), cloud, peers, platform, catalog, order, random);
+        node = new Node(loop, state, new WorkerClient(http), cloud, peers, platform, catalog, observers, random);
         peers.listener(node::heardOf);
         peers.served(() -> !state.seemsOut());
         peers.hearing(node::isHardOfHearing, node::heardAmong);
-        Admission admission = new Admission(state, loop, catalog, platform, order, node::counts);
+        Admission admission = new Admission(state, loop, catalog, platform, observers, node::counts);
         NodeApi api = new NodeApi(new UserApi(admission), new WorkerApi(node::report), node::isReady);
         front = new HttpServer(loop, buffers, settings.listen().host(), settings.listen().port(),
                 mostCallers(settings), idle(platform), api);
         tes = tesOptions == null ? null : new HttpServer(loop, buffers, tesOptions.listen().host(),
                 tesOptions.listen().port(), mostCallers(settings) / TES_SHARE, idle(platform), tesKeys,
-                new TesApi(admission, state, loop, platform, tesOptions.tokens(), random));
+                new TesApi(admission, state, loop, platform, tesOptions.tokens(), observers.traces(),
+                        random));
         back = new HttpServer(loop, buffers, settings.back().host(), settings.back().port(), 0, PEERS_IDLE, peers);
         node.start();
     }
@@ -118,7 +121,7 @@
         private final Settings settings;
         private RandomGenerator random = RandomGenerator.getDefault();
         private TesOptions tes;
-        private OrderLog order = OrderLog.NONE;
+        private Observers observers = Observers.NONE;
 
         private Builder(Settings settings) {
             this.settings = settings;
@@ -135,9 +138,9 @@
             return this;
         }
 
-        /** Tells what happens to jobs, in one sequence; by default nobody is told. */
-        public Builder order(OrderLog log) {
-            order = log;
+        /** Are told what happens to jobs; by default nobody is. The traces are closed with the controller. */
+        public Builder observers(Observers told) {
+            observers = told;
             return this;
         }
 
@@ -146,7 +149,7 @@
             XnioLoop loop = new XnioLoop();
             try {
                 // Built where it runs, so that one thread alone loads classes and reads files while it starts.
-                return loop.call(() -> new Controller(loop, settings, tes, keys, order, random));
+                return loop.call(() -> new Controller(loop, settings, tes, keys, observers, random));
             } catch (RuntimeException failure) {
                 loop.close();
                 throw failure;
@@ -172,5 +175,6 @@
         back.close();
         node.close();
         loop.close();
+        observers.traces().close();
     }
 }
--- a/src/main/java/org/meadowhollow/cli/Main.java
+++ b/src/main/java/org/meadowhollow/cli/Main.java
@@ -1,14 +1,20 @@
 package org.meadowhollow.cli;
 
 import java.io.IOException;
+import java.net.URI;
+import java.net.URISyntaxException;
 import java.nio.file.Path;
 import java.time.Instant;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.Callable;
+import org.meadowhollow.bookkeeping.Observers;
 import org.meadowhollow.bookkeeping.OrderLog;
+import org.meadowhollow.bookkeeping.TaskTraces;
+import org.meadowhollow.transport.tracing.OtlpTraces;
 import org.slf4j.LoggerFactory;
+import org.slf4j.bridge.SLF4JBridgeHandler;
 import picocli.CommandLine;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Model.OptionSpec;
@@ -19,6 +25,7 @@
  */
 public final class Main implements Callable<Integer> {
     private static final Set<String> LEVELS = Set.of("error", "info", "debug");
+    private static final Set<String> SCHEMES = Set.of("http", "https");
     private static final String CONFIG = "--config";
     private static final String CHECK = "--check";
     private static final String TES_LISTEN = "--tes-listen";
@@ -26,6 +33,7 @@
     private static final String TES_CERT = "--tes-cert";
     private static final String TES_KEY = "--tes-key";
     private static final String ORDER_LOG = "--order-log";
+    private static final String TRACE_OTLP = "--trace-otlp";
     private static final String REHEARSE = "--rehearse";
 
     private final CommandSpec spec = CommandSpec.wrapWithoutInspection(this)
@@ -45,6 +53,9 @@
                     .description("key of that certificate, in PEM").build())
             .addOption(OptionSpec.builder(ORDER_LOG)
                     .description("log what happens to jobs and tasks, numbered in one order for all nodes").build())
+            .addOption(OptionSpec.builder(TRACE_OTLP).paramLabel("URL").type(String.class)
+                    .description("send spans of tasks whose clients trace them there, by OTLP over HTTP"
+                            + " (default: nowhere)").build())
             .addOption(OptionSpec.builder(REHEARSE).hidden(true).build())
             .addOption(OptionSpec.builder("-h", "--help").usageHelp(true)
                     .description("Show this help message and exit.").build())
@@ -112,11 +123,13 @@
         }
         Settings settings;
         TesOptions tes;
+        URI traces;
         try {
             settings = Settings.read(config);
             tes = TesOptions.of(given.matchedOptionValue(TES_LISTEN, null),
                     given.matchedOptionValue(TES_TOKEN, List.of()), given.matchedOptionValue(TES_CERT, null),
                     given.matchedOptionValue(TES_KEY, null), System.getenv(), settings);
+            traces = traces(given.matchedOptionValue(TRACE_OTLP, null));
         } catch (Settings.Unusable unusable) {
             System.err.println("meadowhollow: " + unusable.getMessage());
             return CommandLine.ExitCode.USAGE;
@@ -125,9 +138,10 @@
             return CommandLine.ExitCode.OK;
         }
         try {
-            Controller.builder(settings).tes(tes).order(given.hasMatchedOption(ORDER_LOG)
-                    ? new OrderLog(event -> LoggerFactory.getLogger(OrderLog.class).info("{}", event)) : OrderLog.NONE)
-                    .start();
+            OrderLog order = given.hasMatchedOption(ORDER_LOG)
+                    ? new OrderLog(event -> LoggerFactory.getLogger(OrderLog.class).info("{}", event)) : OrderLog.NONE;
+            Controller.builder(settings).tes(tes).observers(new Observers(order, traces == null ? TaskTraces.NONE
+                    : traced(traces, settings.platform().member()))).start();
             // The log counts milliseconds from the start, for formatting the time of day made every start a fifth
             // longer. This line tells what the count was at which time.
             LoggerFactory.getLogger(Main.class).info("{} runs, at {}", settings.platform().member(), Instant.now());
@@ -137,4 +151,29 @@
         }
         return RUNNING;
     }
+
+    /** Only a process that traces loads what this names, and has its library log where all else does. */
+    private static TaskTraces traced(URI collector, String member) {
+        SLF4JBridgeHandler.removeHandlersForRootLogger();
+        SLF4JBridgeHandler.install();
+        return OtlpTraces.to(collector, member);
+    }
+
+    /**
+     * @throws Settings.Unusable in one line, which names the flag
+     */
+    static URI traces(String url) throws Settings.Unusable {
+        if (url == null) {
+            return null;
+        }
+        try {
+            URI uri = new URI(url);
+            if (uri.getHost() != null && uri.getUserInfo() == null && SCHEMES.contains(uri.getScheme())) {
+                return uri;
+            }
+        } catch (URISyntaxException notAnAddress) {
+            // One message for every wrong address.
+        }
+        throw new Settings.Unusable(TRACE_OTLP + " is not of the form http://HOST:PORT or https://HOST:PORT");
+    }
 }
--- a/src/main/java/org/meadowhollow/cli/Rehearsal.java
+++ b/src/main/java/org/meadowhollow/cli/Rehearsal.java
@@ -19,6 +19,8 @@
  */
 final class Rehearsal {
     private static final String OWN_CLASSES = "org/meadowhollow/";
+    /** Loaded by those who trace, and by nobody else. */
+    private static final String TRACING = OWN_CLASSES + "transport/tracing/";
     private static final String CLASS = ".class";
 
     private Rehearsal() {
@@ -80,7 +82,7 @@
         try (JarFile jar = new JarFile(own.toFile())) {
             for (JarEntry entry : (Iterable<JarEntry>) jar.stream()::iterator) {
                 String name = entry.getName();
-                if (name.startsWith(OWN_CLASSES) && name.endsWith(CLASS)) {
+                if (name.startsWith(OWN_CLASSES) && !name.startsWith(TRACING) && name.endsWith(CLASS)) {
                     Class.forName(name.substring(0, name.length() - CLASS.length()).replace('/', '.'));
                 }
             }
--- a/src/main/java/org/meadowhollow/coordination/Admission.java
+++ b/src/main/java/org/meadowhollow/coordination/Admission.java
@@ -13,6 +13,7 @@
 import org.meadowhollow.bookkeeping.Kind;
 import org.meadowhollow.bookkeeping.MachineType;
 import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.Observers;
 import org.meadowhollow.bookkeeping.OrderLog;
 import org.meadowhollow.bookkeeping.Records;
 import org.meadowhollow.bookkeeping.Resources;
@@ -20,6 +21,7 @@
 import org.meadowhollow.bookkeeping.StateException.Outcome;
 import org.meadowhollow.bookkeeping.StateStore;
 import org.meadowhollow.bookkeeping.StateStore.Urgency;
+import org.meadowhollow.bookkeeping.TaskTraces;
 import org.meadowhollow.bookkeeping.Transaction;
 import org.meadowhollow.bookkeeping.Version;
 import org.slf4j.Logger;
@@ -74,7 +76,7 @@
     private final EventLoop loop;
     private final Catalog catalog;
     private final Platform platform;
-    private final OrderLog order;
+    private final Observers observers;
     private final Counts counts;
     private final Map<JobId, JobState> over = new LinkedHashMap<>() {
         @Override
@@ -83,9 +85,9 @@
         }
     };
 
-    public Admission(StateStore store, EventLoop loop, Catalog catalog, Platform platform, OrderLog order,
+    public Admission(StateStore store, EventLoop loop, Catalog catalog, Platform platform, Observers observers,
             Counts counts) {
-        this.order = order;
+        this.observers = observers;
         this.store = store;
         this.loop = loop;
         this.catalog = catalog;
@@ -126,7 +128,8 @@
         if (store.seemsOut()) {
             return CompletableFuture.failedFuture(new TryLater("the state service is out"));
         }
-        Map<String, Object> record = Records.job(spec, loop.wallMillis(),
+        long now = loop.wallMillis();
+        Map<String, Object> record = Records.job(spec, now,
                 Records.chunkSize(platform.valueBytes()), false, companion);
         Transaction accept = new Transaction()
                 .guard(Records.job(spec.id()), Version.ABSENT)
@@ -138,7 +141,11 @@
         records.forEach((key, value) -> accept.guard(key, Version.ABSENT).put(key, value));
         return commit(accept, loop.now()).thenCompose(commit -> {
             if (commit.applied()) {
-                order.job(commit.revision(), OrderLog.What.ACCEPTED, spec.id(), spec.team());
+                observers.order().job(commit.revision(), OrderLog.What.ACCEPTED, spec.id(), spec.team());
+                TaskTraces.Traced task = companion == null ? null : companion.traced(spec.id(), spec.team());
+                if (task != null) {
+                    observers.traces().accepted(task, now, loop.wallMillis());
+                }
                 return CompletableFuture.completedFuture(
                         new Accepted(new JobState(spec.id(), Phase.QUEUED, 0, 0), true));
             }
@@ -182,7 +189,7 @@
                     return cancel(id, begun);
                 }
                 LOG.info("cancelled {} for its user", id);
-                order.job(commit.revision(), OrderLog.What.CANCELLED, id, Records.teamOf(found.get().record()));
+                observers.order().job(commit.revision(), OrderLog.What.CANCELLED, id, Records.teamOf(found.get().record()));
                 return CompletableFuture.completedFuture(
                         Optional.of(new JobState(id, Phase.CANCELLED, 0, 0)));
             });
--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -26,10 +26,9 @@
 import org.meadowhollow.bookkeeping.MachineId;
 import org.meadowhollow.bookkeeping.MachineType;
 import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.Observers;
 import org.meadowhollow.bookkeeping.Order;
-import org.meadowhollow.bookkeeping.OrderLog;
 import org.meadowhollow.bookkeeping.Placement;
-import org.meadowhollow.bookkeeping.Progress;
 import org.meadowhollow.bookkeeping.Records;
 import org.meadowhollow.bookkeeping.Report;
 import org.meadowhollow.bookkeeping.Session;
@@ -107,7 +106,7 @@
     private long byRoom;
 
     public Leader(EventLoop loop, StateStore store, Workers workers, Cloud cloud, Peers peers, Platform platform,
-            Catalog catalog, Leadership leadership, Term term, Version leaderVersion, OrderLog order) {
+            Catalog catalog, Leadership leadership, Term term, Version leaderVersion, Observers observers) {
         this.loop = loop;
         this.store = store;
         this.workers = workers;
@@ -121,7 +120,7 @@
         this.machines = cluster.machines();
         this.aims = new Aims(platform, catalog);
         this.rooms = new RoomMaker(cluster, platform, aims);
-        this.ledger = new Ledger(store, loop, platform.txnOps(), leaderVersion, order, this);
+        this.ledger = new Ledger(store, loop, platform.txnOps(), leaderVersion, observers, this);
         this.images = new ImageNotes(store, leaderVersion, platform);
         this.loading = new Loading(this, store, loop, cluster, aims, expected, ledger, images, term);
         this.silence = new SilenceWatch(this, cluster, platform, term, begunAt);
@@ -179,8 +178,7 @@
                     loading.takeJob(entry.get().key(), entry.get().value(), entry.get().version());
                 } else {
                     // Only our own unanswered transaction can have moved it to its final record.
-                    job.end();
-                    ended(job);
+                    ledger.endedUnanswered(job);
                 }
                 ledger.flush();
             }
@@ -303,8 +301,7 @@
                 failed(machine, job, cause, now);
             }
         }
-        attemptOver(placement, cause == Cause.STOPPED ? Companion.PREEMPTED : cause.name(), cause == Cause.DONE
-                ? Progress.DONE : cause == Cause.STOPPED ? Progress.PREEMPTED : Progress.FAILED);
+        attemptOver(placement, cause == Cause.STOPPED ? Companion.PREEMPTED : cause.name());
         long change = remove(machine, placement, now, true);
         machine.settling().put(placement.task(),
                 new Machine.Settling(placement.attempt(), job.chunkOf(task), change));
@@ -332,16 +329,16 @@
             machine.lost(1);
         }
         boolean taken = machine != null && machine.noticeEndsAt() != null;
-        attemptOver(placement, taken ? Companion.PREEMPTED : Companion.LOST, taken ? Progress.PREEMPTED : Progress.LOST);
+        attemptOver(placement, taken ? Companion.PREEMPTED : Companion.LOST);
         // A gang that has not begun waits on for a replacement with the attempt's number.
         remove(machine, placement, now, placement.job().hasBegun() || placement.runningSince() != null);
     }
 
     /** Notes the end of an attempt for those who ask about the job through another interface. */
-    private void attemptOver(Placement placement, String cause, Progress failed) {
+    private void attemptOver(Placement placement, String cause) {
         Companion companion = placement.job().companion();
         if (companion != null) {
-            companion.over(placement.attempt(), cause, failed, loop.wallMillis());
+            companion.over(placement.attempt(), cause, loop.wallMillis());
         }
     }
 
--- a/src/main/java/org/meadowhollow/coordination/Loading.java
+++ b/src/main/java/org/meadowhollow/coordination/Loading.java
@@ -109,6 +109,7 @@
     private void loaded(Version watchFrom) {
         int placed = 0;
         for (Job job : cluster.jobs().values()) {
+            ledger.restored(job);
             for (Placement placement : job.placements()) {
                 cluster.restore(placement);
                 placed++;
--- a/src/main/java/org/meadowhollow/coordination/Node.java
+++ b/src/main/java/org/meadowhollow/coordination/Node.java
@@ -11,7 +11,7 @@
 import org.meadowhollow.bookkeeping.JobId;
 import org.meadowhollow.bookkeeping.MachineId;
 import org.meadowhollow.bookkeeping.Moment;
-import org.meadowhollow.bookkeeping.OrderLog;
+import org.meadowhollow.bookkeeping.Observers;
 import org.meadowhollow.bookkeeping.Records;
 import org.meadowhollow.bookkeeping.Report;
 import org.meadowhollow.bookkeeping.Session;
@@ -47,7 +47,7 @@
     private final Cloud cloud;
     private final Platform platform;
     private final Catalog catalog;
-    private final OrderLog order;
+    private final Observers observers;
     private final Leadership leadership;
     private final Peers peers;
     private final HeldReports orphans = new HeldReports();
@@ -59,8 +59,8 @@
     private boolean cloudSilent;
 
     public Node(EventLoop loop, StateStore store, Workers workers, Cloud cloud, Peers peers, Platform platform,
-            Catalog catalog, OrderLog order, RandomGenerator random) {
-        this.order = order;
+            Catalog catalog, Observers observers, RandomGenerator random) {
+        this.observers = observers;
         this.loop = loop;
         this.store = store;
         this.workers = workers;
@@ -151,7 +151,7 @@
     @Override
     public void elected(Term term, Version leaderVersion) {
         Leader begun = new Leader(loop, store, workers, cloud, peers, platform, catalog, leadership, term,
-                leaderVersion, order);
+                leaderVersion, observers);
         synchronized (this) {
             if (leader != null) {
                 leader.close();
--- a/src/main/java/org/meadowhollow/protocol/tes/TesApi.java
+++ b/src/main/java/org/meadowhollow/protocol/tes/TesApi.java
@@ -20,6 +20,7 @@
 import org.meadowhollow.bookkeeping.StateException;
 import org.meadowhollow.bookkeeping.StateStore;
 import org.meadowhollow.bookkeeping.StateStore.Urgency;
+import org.meadowhollow.bookkeeping.TaskTraces;
 import org.meadowhollow.coordination.Admission;
 import org.meadowhollow.coordination.Platform;
 import org.meadowhollow.protocol.Fields;
@@ -54,6 +55,7 @@
     private final Platform platform;
     private final TesTokens tokens;
     private final RandomGenerator random;
+    private final TaskTraces traces;
     private final TesListing listing;
     private final Map<String, Kept> cache = new LinkedHashMap<>(16, 0.75f, true) {
         @Override
@@ -67,7 +69,8 @@
     }
 
     public TesApi(Admission admission, StateStore store, EventLoop loop, Platform platform, TesTokens tokens,
-            RandomGenerator random) {
+            TaskTraces traces, RandomGenerator random) {
+        this.traces = traces;
         this.admission = admission;
         this.store = store;
         this.loop = loop;
@@ -97,10 +100,8 @@
         CompletableFuture<Http.Reply> reply;
         try {
             reply = route(request);
-        } catch (Malformed wrong) {
-            reply = CompletableFuture.completedFuture(error(400, wrong.getMessage()));
-        } catch (Refused | Admission.TryLater refused) {
-            reply = CompletableFuture.completedFuture(failure(refused));
+        } catch (Malformed | Refused | Admission.TryLater refused) {
+            reply = CompletableFuture.failedFuture(refused);
         }
         return reply.exceptionally(TesApi::failure);
     }
@@ -110,7 +111,7 @@
         if (cause instanceof Refused refused) {
             return error(refused.status, refused.getMessage());
         }
-        if (cause instanceof Admission.NeverRuns) {
+        if (cause instanceof Malformed || cause instanceof Admission.NeverRuns) {
             return error(400, cause.getMessage());
         }
         if (cause instanceof Admission.TryLater || cause instanceof StateException) {
@@ -196,7 +197,8 @@
             throw new Refused(413, "the task takes " + document.length + " bytes, its name and tags " + entry.bytes()
                     + "; at most " + room + " and " + room / 2 + " can be kept");
         }
-        Companion companion = new Companion(kept.entryKey(), entry.encode(), TesCodec.mostAttempts(task));
+        Companion companion = new Companion(kept.entryKey(), entry.encode(), TesCodec.mostAttempts(task),
+                traces.contextOf(request.header().apply("traceparent")));
         return admission.submit(spec, companion, Map.of(recordKey(id.value()), encode(kept))).thenCompose(accepted ->
                 accepted.isNew() ? CompletableFuture.completedFuture(kept) : kept(id.value())).thenApply(stands -> {
                     if (!stands.digest().equals(kept.digest())) {
--- a/src/main/java/org/meadowhollow/protocol/tes/TesListing.java
+++ b/src/main/java/org/meadowhollow/protocol/tes/TesListing.java
@@ -53,6 +53,11 @@
 
     private record Query(String team, String namePrefix, String state, Map<String, String> tags, TesApi.View view,
             int most) {
+        /** Without a filter every entry is told, so that no more need be read than go onto the page, and one more. */
+        int toRead(int found) {
+            boolean all = namePrefix == null && state == null && tags.isEmpty();
+            return all ? Math.min(StateStore.MOST_LISTED, most - found + 1) : StateStore.MOST_LISTED;
+        }
     }
 
     private final TesApi api;
@@ -156,7 +161,7 @@
 
     private CompletableFuture<Http.Reply> read(Query query, String after, List<Map<String, Object>> found, int reads) {
         String prefix = prefix(query.team());
-        return store.list(prefix, after, StateStore.MOST_LISTED, Urgency.BACKGROUND).thenCompose(page -> {
+        return store.list(prefix, after, query.toRead(found.size()), Urgency.BACKGROUND).thenCompose(page -> {
             String last = after;
             for (StateStore.Entry entry : page.entries()) {
                 if (found.size() == query.most()) {
--- a/src/test/java/org/meadowhollow/story/FakeStore.java
+++ b/src/test/java/org/meadowhollow/story/FakeStore.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
+import org.meadowhollow.bookkeeping.EventLoop;
 import org.meadowhollow.bookkeeping.LeaseId;
 import org.meadowhollow.bookkeeping.Moment;
 import org.meadowhollow.bookkeeping.StateException;
@@ -27,7 +28,7 @@
     private record Stored(byte[] value, long version, long lease) {
     }
 
-    private final VirtualLoop loop;
+    private final EventLoop loop;
     private final TreeMap<String, Stored> keys = new TreeMap<>();
     private final Map<Long, Moment> leases = new HashMap<>();
     private final Map<Long, Duration> ttls = new HashMap<>();
@@ -36,7 +37,7 @@
     private long nextLease;
     private boolean out;
 
-    FakeStore(VirtualLoop loop) {
+    FakeStore(EventLoop loop) {
         this.loop = loop;
     }
 
@@ -276,8 +277,13 @@
             expire();
             List<Change> found = new ArrayList<>();
             if (!cut && !out && !blind) {
-                for (Change change : log) {
-                    if (change.key().startsWith(prefix) && change.version().isAfter(after)) {
+                // The log is in the order of versions, and a watcher is mostly near its end.
+                int from = log.size();
+                while (from > 0 && log.get(from - 1).version().isAfter(after)) {
+                    from--;
+                }
+                for (Change change : log.subList(from, log.size())) {
+                    if (change.key().startsWith(prefix)) {
                         found.add(change);
                     }
                 }
--- a/src/test/java/org/meadowhollow/story/TesStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/TesStoriesTest.java
@@ -354,6 +354,139 @@
         assertEquals(came.size() + 1, events.stream().filter(event -> event.what() == OrderLog.What.ENDED).count());
     }
 
+    private String createdTraced(String parameters, Duration runs) {
+        String id = (String) body(world.tes(0, "secret", "POST", "/tasks", Map.of(), Map.of("traceparent", "ctx"),
+                TASK.formatted("traced", "1", parameters))).get("id");
+        world.runs(new JobId(id), runs);
+        return id;
+    }
+
+    @Test
+    void aTracedTaskIsToldOfOnceThroughATakeover() {
+        String id = createdTraced(", \"max_attempts\": \"9\"", Duration.ofSeconds(20));
+        created(SHORT);
+        world.runS(6);
+        world.on(task(id)).forEach(worker -> worker.fail(task(id)));
+        world.runS(8);
+        assertEquals("RUNNING", state(0, id));
+        world.crash(world.leader());
+        world.runS(40);
+        assertEquals("COMPLETE", state((world.leader() + 1) % 3, id));
+        assertEquals(List.of("ctx accepted", "ctx attempt 1 ERROR", "ctx attempt 2 DONE", "ctx ended DONE"),
+                world.traced());
+    }
+
+    @Test
+    void aTracedTaskWhoseEndGotNoAnswerIsToldOfAllTheSame() {
+        String id = createdTraced("", Duration.ofSeconds(8));
+        world.runS(6);
+        int leader = world.leader();
+        for (int step = 0; step < 40 && !world.traced().contains("ctx ended DONE"); step++) {
+            // Each answer of a while is lost, among them that to the job's end.
+            world.line(leader).loseAnswers(step % 4 == 0);
+            world.runS(1);
+        }
+        world.line(leader).loseAnswers(false);
+        world.runS(20);
+        assertEquals("COMPLETE", state(0, id));
+        assertEquals(List.of("ctx accepted", "ctx attempt 1 DONE", "ctx ended DONE"), world.traced());
+    }
+
+    @Test
+    void aThousandTasksThatAreOverAreAllStillTold() {
+        List<String> ids = new ArrayList<>();
+        for (int at = 0; at < 1000; at++) {
+            ids.add(created("t" + at, "1", "", LONG));
+            if (at % 50 == 49) {
+                for (String id : ids.subList(at - 49, at + 1)) {
+                    body(ask(at % 3, "POST", "/tasks/" + id + ":cancel", Map.of()));
+                }
+            }
+        }
+        world.runS(60);
+        world.crashAll();
+        world.runS(8);
+        world.restartAll();
+        world.runS(8);
+        for (int at = 0; at < ids.size(); at++) {
+            assertEquals("CANCELED", state(at % 3, ids.get(at)));
+        }
+        Set<String> listed = new HashSet<>();
+        String token = null;
+        do {
+            Map<String, List<String>> query = token == null ? Map.of("page_size", List.of("300"))
+                    : Map.of("page_size", List.of("300"), "page_token", List.of(token));
+            Map<String, Object> page = body(ask(listed.size() % 3, "GET", "/tasks", query));
+            for (Object task : (List<?>) page.get("tasks")) {
+                assertTrue(listed.add((String) ((Map<?, ?>) task).get("id")));
+            }
+            token = (String) page.get("next_page_token");
+        } while (token != null);
+        assertEquals(new HashSet<>(ids), listed);
+    }
+
+    @Test
+    void aTaskCancelledInTheRoundThatPlacesItNeverRuns() {
+        // Placed and cancelled between two answers of the state service, whichever of the two gets there first.
+        for (int at = 0; at < 12; at++) {
+            String id = created(LONG);
+            world.run(Duration.ofMillis(250 * (at % 6)));
+            body(ask(at % 3, "POST", "/tasks/" + id + ":cancel", Map.of()));
+            int before = world.starts();
+            world.runS(12);
+            assertEquals("CANCELED", state(at % 3, id));
+            assertFalse(isSomewhere(id));
+            assertEquals(before, world.starts(), "none starts after the answer");
+        }
+        checkRules(world.events(), 100);
+    }
+
+    @Test
+    void aTaskOfATeamBelowItsGuaranteeGoesFirstLikeANativeJob() {
+        world.team("other", 2, 0);
+        for (int at = 1; at <= 40; at++) {
+            assertTrue(world.submit(0, World.spec(at, Kind.ARRAY, 2, 1), LONG));
+        }
+        world.cloudOut(true);
+        world.runS(10);
+        int before = world.starts();
+        String id = (String) body(world.tes(0, "other secret", "POST", "/tasks", Map.of(), Map.of(),
+                TASK.formatted("first", "1", ", \"save_s\": \"1\""))).get("id");
+        world.runs(new JobId(id), LONG);
+        world.runS(30);
+        assertTrue(before > 0);
+        Http.Reply reply = world.tes(1, "other secret", "GET", "/tasks/" + id, Map.of(), Map.of(), "");
+        assertEquals("RUNNING", body(reply).get("state"), "others make room, as for a native job of that team");
+    }
+
+    @Test
+    void twoClientsListWhileTasksComeAndGoAndMissNothing() {
+        Set<String> there = new HashSet<>();
+        for (int at = 0; at < 10; at++) {
+            there.add(created("a" + at, "1", "", LONG));
+        }
+        String[] tokens = {"", ""};
+        List<Set<String>> told = List.of(new HashSet<>(), new HashSet<>());
+        for (int step = 0; tokens[0] != null || tokens[1] != null; step++) {
+            int client = step % 2;
+            if (tokens[client] == null) {
+                continue;
+            }
+            Map<String, List<String>> query = new HashMap<>(Map.of("page_size", List.of(client == 0 ? "3" : "4")));
+            if (!tokens[client].isEmpty()) {
+                query.put("page_token", List.of(tokens[client]));
+            }
+            Map<String, Object> page = body(ask(step % 3, "GET", "/tasks", query));
+            for (Object task : (List<?>) page.get("tasks")) {
+                assertTrue(told.get(client).add((String) ((Map<?, ?>) task).get("id")), "told twice");
+            }
+            tokens[client] = (String) page.get("next_page_token");
+            String passing = created("passing", "2", "", SHORT);
+            body(ask(0, "POST", "/tasks/" + passing + ":cancel", Map.of()));
+        }
+        assertTrue(told.get(0).containsAll(there) && told.get(1).containsAll(there));
+    }
+
     /** What the ordering log shows of the rules: nothing twice at a time, nothing before or after its time, the limit. */
     private static void checkRules(List<OrderLog.Event> events, int most) {
         Set<JobId> accepted = new HashSet<>();
--- a/src/test/java/org/meadowhollow/story/World.java
+++ b/src/test/java/org/meadowhollow/story/World.java
@@ -24,6 +24,7 @@
 import org.meadowhollow.bookkeeping.MachineId;
 import org.meadowhollow.bookkeeping.MachineType;
 import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.Observers;
 import org.meadowhollow.bookkeeping.Order;
 import org.meadowhollow.bookkeeping.OrderLog;
 import org.meadowhollow.bookkeeping.Priority;
@@ -75,7 +76,8 @@
     private final Set<TaskId> completed = new HashSet<>();
     private final Map<String, Platform.Team> teams = new HashMap<>();
     private final List<OrderLog.Event> events = new ArrayList<>();
-    private final OrderLog order = new OrderLog(events::add);
+    private final NotedTraces traces = new NotedTraces();
+    private final Observers observers = new Observers(new OrderLog(events::add), traces);
     private Duration fetch = Duration.ofSeconds(2);
     private final List<FakeWorker> returned = new ArrayList<>();
     private final Set<MachineId> taken = new HashSet<>();
@@ -120,9 +122,9 @@
                     Duration.ofSeconds(8));
             EventLoop own = new OwnLoop(this);
             node = new Node(own, mine, new Direct(this), new Offer(), new Hints(this), platform, catalog,
-                    order, new Random(nextSeed++));
-            admission = new Admission(mine, own, catalog, platform, order, node::counts);
-            tes = new TesApi(admission, mine, own, platform, tokens(), new Random(nextSeed++));
+                    observers, new Random(nextSeed++));
+            admission = new Admission(mine, own, catalog, platform, observers, node::counts);
+            tes = new TesApi(admission, mine, own, platform, tokens(), traces, new Random(nextSeed++));
             node.start();
         }
 
@@ -273,6 +275,11 @@
         return events.stream().sorted(Comparator.comparingLong(event -> event.revision().value())).toList();
     }
 
+    /** What those who trace were told, in the order in which they were. */
+    List<String> traced() {
+        return traces.told();
+    }
+
     long term() {
         return ((Number) store.value("meta/term").get("term")).longValue();
     }
