Both kinds of jobs over real connections: three controllers, stand-ins, a client of each

Need: the stories of the task execution API ran in virtual time only. The loopback run starts three controllers on ports of the system's choice beside a state service, a cloud, workers and a collector that speak the published protocols, submits native jobs and tasks in turn, holds them at the team's limit, cancels, takes the leader away and checks the shared ordering log, the states at every node and the spans.

Found by it: a task that was done between two reports had no start_time and no span of its run. It is now told to have started when it was placed, the earliest that is known.

--- a/src/main/java/org/meadowhollow/bookkeeping/Companion.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Companion.java
@@ -93,7 +93,12 @@
     public void over(Attempt attempt, String cause, long millis) {
         int at = find(attempt);
         if (at >= 0 && log.get(at).cause() == null) {
-            log.set(at, log.get(at).ended(millis, cause));
+            AttemptLog open = log.get(at);
+            if (open.startedMillis() == 0 && cause.equals(Cause.DONE.name())) {
+                // Shorter than the pause between two reports: all that is known is that it ran after it was placed.
+                open = open.started(open.placedMillis());
+            }
+            log.set(at, open.ended(millis, cause));
         }
         giveUpAfter(attempt.value(), cause);
     }
--- a/src/test/java/org/meadowhollow/story/FakeStore.java
+++ b/src/test/java/org/meadowhollow/story/FakeStore.java
@@ -221,11 +221,14 @@
         public CompletableFuture<Page> list(String prefix, String after, int most, Urgency urgency) {
             return call(() -> {
                 List<Entry> entries = new ArrayList<>();
-                keys.tailMap(after == null ? prefix : after, after == null).forEach((key, stored) -> {
-                    if (key.startsWith(prefix)) {
-                        entries.add(new Entry(key, decode(stored.value()), new Version(stored.version())));
+                for (Map.Entry<String, Stored> each : keys.tailMap(after == null ? prefix : after, after == null)
+                        .entrySet()) {
+                    if (!each.getKey().startsWith(prefix) || entries.size() > most) {
+                        break;
                     }
-                });
+                    entries.add(new Entry(each.getKey(), decode(each.getValue().value()),
+                            new Version(each.getValue().version())));
+                }
                 return new Page(List.copyOf(entries.subList(0, Math.min(most, entries.size()))), entries.size() > most,
                         new Version(revision));
             });
--- /dev/null
+++ b/src/test/java/org/meadowhollow/story/LoopbackTest.java
@@ -0,0 +1,329 @@
+package org.meadowhollow.story;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.opentelemetry.proto.collector.trace.v1.ExportTraceServiceRequest;
+import io.opentelemetry.proto.trace.v1.Span;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.meadowhollow.bookkeeping.JobId;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.Observers;
+import org.meadowhollow.bookkeeping.OrderLog;
+import org.meadowhollow.bookkeeping.Records;
+import org.meadowhollow.bookkeeping.TaskId;
+import org.meadowhollow.cli.Controller;
+import org.meadowhollow.cli.Settings;
+import org.meadowhollow.cli.TesOptions;
+import org.meadowhollow.protocol.Fields;
+import org.meadowhollow.protocol.Http;
+import org.meadowhollow.protocol.Json;
+import org.meadowhollow.protocol.Wire;
+import org.meadowhollow.protocol.tes.TesTokens;
+import org.meadowhollow.protocol.users.SubmissionCodec;
+import org.meadowhollow.transport.HttpServer;
+import org.meadowhollow.transport.XnioLoop;
+import org.meadowhollow.transport.tracing.OtlpTraces;
+
+/**
+ * Three real controllers, stand-ins for all that is around them, and a client of each interface, over real connections
+ * on ports of the system's choice. What the clients wait for is bounded, and waited for by what the stand-ins see.
+ */
+class LoopbackTest {
+    private static final Duration PATIENCE = Duration.ofSeconds(40);
+    private static final int LIMIT = 4;
+    private static final String TRACE = "0af7651916cd43dd8448eb211c80319c";
+    private static final String HASH = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b";
+    private static final String TASK = """
+            {"name": "night", "executors": [{"image": "i", "command": ["true"]}], "tags": {"n": "%d"},
+             "resources": {"cpu_cores": 1, "ram_gb": 1, "backend_parameters": {"gpus": "1"}}}""";
+
+    @TempDir
+    private Path folder;
+    private final Object signal = new Object();
+    private final List<OrderLog.Event> events = new ArrayList<>();
+    private final List<Span> spans = new ArrayList<>();
+    private final Map<String, Controller> nodes = new LinkedHashMap<>();
+    private final Map<String, String> fronts = new LinkedHashMap<>();
+    private final List<LoopbackWorker> workers = new ArrayList<>();
+    private final List<HttpServer> servers = new ArrayList<>();
+    private final HttpClient http = HttpClient.newHttpClient();
+    private XnioLoop loop;
+    private FakeStore store;
+
+    @BeforeEach
+    void start() throws Exception {
+        loop = new XnioLoop();
+        store = new FakeStore(loop);
+        int state = serve(loop.call(() -> new StateServer(store.new Line(), this::stir)));
+        int cloud = serve((Http.Handler) this::cloud);
+        int collector = serve((Http.Handler) this::collect);
+        Map<String, String> backs = new LinkedHashMap<>();
+        for (String name : List.of("n0", "n1", "n2")) {
+            fronts.put(name, "127.0.0.1:" + freePort());
+            backs.put(name, "127.0.0.1:" + freePort());
+        }
+        for (int at = 0; at < 3; at++) {
+            String name = "m" + at;
+            workers.add(loop.call(() -> new LoopbackWorker(name, loop, fronts)));
+        }
+        for (String name : fronts.keySet()) {
+            List<Object> known = new ArrayList<>();
+            backs.forEach((other, address) -> {
+                if (!other.equals(name)) {
+                    known.add(Fields.of("member", other, "area", "z", "addr", address));
+                }
+            });
+            Path file = folder.resolve(name + ".json");
+            Files.writeString(file, """
+                    {"member":"%s","area":"z","listen":"%s","back":"%s","known":%s,
+                     "external":{"cloud":"127.0.0.1:%d","state":"127.0.0.1:%d"},
+                     "settings":{"size":3,"zones":["z"],"teams":[{"name":"team","gpus_max":%d}],
+                      "objectives":[{"kind":"wait","class":"class","within_s":1.0}],
+                      "workers":{"report_s":0.5,"lease_s":4.0,"gang_wait_s":5.0,"gang_peer_s":2.0,"cancel_s":12.0},
+                      "state":{"rps":1000.0,"write_rps":500.0,"value_kb":16.0,"txn_ops":12},
+                      "cloud":{"rps":20.0,"list_lag_s":1.0}}}""".formatted(name, fronts.get(name), backs.get(name),
+                    new String(Json.encode(Fields.of("l", known))).replaceAll("^\\{\"l\":|\\}$", ""), cloud, state, LIMIT));
+            nodes.put(name, Controller.builder(Settings.read(file))
+                    .tes(new TesOptions(new Settings.Endpoint("127.0.0.1", 0), TesTokens.of(List.of("team=" + HASH)),
+                            null, null))
+                    .observers(new Observers(new OrderLog(this::note),
+                            OtlpTraces.to(URI.create("http://127.0.0.1:" + collector), name)))
+                    .start());
+        }
+    }
+
+    private int serve(Http.Service service) {
+        servers.add(new HttpServer(loop, new DefaultByteBufferPool(false, 8192), "127.0.0.1", 0, 0,
+                Duration.ofMinutes(1), service));
+        return servers.get(servers.size() - 1).port();
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    @AfterEach
+    void stop() {
+        nodes.values().forEach(Controller::close);
+        loop.call(() -> {
+            workers.forEach(LoopbackWorker::close);
+            return null;
+        });
+        servers.forEach(HttpServer::close);
+        loop.close();
+    }
+
+    private CompletableFuture<Http.Reply> cloud(String method, String path, byte[] body) {
+        return CompletableFuture.completedFuture(switch (path) {
+            case "/machine_types" -> Http.Reply.of(200, Fields.of("breeds", List.of(Fields.of("label", "t", "cores", 8.0,
+                    "gpus", 2.0, "memGb", 32.0, "cacheGb", 50.0, "fetchGbPerS", 1.0, "hourly", 1.0, "readyS", 30.0,
+                    "fields", List.of("z")))));
+            case "/rentals" -> method.equals("POST") ? Http.Reply.comeBack(503, 1, "no capacity")
+                    : Http.Reply.of(200, Fields.of("stalls", workers.stream().map(LoopbackWorker::listed).toList(),
+                            "truncated", false));
+            default -> Http.Reply.of(200, Fields.of());
+        });
+    }
+
+    private CompletableFuture<Http.Reply> collect(String method, String path, byte[] body) {
+        try {
+            synchronized (spans) {
+                ExportTraceServiceRequest.parseFrom(body).getResourceSpansList().forEach(resource ->
+                        resource.getScopeSpansList().forEach(scope -> spans.addAll(scope.getSpansList())));
+            }
+        } catch (InvalidProtocolBufferException broken) {
+            return CompletableFuture.completedFuture(Http.Reply.error(400, "not a request"));
+        }
+        return CompletableFuture.completedFuture(new Http.Reply(200, new byte[0], 0, "application/x-protobuf"));
+    }
+
+    private void note(OrderLog.Event event) {
+        synchronized (signal) {
+            events.add(event);
+            signal.notifyAll();
+        }
+    }
+
+    private void stir() {
+        synchronized (signal) {
+            signal.notifyAll();
+        }
+    }
+
+    private List<OrderLog.Event> events() {
+        synchronized (signal) {
+            return events.stream().sorted(Comparator.comparingLong(event -> event.revision().value())).toList();
+        }
+    }
+
+    /** Looks again whenever the state service or the ordering log has news, or a renewal of a lease has come by. */
+    private void await(String what, Callable<Boolean> there) throws Exception {
+        long until = System.nanoTime() + PATIENCE.toNanos();
+        while (!there.call()) {
+            long left = (until - System.nanoTime()) / 1_000_000;
+            assertTrue(left > 0, () -> "never seen: " + what + "; " + events());
+            synchronized (signal) {
+                signal.wait(left);
+            }
+        }
+    }
+
+    // ---- the two clients ----
+
+    private HttpResponse<byte[]> send(HttpRequest.Builder request) throws Exception {
+        return http.send(request.timeout(Duration.ofSeconds(10)).build(), HttpResponse.BodyHandlers.ofByteArray());
+    }
+
+    private String anyNode(int at) {
+        List<String> all = List.copyOf(nodes.keySet());
+        return all.get(at % all.size());
+    }
+
+    private HttpResponse<byte[]> tes(int node, String method, String path, String body) throws Exception {
+        return send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + nodes.get(anyNode(node)).tesPort()
+                + "/ga4gh/tes/v1" + path)).header("Authorization", "Bearer secret")
+                .header("traceparent", "00-" + TRACE + "-b7ad6b7169203331-01")
+                .method(method, HttpRequest.BodyPublishers.ofString(body)));
+    }
+
+    private String create(int node, int number) throws Exception {
+        HttpResponse<byte[]> reply = tes(node, "POST", "/tasks", TASK.formatted(number));
+        assertEquals(200, reply.statusCode(), new String(reply.body()));
+        return new Fields(Json.decode(reply.body())).text("id");
+    }
+
+    private String state(int node, String id) throws Exception {
+        HttpResponse<byte[]> reply = tes(node, "GET", "/tasks/" + id, "");
+        return reply.statusCode() == 200 ? new Fields(Json.decode(reply.body())).text("state")
+                : String.valueOf(reply.statusCode());
+    }
+
+    private HttpResponse<byte[]> plain(int node, String method, String path, byte[] body) throws Exception {
+        return send(HttpRequest.newBuilder(URI.create("http://" + fronts.get(anyNode(node)) + path))
+                .method(method, HttpRequest.BodyPublishers.ofByteArray(body)));
+    }
+
+    private JobId submit(int node, int number) throws Exception {
+        JobSpec job = World.spec(number, Kind.ARRAY, 1, 1);
+        assertEquals(201, plain(node, "POST", "/submissions", Wire.encode(SubmissionCodec.encode(job))).statusCode());
+        return job.id();
+    }
+
+    private String phase(int node, JobId id) throws Exception {
+        HttpResponse<byte[]> reply = plain(node, "GET", "/submissions/" + id, new byte[0]);
+        return reply.statusCode() == 200 ? Fields.decode(reply.body()).text("phase")
+                : String.valueOf(reply.statusCode());
+    }
+
+    private Set<TaskId> running() {
+        return loop.call(() -> {
+            Set<TaskId> all = new HashSet<>();
+            workers.forEach(worker -> all.addAll(worker.running()));
+            return all;
+        });
+    }
+
+    private String leader() {
+        Map<String, Object> record = loop.call(() -> store.value(Records.LEADER));
+        return record == null ? null : (String) record.get("member");
+    }
+
+    private long count(OrderLog.What what) {
+        return events().stream().filter(event -> event.what() == what).count();
+    }
+
+    @Test
+    void bothKindsOfJobsShareOneLimitAndOneOrderThroughATakeover() throws Exception {
+        for (int node = 0; node < 3; node++) {
+            int at = node;
+            await("ready", () -> plain(at, "GET", "/ready", new byte[0]).statusCode() == 200);
+        }
+        List<JobId> came = new ArrayList<>();
+        List<String> tasks = new ArrayList<>();
+        for (int at = 0; at < 4; at++) {
+            came.add(submit(at, at + 1));
+            tasks.add(create(at + 1, at));
+            came.add(new JobId(tasks.get(at)));
+        }
+        List<TaskId> first = came.subList(0, LIMIT).stream().map(job -> new TaskId(job, 0)).toList();
+        await("as many as the team may have", () -> running().size() == LIMIT);
+        assertEquals(new HashSet<>(first), running(), "first come, first placed, by either way");
+        await("told by every node", () -> state(0, tasks.get(0)).equals("RUNNING")
+                && state(1, tasks.get(1)).equals("RUNNING") && state(2, tasks.get(2)).equals("QUEUED"));
+        assertEquals(200, tes(2, "POST", "/tasks/" + tasks.get(3) + ":cancel", "").statusCode());
+        await("cancelled", () -> state(0, tasks.get(3)).equals("CANCELED"));
+        String leader = leader();
+        nodes.remove(leader).close();
+        await("another leader", () -> leader() != null && !leader().equals(leader));
+        assertEquals(LIMIT, count(OrderLog.What.PLACED), "nothing is placed again");
+        loop.call(() -> {
+            workers.forEach(LoopbackWorker::endAll);
+            return null;
+        });
+        await("the end of all", () -> count(OrderLog.What.ENDED) == came.size());
+        for (int node = 0; node < 2; node++) {
+            for (int at = 0; at < 4; at++) {
+                assertEquals(at < 3 ? "COMPLETE" : "CANCELED", state(node, tasks.get(at)));
+                assertEquals("done", phase(node, came.get(2 * at)));
+            }
+        }
+        assertEquals("404", phase(0, new JobId(tasks.get(0))), "a task is no native job");
+        Fields list = new Fields(Json.decode(tes(0, "GET", "/tasks?state=COMPLETE&view=BASIC", "").body()));
+        assertEquals(3, list.list("tasks").size());
+        assertEquals(401, send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:"
+                + nodes.get(anyNode(0)).tesPort() + "/ga4gh/tes/v1/tasks")).GET()).statusCode());
+        OrderRules.check(events(), LIMIT);
+        List<JobId> placed = events().stream().filter(event -> event.what() == OrderLog.What.PLACED)
+                .map(OrderLog.Event::job).toList();
+        List<JobId> wanted = new ArrayList<>(came);
+        wanted.remove(new JobId(tasks.get(3)));
+        assertEquals(wanted, placed);
+        checkSpans(tasks);
+    }
+
+    private void checkSpans(List<String> tasks) {
+        nodes.values().forEach(Controller::close);
+        nodes.clear();
+        synchronized (spans) {
+            assertTrue(spans.stream().allMatch(span -> TRACE.equals(
+                    java.util.HexFormat.of().formatHex(span.getTraceId().toByteArray()))));
+            for (int at = 0; at < 4; at++) {
+                String id = tasks.get(at);
+                List<String> names = spans.stream().filter(span -> span.getAttributesList().stream().anyMatch(
+                        attribute -> attribute.getValue().getStringValue().equals(id))).map(Span::getName).sorted().toList();
+                assertEquals(at < 3 ? List.of("create task", "prepare", "run", "task", "wait")
+                        : List.of("create task", "task"), names);
+            }
+        }
+        assertNotEquals(0, spans.size());
+    }
+}
--- a/src/test/java/org/meadowhollow/story/TesStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/TesStoriesTest.java
@@ -93,6 +93,16 @@
         assertFalse(new Fields(basic).list("inputs").get(0).has("content"));
     }
 
+    @Test
+    void aTaskThatIsDoneBetweenTwoReportsHasAStartAllTheSame() throws Malformed {
+        String id = created(Duration.ofMillis(10));
+        world.runS(12);
+        Fields told = new Fields(body(ask(1, "GET", "/tasks/" + id, Map.of("view", List.of("BASIC")))));
+        assertEquals("COMPLETE", told.text("state"));
+        Fields log = told.list("logs").get(0);
+        assertTrue(log.text("start_time").compareTo(log.text("end_time")) < 0);
+    }
+
     @Test
     void anImageOnItsWayIsToldAsInitializing() {
         world.fetch(Duration.ofSeconds(20));
@@ -350,7 +360,7 @@
                 .map(OrderLog.Event::job).filter(job -> !job.equals(cancelled)).toList());
         assertEquals(came, events.stream().filter(event -> event.what() == OrderLog.What.PLACED)
                 .map(OrderLog.Event::job).distinct().toList(), "first come, first placed, by either way");
-        checkRules(events, 4);
+        OrderRules.check(events, 4);
         assertEquals(came.size() + 1, events.stream().filter(event -> event.what() == OrderLog.What.ENDED).count());
     }
 
@@ -438,7 +448,7 @@
             assertFalse(isSomewhere(id));
             assertEquals(before, world.starts(), "none starts after the answer");
         }
-        checkRules(world.events(), 100);
+        OrderRules.check(world.events(), 100);
     }
 
     @Test
@@ -486,30 +496,4 @@
         }
         assertTrue(told.get(0).containsAll(there) && told.get(1).containsAll(there));
     }
-
-    /** What the ordering log shows of the rules: nothing twice at a time, nothing before or after its time, the limit. */
-    private static void checkRules(List<OrderLog.Event> events, int most) {
-        Set<JobId> accepted = new HashSet<>();
-        Set<JobId> closed = new HashSet<>();
-        Map<TaskId, String> placed = new HashMap<>();
-        for (OrderLog.Event event : events) {
-            TaskId task = new TaskId(event.job(), event.task());
-            switch (event.what()) {
-                case ACCEPTED -> assertTrue(accepted.add(event.job()), "accepted twice: " + event);
-                case CANCELLED -> assertTrue(accepted.contains(event.job()) && closed.add(event.job()), () -> "" + event);
-                case PLACED -> {
-                    assertTrue(accepted.contains(event.job()) && !closed.contains(event.job()), () -> "" + event);
-                    assertEquals(null, placed.put(task, event.machine()), "twice at a time: " + event);
-                    assertTrue(placed.size() <= most, "over the limit: " + event);
-                }
-                case GONE -> assertEquals(event.machine(), placed.remove(task), "gone from elsewhere: " + event);
-                case ENDED -> {
-                    closed.add(event.job());
-                    assertTrue(placed.keySet().stream().noneMatch(left -> left.job().equals(event.job())),
-                            () -> "ended too soon: " + event);
-                }
-            }
-        }
-        assertEquals(Map.of(), placed);
-    }
 }
