--- a/src/main/java/org/meadowhollow/protocol/tes/TesCodec.java
+++ b/src/main/java/org/meadowhollow/protocol/tes/TesCodec.java
@@ -236,9 +236,6 @@
             throw new Malformed("class is empty or too long");
         }
         double cpus = resources.has("cpu_cores") ? resources.count("cpu_cores") : CPUS;
-        if (cpus > 1e6) {
-            throw new Malformed("cpu_cores is too large");
-        }
         return new JobSpec(id, jobClass, team, Kind.ARRAY, PRIORITIES.get(priority), 1,
                 Resources.of(cpus, number(parameters, "gpus", 0), resources.amountOr("ram_gb", MEMORY_GB)),
                 types == null ? null : List.of(types.split(",")), zone(resources.textsOrNull("zones"), zones), false,
--- a/src/test/java/org/meadowhollow/story/TesStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/TesStoriesTest.java
@@ -7,6 +7,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Base64;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -334,7 +335,22 @@
             assertEquals(400, reply.status(), said);
             assertTrue(said.contains(wrong[1]), said);
         }
+        for (String number : List.of("-1", "NaN", "1e400", "0x", "")) {
+            String said = new String(create(0, TASK.formatted("t", "1", ", \"deadline_s\": \"" + number + '"'), null).body());
+            assertTrue(said.contains("deadline_s"), said);
+        }
         assertEquals(413, create(0, TASK.formatted("x".repeat(20_000), "1", ""), null).status());
+        assertEquals(400, create(0, TASK.formatted("t", "1", ""), "").status());
+        assertEquals(400, create(0, TASK.formatted("t", "1", ""), "k".repeat(201)).status());
+    }
+
+    @Test
+    void aPageTokenThatNoListGaveLeadsNowhere() {
+        for (String forged : List.of("", "x", "&prefix=tesx/", "../", "9999999999999-tes-0", "0".repeat(13) + "-tes-"
+                + "0".repeat(26) + "&prefix=job/")) {
+            String token = Base64.getUrlEncoder().encodeToString(forged.getBytes()) + (forged.isEmpty() ? "AA" : "");
+            assertEquals(400, ask(0, "GET", "/tasks", Map.of("page_token", List.of(token))).status(), forged);
+        }
     }
 
     @Test
--- a/src/test/java/org/meadowhollow/story/World.java
+++ b/src/test/java/org/meadowhollow/story/World.java
@@ -193,13 +193,23 @@
     /** Sends a request of a client of the task execution API, and waits five seconds for the answer; null if none. */
     Http.Reply tes(int node, String token, String method, String path, Map<String, List<String>> query,
             Map<String, String> headers, String body) {
+        return tes(node, token, method, path, query, headers, body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /**
+     * @param token null if the headers hold what there is of one
+     */
+    Http.Reply tes(int node, String token, String method, String path, Map<String, List<String>> query,
+            Map<String, String> headers, byte[] body) {
         if (members.get(node).node == null) {
             return null;
         }
         Map<String, String> all = new HashMap<>(headers);
-        all.put("Authorization", "Bearer " + token);
+        if (token != null) {
+            all.put("Authorization", "Bearer " + token);
+        }
         CompletableFuture<Http.Reply> answer = members.get(node).tes.answer(new Http.Request(method,
-                "/ga4gh/tes/v1" + path, query, all::get, body.getBytes(StandardCharsets.UTF_8)));
+                "/ga4gh/tes/v1" + path, query, all::get, body));
         for (int step = 0; step < 20 && !answer.isDone(); step++) {
             run(STEP);
         }
