--- a/src/test/java/org/meadowhollow/story/FakeStore.java
+++ b/src/test/java/org/meadowhollow/story/FakeStore.java
@@ -143,6 +143,7 @@
         private boolean dead;
         private boolean blind;
         private int mostWrites;
+        private int reads;
         private final List<Runnable> held = new ArrayList<>();
         private boolean holding;
         private boolean holdsCommits;
@@ -182,6 +183,11 @@
             dead = true;
         }
 
+        /** Keys read one by one so far. */
+        int reads() {
+            return reads;
+        }
+
         int mostWrites() {
             return mostWrites;
         }
@@ -226,6 +232,7 @@
 
         @Override
         public CompletableFuture<Optional<Entry>> get(String key, Urgency urgency) {
+            reads++;
             return call(() -> Optional.ofNullable(keys.get(key))
                     .map(stored -> new Entry(key, decode(stored.value()), new Version(stored.version()))));
         }
--- a/src/test/java/org/meadowhollow/story/TesStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/TesStoriesTest.java
@@ -5,14 +5,18 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.security.MessageDigest;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.ToIntFunction;
 import org.junit.jupiter.api.Test;
 import org.meadowhollow.bookkeeping.JobId;
 import org.meadowhollow.bookkeeping.JobSpec;
@@ -387,6 +391,68 @@
         assertEquals(400, create(0, TASK.formatted("t", "1", ""), "k".repeat(201)).status());
     }
 
+    @Test
+    void listsTakeABoundedPartOfTheStateService() throws Exception {
+        List<CompletableFuture<Http.Reply>> lists = new ArrayList<>();
+        for (int at = 0; at < 6; at++) {
+            lists.add(world.asked(0, "secret", "GET", "/tasks", Map.of(), Map.of(), new byte[0]));
+        }
+        assertEquals(List.of(503, 503), lists.stream().filter(CompletableFuture::isDone).map(reply ->
+                reply.join().status()).toList(), "four at a time, the others at once");
+        world.runS(1);
+        assertTrue(lists.stream().limit(4).allMatch(reply -> reply.join().status() == 200));
+        for (int at = 0; at < 40; at++) {
+            created("t", "1", "", LONG);
+        }
+        Fields whole = new Fields(body(ask(1, "GET", "/tasks", Map.of("view", List.of("BASIC")))));
+        assertEquals(32, whole.list("tasks").size(), "each takes a read of its own");
+        assertTrue(whole.has("next_page_token"));
+        String team = HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest("team".getBytes()))
+                .substring(0, 16);
+        for (int at = 0; at < 5000; at++) {
+            String id = "tes-%026x".formatted(at);
+            world.store().put("tesx/" + team + "/%013d-".formatted(at) + id, Fields.of("id", id, "name", "old", "tags",
+                    Map.of(), "created", 1L, "progress", "DONE", "log", List.of()));
+        }
+        Fields none = new Fields(body(ask(2, "GET", "/tasks", Map.of("name_prefix", List.of("t")))));
+        assertEquals(0, none.list("tasks").size());
+        assertTrue(none.has("next_page_token"), "a filter that fits nothing reads no further than so far");
+    }
+
+    @Test
+    void whatANodeKeepsOfTasksIsBounded() {
+        List<String> ids = new ArrayList<>();
+        for (int at = 0; at < 300; at++) {
+            ids.add(created("t", "1", "", LONG));
+        }
+        world.runS(20);
+        int other = (world.leader() + 1) % 3;
+        int[] before = {0};
+        ToIntFunction<String> cost = id -> {
+            before[0] = world.line(other).reads();
+            state(other, id);
+            return world.line(other).reads() - before[0];
+        };
+        assertEquals(2, cost.applyAsInt(ids.get(0)));
+        assertEquals(1, cost.applyAsInt(ids.get(0)), "a task that was read once is known");
+        ids.forEach(cost::applyAsInt);
+        assertEquals(2, cost.applyAsInt(ids.get(0)), "but not for ever");
+    }
+
+    @Test
+    void aTaskThatFailsOnAndOnKeepsItsLastAttempts() throws Malformed {
+        String id = created(Duration.ofHours(1));
+        for (int failures = 0; failures < 14;) {
+            List<FakeWorker> on = world.workers().stream().filter(worker -> worker.running().contains(task(id))).toList();
+            on.forEach(worker -> worker.fail(task(id)));
+            failures += on.size();
+            world.runS(4);
+        }
+        Fields told = new Fields(body(ask(1, "GET", "/tasks/" + id, Map.of("view", List.of("FULL")))));
+        assertTrue(told.list("logs").size() == 10, () -> "" + told);
+        assertEquals("14", told.list("logs").get(9).fields("metadata").text("attempt"));
+    }
+
     @Test
     void aPageTokenThatNoListGaveLeadsNowhere() {
         for (String forged : List.of("", "x", "&prefix=tesx/", "../", "9999999999999-tes-0", "0".repeat(13) + "-tes-"
--- a/src/test/java/org/meadowhollow/story/World.java
+++ b/src/test/java/org/meadowhollow/story/World.java
@@ -204,18 +204,23 @@
         if (members.get(node).node == null) {
             return null;
         }
-        Map<String, String> all = new HashMap<>(headers);
-        if (token != null) {
-            all.put("Authorization", "Bearer " + token);
-        }
-        CompletableFuture<Http.Reply> answer = members.get(node).tes.answer(new Http.Request(method,
-                "/ga4gh/tes/v1" + path, query, all::get, body));
+        CompletableFuture<Http.Reply> answer = asked(node, token, method, path, query, headers, body);
         for (int step = 0; step < 20 && !answer.isDone(); step++) {
             run(STEP);
         }
         return answer.isDone() ? answer.join() : null;
     }
 
+    /** Sends such a request to a node that runs, and waits for nothing. */
+    CompletableFuture<Http.Reply> asked(int node, String token, String method, String path,
+            Map<String, List<String>> query, Map<String, String> headers, byte[] body) {
+        Map<String, String> all = new HashMap<>(headers);
+        if (token != null) {
+            all.put("Authorization", "Bearer " + token);
+        }
+        return members.get(node).tes.answer(new Http.Request(method, "/ga4gh/tes/v1" + path, query, all::get, body));
+    }
+
     /** How long the tasks of a job run that was not submitted here. */
     void runs(JobId id, Duration span) {
         runTimes.put(id, span);
