JSON is read to 32 levels only: a deeply nested body overflowed a deployed node's stack

The library's bound of a thousand levels is too deep for half a megabyte. Now 32 levels, and a test on a thread of 192 KB, which fails without the bound.

--- a/src/main/java/org/meadowhollow/protocol/Json.java
+++ b/src/main/java/org/meadowhollow/protocol/Json.java
@@ -1,5 +1,7 @@
 package org.meadowhollow.protocol;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
 import java.util.LinkedHashMap;
@@ -8,17 +10,26 @@
 
 /** JSON objects from and to maps with the same kinds of values as {@link Wire} gives. */
 public final class Json {
+    /**
+     * Far deeper than anything that is read here. The library's own bound is a thousand, for which the stack of a node
+     * as it is deployed does not suffice.
+     */
+    private static final int MAX_DEPTH = 32;
+    private static final JSON JSON_IO = JSON.builder(JsonFactory.builder().streamReadConstraints(
+            StreamReadConstraints.builder().maxNestingDepth(MAX_DEPTH).build()).build()).build();
+
     private Json() {
     }
 
     /**
-     * Reads an object. Nesting and the length of numbers are bounded by the library, the size by who hands the bytes over.
+     * Reads an object, nested at most 32 levels deep. The length of numbers is bounded by the library, the size by who
+     * hands the bytes over.
      *
      * @throws Malformed if the bytes are no JSON object
      */
     public static Map<String, Object> decode(byte[] bytes) throws Malformed {
         try {
-            Map<String, Object> map = JSON.std.mapFrom(bytes);
+            Map<String, Object> map = JSON_IO.mapFrom(bytes);
             if (map != null) {
                 return widened(map);
             }
@@ -33,7 +44,7 @@
 
     public static byte[] encode(Map<String, ?> map) {
         try {
-            return JSON.std.asBytes(map);
+            return JSON_IO.asBytes(map);
         } catch (IOException impossible) {
             throw new IllegalStateException("maps of plain values can always be written", impossible);
         }
--- a/src/test/java/org/meadowhollow/protocol/JsonTest.java
+++ b/src/test/java/org/meadowhollow/protocol/JsonTest.java
@@ -1,6 +1,7 @@
 package org.meadowhollow.protocol;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 
@@ -25,6 +26,24 @@
         }
     }
 
+    @Test
+    void deepNestingIsRefusedOnASmallStack() throws InterruptedException {
+        for (int depth : new int[] {40, 200, 900, 1100, 30_000}) {
+            Throwable[] thrown = {null};
+            // Smaller than the stack of a deployed node, which is half a megabyte.
+            Thread small = new Thread(null, () -> {
+                try {
+                    Json.decode(bytes("{\"x\":" + "[".repeat(depth) + "]".repeat(depth) + "}"));
+                } catch (Malformed | StackOverflowError failure) {
+                    thrown[0] = failure;
+                }
+            }, "small", 192 * 1024);
+            small.start();
+            small.join();
+            assertInstanceOf(Malformed.class, thrown[0], () -> "at depth " + depth);
+        }
+    }
+
     @Test
     void valuesComeBackAsTheWireWouldGiveThem() throws Malformed {
         Map<String, Object> map = Json.decode(bytes("{\"a\":1,\"b\":[1.5,true,null,\"\\ud83d\\ude91\"],\"c\":{}}"));
