Reservations and maintenance windows: records, plan, interface, and rounds that heed them

Need: calendars are collected at dawn and crews need their matches before the first pickup, whatever else fills the fleet; machines are patched by hand at night. Operators declare windows and reserve room, once or by RFC 5545's rules (lib-recur) on the clocks of a place; every node answers, from the state service, under guards on one key, so that two decisions from the same calendar are never both applied. A pure plan serves reservations in the order of acceptance within teams' limits and windows; what cannot be met is refused with what stands against it and the nearest start. The round keeps jobs out that by estimate and learned margin would spill, backfills short ones, rents ahead, warns before it stops, moves services one replica at a time, and stops only lower priorities for a slot.

--- a/src/main/java/org/meadowhollow/cli/Controller.java
+++ b/src/main/java/org/meadowhollow/cli/Controller.java
@@ -9,11 +9,14 @@
 import org.meadowhollow.bookkeeping.Catalog;
 import org.meadowhollow.bookkeeping.Observers;
 import org.meadowhollow.coordination.Admission;
+import org.meadowhollow.coordination.CalendarSettings;
 import org.meadowhollow.coordination.Node;
 import org.meadowhollow.coordination.Platform;
 import org.meadowhollow.coordination.SilenceWatch;
+import org.meadowhollow.coordination.calendar.CalendarDesk;
 import org.meadowhollow.protocol.NodeApi;
 import org.meadowhollow.protocol.RateBudget;
+import org.meadowhollow.protocol.calendar.CalendarApi;
 import org.meadowhollow.protocol.cloud.CloudClient;
 import org.meadowhollow.protocol.peers.PeerLink;
 import org.meadowhollow.protocol.state.StateClient;
@@ -51,17 +54,21 @@
     private static final double LEAST_FOR_CALLERS = 0.5;
     /** The share of callers' connections that clients of the task execution API may take beside them. */
     private static final int TES_SHARE = 8;
+    /** Connections of those who plan by hand or by a script. */
+    private static final int MOST_OPERATORS = 16;
 
     private final XnioLoop loop;
     private final HttpServer front;
     private final HttpServer back;
     /** Null unless the task execution API is served. */
     private final HttpServer tes;
+    /** Null unless reservations and windows are taken. */
+    private final HttpServer calendar;
     private final Node node;
     private final Observers observers;
 
     private Controller(XnioLoop loop, Settings settings, TesOptions tesOptions, SSLContext tesKeys,
-            Observers observers, RandomGenerator random) {
+            CalendarOptions calendarOptions, SSLContext calendarKeys, Observers observers, RandomGenerator random) {
         this.loop = loop;
         this.observers = observers;
         Platform platform = settings.platform();
@@ -72,7 +79,9 @@
         CloudClient cloud = new CloudClient(http, settings.cloud(), loop, budget(platform.cloudRps()));
         PeerLink peers = new PeerLink(http, settings.peers());
         Catalog catalog = new Catalog();
-        node = new Node(loop, state, new WorkerClient(http), cloud, peers, platform, catalog, observers, random);
+        node = new Node(loop, state, new WorkerClient(http), cloud, peers, platform, catalog, observers,
+                calendarOptions == null ? CalendarSettings.OFF : new CalendarSettings(true, calendarOptions.most(),
+                        settings.skew()), random);
         peers.listener(node::heardOf);
         peers.served(() -> !state.seemsOut());
         peers.hearing(node::isHardOfHearing, node::heardAmong);
@@ -84,6 +93,10 @@
                 tesOptions.listen().port(), mostCallers(settings) / TES_SHARE, idle(platform), tesKeys,
                 new TesApi(admission, state, loop, platform, tesOptions.tokens(), observers.traces(),
                         random));
+        calendar = calendarOptions == null ? null : new HttpServer(loop, buffers, calendarOptions.listen().host(),
+                calendarOptions.listen().port(), MOST_OPERATORS, idle(platform), calendarKeys,
+                new CalendarApi(new CalendarDesk(state, loop, catalog, platform, calendarOptions.most()),
+                        calendarOptions.tokens()));
         back = new HttpServer(loop, buffers, settings.back().host(), settings.back().port(), 0, PEERS_IDLE, peers);
         node.start();
     }
@@ -121,6 +134,7 @@
         private final Settings settings;
         private RandomGenerator random = RandomGenerator.getDefault();
         private TesOptions tes;
+        private CalendarOptions calendar;
         private Observers observers = Observers.NONE;
 
         private Builder(Settings settings) {
@@ -138,6 +152,12 @@
             return this;
         }
 
+        /** Plans around reservations and windows, and takes them; null, as by default, does neither. */
+        public Builder calendar(CalendarOptions options) {
+            calendar = options;
+            return this;
+        }
+
         /** Are told what happens to jobs; by default nobody is. The traces are closed with the controller. */
         public Builder observers(Observers told) {
             observers = told;
@@ -146,10 +166,13 @@
 
         public Controller start() throws IOException {
             SSLContext keys = tes == null || tes.chain() == null ? null : PemKeys.context(tes.chain(), tes.key());
+            SSLContext calendarKeys = calendar == null || calendar.chain() == null ? null
+                    : PemKeys.context(calendar.chain(), calendar.key());
             XnioLoop loop = new XnioLoop();
             try {
                 // Built where it runs, so that one thread alone loads classes and reads files while it starts.
-                return loop.call(() -> new Controller(loop, settings, tes, keys, observers, random));
+                return loop.call(() -> new Controller(loop, settings, tes, keys, calendar, calendarKeys, observers,
+                        random));
             } catch (RuntimeException failure) {
                 loop.close();
                 throw failure;
@@ -166,11 +189,19 @@
         return tes == null ? -1 : tes.port();
     }
 
+    /** The port for reservations and windows, or -1 if none are taken. */
+    public int calendarPort() {
+        return calendar == null ? -1 : calendar.port();
+    }
+
     @Override
     public void close() {
         if (tes != null) {
             tes.close();
         }
+        if (calendar != null) {
+            calendar.close();
+        }
         front.close();
         back.close();
         node.close();
--- a/src/main/java/org/meadowhollow/cli/Main.java
+++ b/src/main/java/org/meadowhollow/cli/Main.java
@@ -33,6 +33,11 @@
     private static final String TES_CERT = "--tes-cert";
     private static final String TES_KEY = "--tes-key";
     private static final String ORDER_LOG = "--order-log";
+    private static final String CALENDAR_LISTEN = "--calendar-listen";
+    private static final String CALENDAR_TOKEN = "--calendar-token";
+    private static final String CALENDAR_CERT = "--calendar-cert";
+    private static final String CALENDAR_KEY = "--calendar-key";
+    private static final String CALENDAR_MOST = "--calendar-most";
     private static final String TRACE_OTLP = "--trace-otlp";
     private static final String REHEARSE = "--rehearse";
 
@@ -53,6 +58,18 @@
                     .description("key of that certificate, in PEM").build())
             .addOption(OptionSpec.builder(ORDER_LOG)
                     .description("log what happens to jobs and tasks, numbered in one order for all nodes").build())
+            .addOption(OptionSpec.builder(CALENDAR_LISTEN).paramLabel("HOST:PORT").type(String.class)
+                    .description("take reservations and maintenance windows there (default: not at all)").build())
+            .addOption(OptionSpec.builder(CALENDAR_TOKEN).paramLabel("operator=SHA256").type(List.class)
+                    .auxiliaryTypes(String.class).arity("1")
+                    .description("an operator's bearer token, by its SHA-256 in hex; may be repeated").build())
+            .addOption(OptionSpec.builder(CALENDAR_CERT).paramLabel("FILE").type(Path.class)
+                    .description("certificate for that, in PEM").build())
+            .addOption(OptionSpec.builder(CALENDAR_KEY).paramLabel("FILE").type(Path.class)
+                    .description("key of that certificate, in PEM").build())
+            .addOption(OptionSpec.builder(CALENDAR_MOST).paramLabel("TYPE[/ZONE]=N").type(List.class)
+                    .auxiliaryTypes(String.class).arity("1")
+                    .description("machines of a type to reserve from (default: no bound); may be repeated").build())
             .addOption(OptionSpec.builder(TRACE_OTLP).paramLabel("URL").type(String.class)
                     .description("send spans of tasks whose clients trace them there, by OTLP over HTTP"
                             + " (default: nowhere)").build())
@@ -123,12 +140,17 @@
         }
         Settings settings;
         TesOptions tes;
+        CalendarOptions calendar;
         URI traces;
         try {
             settings = Settings.read(config);
             tes = TesOptions.of(given.matchedOptionValue(TES_LISTEN, null),
                     given.matchedOptionValue(TES_TOKEN, List.of()), given.matchedOptionValue(TES_CERT, null),
                     given.matchedOptionValue(TES_KEY, null), System.getenv(), settings);
+            calendar = CalendarOptions.of(given.matchedOptionValue(CALENDAR_LISTEN, null),
+                    given.matchedOptionValue(CALENDAR_TOKEN, List.of()), given.matchedOptionValue(CALENDAR_CERT, null),
+                    given.matchedOptionValue(CALENDAR_KEY, null), given.matchedOptionValue(CALENDAR_MOST, List.of()),
+                    System.getenv());
             traces = traces(given.matchedOptionValue(TRACE_OTLP, null));
         } catch (Settings.Unusable unusable) {
             System.err.println("meadowhollow: " + unusable.getMessage());
@@ -140,7 +162,7 @@
         try {
             OrderLog order = given.hasMatchedOption(ORDER_LOG)
                     ? new OrderLog(event -> LoggerFactory.getLogger(OrderLog.class).info("{}", event)) : OrderLog.NONE;
-            Controller.builder(settings).tes(tes).observers(new Observers(order, traces == null ? TaskTraces.NONE
+            Controller.builder(settings).tes(tes).calendar(calendar).observers(new Observers(order, traces == null ? TaskTraces.NONE
                     : traced(traces, settings.platform().member()))).start();
             // The log counts milliseconds from the start, for formatting the time of day made every start a fifth
             // longer. This line tells what the count was at which time.
--- a/src/main/java/org/meadowhollow/coordination/Cluster.java
+++ b/src/main/java/org/meadowhollow/coordination/Cluster.java
@@ -15,6 +15,7 @@
 import org.meadowhollow.bookkeeping.Placement;
 import org.meadowhollow.bookkeeping.Resources;
 import org.meadowhollow.bookkeeping.Term;
+import org.meadowhollow.coordination.calendar.Outlook;
 
 /** The jobs and machines of one leadership, as far as it knows them; guarded by the leader's lock. */
 final class Cluster {
@@ -28,6 +29,8 @@
     private final Map<MachineId, RiskTable> risks = new HashMap<>();
     private final Map<MachineId, List<Placement>> unseen = new HashMap<>();
 
+    private Outlook outlook = Outlook.NONE;
+
     Cluster(Platform platform, Term term) {
         this.platform = platform;
         this.term = term;
@@ -41,6 +44,15 @@
         return machines;
     }
 
+    /** What the calendar means for the round. */
+    Outlook outlook() {
+        return outlook;
+    }
+
+    void outlook(Outlook now) {
+        outlook = now;
+    }
+
     /** What each machine's past says of it. */
     Map<MachineId, RiskTable> risks() {
         return risks;
--- a/src/main/java/org/meadowhollow/coordination/Fleet.java
+++ b/src/main/java/org/meadowhollow/coordination/Fleet.java
@@ -327,7 +327,7 @@
                 for (boolean spot : spec.spot() ? SPOT_FIRST : ORDINARY) {
                     Source source = new Source(type.name(), zone, spot);
                     Pause pause = pauses.get(source);
-                    if (!fits(spec, source, only) || pause != null && now.isBefore(pause.until)
+                    if (!fits(spec, source, only) || leader.isOut(type.name(), zone) || pause != null && now.isBefore(pause.until)
                             || inZone.getOrDefault(zone, 0) >= spec.mostPerZone()) {
                         continue;
                     }
--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -97,6 +97,7 @@
     private final Reconciliation reconciliation;
     private final Listening listening;
     private final GivingUp givingUp;
+    private final CalendarKeeper calendar;
     private final Object2IntOpenHashMap<MachineId> faults = new Object2IntOpenHashMap<>();
     private final Expected expected = new Expected();
     private boolean listed;
@@ -106,7 +107,8 @@
     private long byRoom;
 
     public Leader(EventLoop loop, StateStore store, Workers workers, Cloud cloud, Peers peers, Platform platform,
-            Catalog catalog, Leadership leadership, Term term, Version leaderVersion, Observers observers) {
+            Catalog catalog, Leadership leadership, Term term, Version leaderVersion, Observers observers,
+            CalendarSettings calendarSettings) {
         this.loop = loop;
         this.store = store;
         this.workers = workers;
@@ -127,12 +129,14 @@
         this.reconciliation = new Reconciliation(this, cluster, images, leadership, term);
         this.listening = new Listening(this, cluster, platform, loop, peers, leadership, begunAt);
         this.givingUp = new GivingUp(listening, platform);
+        this.calendar = new CalendarKeeper(this, cluster, aims, catalog, platform, store, loop, calendarSettings);
         this.fleet = new Fleet(this, cloud, platform, catalog, loop, term, givingUp);
     }
 
     /** Loads all live jobs, then begins its rounds. */
     public void start() {
         loading.start();
+        calendar.start();
         fleet.start();
         loop.after(ROUND, this::round);
         loop.after(HOLD_SWEEP, this::sweepHeld);
@@ -286,6 +290,9 @@
         Job job = placement.job();
         int task = placement.task().index();
         if (cause == Cause.DONE) {
+            if (placement.runningSince() != null) {
+                calendar.ran(job.spec(), now.secondsSince(placement.runningSince()));
+            }
             if (job.spec().kind() == Kind.GANG) {
                 // The tasks of a gang complete together, so one that is done speaks for all.
                 for (int other = 0; other < job.spec().tasks(); other++) {
@@ -450,7 +457,7 @@
             leadership.keepUp();
             listening.round(now);
             silence.round(now);
-            if (mayAct() && hasGathered(now)) {
+            if (mayAct() && hasGathered(now) && calendar.isReady()) {
                 place(now);
             }
             ledger.flush();
@@ -513,6 +520,7 @@
     }
 
     private void place(Moment now) {
+        calendar.look(now);
         Snapshot snapshot = new Snapshot(cluster, platform, aims, now);
         PlacementRound.Outcome outcome = PlacementRound.run(snapshot.seats(), snapshot.shares(), snapshot.waiting(),
                 mostJobs());
@@ -537,7 +545,11 @@
                 }
             }
         }
-        fleet.needs(needs, reserve(snapshot, needs, now));
+        calendar.carryOut(now);
+        Set<MachineId> reserved = reserve(snapshot, needs, now);
+        reserved.addAll(cluster.outlook().kept());
+        needs.addAll(calendar.needs());
+        fleet.needs(needs, reserved);
     }
 
     /** Notes what a round decided; the starts go out once their records are written. */
@@ -620,6 +632,10 @@
         return aims.readyS(spec);
     }
 
+    synchronized boolean isOut(String type, String zone) {
+        return cluster.outlook().isOut(type, zone);
+    }
+
     synchronized double largestImageGb() {
         return aims.largestImageGb();
     }
--- a/src/main/java/org/meadowhollow/coordination/Node.java
+++ b/src/main/java/org/meadowhollow/coordination/Node.java
@@ -48,6 +48,7 @@
     private final Platform platform;
     private final Catalog catalog;
     private final Observers observers;
+    private final CalendarSettings calendar;
     private final Leadership leadership;
     private final Peers peers;
     private final HeldReports orphans = new HeldReports();
@@ -59,7 +60,9 @@
     private boolean cloudSilent;
 
     public Node(EventLoop loop, StateStore store, Workers workers, Cloud cloud, Peers peers, Platform platform,
-            Catalog catalog, Observers observers, RandomGenerator random) {
+            Catalog catalog, Observers observers,
+            CalendarSettings calendar, RandomGenerator random) {
+        this.calendar = calendar;
         this.observers = observers;
         this.loop = loop;
         this.store = store;
@@ -151,7 +154,7 @@
     @Override
     public void elected(Term term, Version leaderVersion) {
         Leader begun = new Leader(loop, store, workers, cloud, peers, platform, catalog, leadership, term,
-                leaderVersion, observers);
+                leaderVersion, observers, calendar);
         synchronized (this) {
             if (leader != null) {
                 leader.close();
--- a/src/main/java/org/meadowhollow/coordination/PlacementRound.java
+++ b/src/main/java/org/meadowhollow/coordination/PlacementRound.java
@@ -14,6 +14,7 @@
 import org.meadowhollow.bookkeeping.Kind;
 import org.meadowhollow.bookkeeping.MachineId;
 import org.meadowhollow.bookkeeping.Resources;
+import org.meadowhollow.coordination.calendar.SeatLimit;
 
 /**
  * One round of placement, a pure function of a snapshot: each waiting task goes to the machine with
@@ -40,6 +41,7 @@
         private final boolean forLarge;
         private final double fetchGbPerS;
         private final int order;
+        private SeatLimit limit;
         private Resources free;
         private int tasks;
         private int replicas;
@@ -78,6 +80,14 @@
             this.forLarge = forLarge;
         }
 
+        /**
+         * @param now what the calendar says of the machine, or null if nothing
+         */
+        Seat limited(SeatLimit now) {
+            limit = now;
+            return this;
+        }
+
         MachineId id() {
             return id;
         }
@@ -110,6 +120,9 @@
             free = free.minus(spec.perTask());
             tasks++;
             replicas += spec.kind() == Kind.SERVICE ? 1 : 0;
+            if (limit != null) {
+                limit.took(spec);
+            }
             if (cached.has(spec.image()) || fetches.containsKey(spec.image())) {
                 return false;
             }
@@ -130,6 +143,9 @@
         private void giveBack(JobSpec spec, boolean fetched) {
             free = free.plus(spec.perTask());
             tasks--;
+            if (limit != null) {
+                limit.gaveBack(spec);
+            }
             if (fetched) {
                 fetches.removeDouble(spec.image());
             }
@@ -393,6 +409,10 @@
                 || seat.spot && !spec.spot()) {
             return false;
         }
+        if (seat.limit != null && !seat.limit.allows(spec, seat.cached.has(spec.image()) ? 0
+                : spec.imageGb() / seat.fetchGbPerS, seat.free)) {
+            return false;
+        }
         if (spec.spread() && zones.getInt(seat.zone) >= spec.mostPerZone()) {
             return false;
         }
--- a/src/main/java/org/meadowhollow/coordination/RoomMaker.java
+++ b/src/main/java/org/meadowhollow/coordination/RoomMaker.java
@@ -12,6 +12,7 @@
 import org.meadowhollow.bookkeeping.Moment;
 import org.meadowhollow.bookkeeping.Placement;
 import org.meadowhollow.bookkeeping.Resources;
+import org.meadowhollow.coordination.calendar.SeatLimit;
 
 /** Finds what to stop for waiting jobs that no new machine could serve in time. */
 final class RoomMaker {
@@ -39,6 +40,11 @@
         Map<String, Resources> used = cluster.used();
         List<Preemption.Place<Placement>> places = new ArrayList<>();
         for (Machine machine : cluster.machines().values()) {
+            SeatLimit limit = cluster.outlook().limit(machine.id());
+            // What the calendar keeps a job from needs no room made for it.
+            if (limit != null && !limit.allows(spec, 0, machine.type().room())) {
+                continue;
+            }
             if (cluster.mayTake(machine, spec, now) && zones.getInt(machine.zone()) < spec.mostPerZone()) {
                 places.add(new Preemption.Place<>(machine.free(), machine.images().has(spec.image()),
                         running(machine, used, now)));
--- a/src/main/java/org/meadowhollow/coordination/Snapshot.java
+++ b/src/main/java/org/meadowhollow/coordination/Snapshot.java
@@ -67,7 +67,8 @@
                 seats.add(new PlacementRound.Seat(seats.size(), machine.id(), machine.type().name(), machine.zone(),
                         machine.spot(), machine.type().room(), machine.free(), machine.placements().size(),
                         replicas(machine), machine.images(), fetches(machine), machine.type().fetchGbPerS(),
-                        cluster.risks().get(machine.id()), aims.isForLarge(machine.type())));
+                        cluster.risks().get(machine.id()), aims.isForLarge(machine.type()))
+                        .limited(cluster.outlook().limit(machine.id())));
             }
         }
     }
@@ -80,7 +81,8 @@
                 order.add(job);
             }
         }
-        order.sort(Comparator.<Job, Boolean>comparing(job -> !isGuaranteed(job.id()))
+        order.sort(Comparator.<Job, Boolean>comparing(job -> !cluster.outlook().isDue(job.spec()))
+                .thenComparing(job -> !isGuaranteed(job.id()))
                 .thenComparing(job -> job.spec().priority())
                 .thenComparingDouble(job -> dueAt(job))
                 .thenComparing(Job::acceptedAtMillis).thenComparing(Job::id));
--- /dev/null
+++ b/src/main/java/org/meadowhollow/coordination/calendar/Recurrence.java
@@ -0,0 +1,121 @@
+package org.meadowhollow.coordination.calendar;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.LocalDateTime;
+import java.time.ZonedDateTime;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.dmfs.rfc5545.DateTime;
+import org.dmfs.rfc5545.recur.Freq;
+import org.dmfs.rfc5545.recur.InvalidRecurrenceRuleException;
+import org.dmfs.rfc5545.recur.RecurrenceRule;
+import org.dmfs.rfc5545.recur.RecurrenceRuleIterator;
+import org.meadowhollow.bookkeeping.calendar.Occurrence;
+import org.meadowhollow.bookkeeping.calendar.Schedule;
+
+/**
+ * The times of a schedule. The rule is followed on the clocks of its place; what those clocks say is then found in time:
+ * a time that they skip when they go forward is as much later as they skip, and one that they show twice is the first of
+ * the two. A night of two hours stays two hours long.
+ */
+public final class Recurrence {
+    /** Steps of a rule looked at for one expansion; a rule that names hardly any day ends here. */
+    private static final int MOST_STEPS = 5000;
+    private static final Set<Freq> FREQUENCIES = Set.of(Freq.DAILY, Freq.WEEKLY, Freq.MONTHLY, Freq.YEARLY);
+    /** A rule's days are looked for from a day before, for clocks differ by less than that from any other. */
+    private static final Duration DAY = Duration.ofDays(1);
+
+    private Recurrence() {
+    }
+
+    /** The schedule cannot be followed; the text says why. */
+    public static final class Unusable extends Exception {
+        Unusable(String why) {
+            super(why);
+        }
+    }
+
+    /**
+     * Checks a rule.
+     *
+     * @throws Unusable naming what is wrong with it
+     */
+    public static void check(Schedule schedule) throws Unusable {
+        if (schedule.rule() == null) {
+            return;
+        }
+        RecurrenceRule rule = parse(schedule.rule());
+        if (!FREQUENCIES.contains(rule.getFreq())) {
+            throw new Unusable("rule repeats more often than daily");
+        }
+        try {
+            rule.iterator(floating(schedule.start()));
+        } catch (IllegalArgumentException wrong) {
+            throw new Unusable("rule does not go with its start: " + wrong.getMessage());
+        }
+    }
+
+    private static RecurrenceRule parse(String text) throws Unusable {
+        try {
+            return new RecurrenceRule(text, RecurrenceRule.RfcMode.RFC5545_STRICT);
+        } catch (InvalidRecurrenceRuleException | IllegalArgumentException wrong) {
+            throw new Unusable("rule is not one of RFC 5545: " + wrong.getMessage());
+        }
+    }
+
+    private static DateTime floating(LocalDateTime time) {
+        return new DateTime(time.getYear(), time.getMonthValue() - 1, time.getDayOfMonth(), time.getHour(),
+                time.getMinute(), time.getSecond());
+    }
+
+    private static LocalDateTime local(DateTime time) {
+        return LocalDateTime.of(time.getYear(), time.getMonth() + 1, time.getDayOfMonth(), time.getHours(),
+                time.getMinutes(), time.getSeconds());
+    }
+
+    /**
+     * The times that overlap a span, in their order, {@code most} at most.
+     *
+     * @param schedule that was checked
+     */
+    public static List<Occurrence> between(Schedule schedule, long fromMillis, long untilMillis, int most) {
+        List<Occurrence> found = new ArrayList<>();
+        if (schedule.rule() == null) {
+            add(found, schedule, schedule.start(), fromMillis, untilMillis);
+            return found;
+        }
+        try {
+            RecurrenceRuleIterator times = parse(schedule.rule()).iterator(floating(schedule.start()));
+            LocalDateTime early = LocalDateTime.ofInstant(Instant.ofEpochMilli(fromMillis).minus(schedule.length())
+                    .minus(DAY), schedule.zone());
+            if (early.isAfter(schedule.start())) {
+                times.fastForward(floating(early));
+            }
+            for (int step = 0; step < MOST_STEPS && times.hasNext() && found.size() < most; step++) {
+                LocalDateTime next = local(times.nextDateTime());
+                if (startOf(schedule, next) >= untilMillis + DAY.toMillis()) {
+                    break;
+                }
+                add(found, schedule, next, fromMillis, untilMillis);
+            }
+        } catch (Unusable | IllegalArgumentException | ArithmeticException spent) {
+            // A rule that was checked and has no more days, or none that the library finds.
+            return found;
+        }
+        return found;
+    }
+
+    private static long startOf(Schedule schedule, LocalDateTime local) {
+        return ZonedDateTime.of(local, schedule.zone()).toInstant().toEpochMilli();
+    }
+
+    private static void add(List<Occurrence> found, Schedule schedule, LocalDateTime local, long from, long until) {
+        long start = startOf(schedule, local);
+        long end = start + schedule.length().toMillis();
+        if (start < until && end > from) {
+            found.add(new Occurrence(start, end));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/meadowhollow/story/CalendarStoriesTest.java
@@ -0,0 +1,317 @@
+package org.meadowhollow.story;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.LocalDateTime;
+import java.time.ZoneOffset;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.Priority;
+import org.meadowhollow.bookkeeping.Resources;
+import org.meadowhollow.bookkeeping.TaskId;
+import org.meadowhollow.coordination.Admission.Phase;
+import org.meadowhollow.protocol.Fields;
+import org.meadowhollow.protocol.Http;
+import org.meadowhollow.protocol.Json;
+import org.meadowhollow.protocol.Malformed;
+
+/** Reservations and windows, and who runs into them, on a fleet of four machines that cannot grow. */
+class CalendarStoriesTest extends Story {
+    private static final Duration HOUR = Duration.ofHours(1);
+
+    @BeforeEach
+    void keepCalendar() {
+        world.calendar(Map.of());
+        world.mostMachines(world.workers().size());
+        world.runS(20);
+    }
+
+    /** A time of day some seconds from now. */
+    private String in(long seconds) {
+        return LocalDateTime.ofEpochSecond(world.loop().wallMillis() / 1000 + seconds, 0, ZoneOffset.UTC).toString();
+    }
+
+    private Http.Reply put(int node, String path, String version, Object... fields) {
+        return world.operate(node, "secret", "PUT", path, version, new String(Json.encode(Fields.of(fields))));
+    }
+
+    private Http.Reply reserve(String name, String team, int tasks, double gpus, long inS, long lengthS) {
+        return put(0, "reservations/" + name, null, "team", team, "priority", "urgent", "tasks", tasks, "cpus", 1.0,
+                "gpus", gpus, "ram_gb", 4.0, "class", "night", "start", in(inS), "length_s", (double) lengthS);
+    }
+
+    private Http.Reply window(String name, String key, String target, long inS, long lengthS, long noticeS) {
+        return put(1, "windows/" + name, null, key, List.of(target), "start", in(inS), "length_s", (double) lengthS,
+                "notice_s", (double) noticeS);
+    }
+
+    private static Fields body(Http.Reply reply, int status) {
+        assertNotNull(reply);
+        try {
+            assertEquals(status, reply.status(), new String(reply.body()));
+            return new Fields(Json.decode(reply.body()));
+        } catch (Malformed wrong) {
+            throw new AssertionError(wrong);
+        }
+    }
+
+    private Fields plan(int node) {
+        return body(world.operate(node, "reader", "GET", "plan", null, ""), 200);
+    }
+
+    private static JobSpec job(int number, String jobClass, Priority priority, int tasks, double gpus, double estimateS,
+            double saveS) {
+        JobSpec spec = World.spec(number, Kind.ARRAY, tasks, gpus);
+        return new JobSpec(spec.id(), jobClass, spec.team(), spec.kind(), priority, tasks, spec.perTask(), null, null,
+                false, false, false, spec.image(), spec.imageGb(), estimateS, saveS > 0 ? 10 : 0, saveS, Double.NaN);
+    }
+
+    private int running(JobSpec spec) {
+        int count = 0;
+        for (int task = 0; task < spec.tasks(); task++) {
+            count += world.on(new TaskId(spec.id(), task)).isEmpty() ? 0 : 1;
+        }
+        return count;
+    }
+
+    private int gpus() {
+        return world.workers().stream().mapToInt(worker -> worker.type().equals("small") ? 2 : 8).sum();
+    }
+
+    /** Fills what is free with long work, then asks for the reserved run at its time; says how much of it runs soon. */
+    private int reservedRunAmongLongWork(boolean reserved) {
+        if (reserved) {
+            body(reserve("calendars", "team", 6, 1, 300, 600), 201);
+        }
+        // Long work keeps coming; its estimate says that it would not be done by then.
+        assertTrue(world.submit(0, job(1, "long", Priority.HIGH, 3 * gpus(), 1, 900, 0), Duration.ofSeconds(900)));
+        world.runS(305);
+        JobSpec run = job(2, "night", Priority.HIGH, 6, 1, 60, 0);
+        assertTrue(world.submit(1, run, Duration.ofSeconds(60)));
+        world.runS(10);
+        return running(run);
+    }
+
+    @Test
+    void aReservedRunStartsOnTimeThoughLongWorkWaitsForAllThereIs() {
+        assertEquals(6, reservedRunAmongLongWork(true));
+    }
+
+    @Test
+    void withoutItsReservationTheSameRunWaits() {
+        assertEquals(0, reservedRunAmongLongWork(false));
+    }
+
+    @Test
+    void shortWorkUsesTheRoomUntilItIsNeeded() {
+        body(reserve("calendars", "team", gpus(), 1, 300, 600), 201);
+        JobSpec brief = job(1, "brief", Priority.HIGH, 8, 1, 20, 0);
+        JobSpec endless = job(2, "long", Priority.HIGH, 4, 1, 2000, 0);
+        assertTrue(world.submit(0, brief, Duration.ofSeconds(20)));
+        assertTrue(world.submit(0, endless, HOUR));
+        world.runS(15);
+        assertEquals(8, running(brief));
+        assertEquals(0, running(endless));
+        world.runS(40);
+        assertEquals(Phase.DONE, phase(brief));
+        // The slot passes unused and is given back.
+        world.runS(300 + 600);
+        assertEquals(4, running(endless));
+    }
+
+    @Test
+    void aSlotThatNobodyUsesIsGivenBackBeforeItsEnd() {
+        body(reserve("calendars", "team", gpus(), 1, 60, 7200), 201);
+        JobSpec endless = job(2, "long", Priority.HIGH, 4, 1, 2000, 0);
+        assertTrue(world.submit(0, endless, HOUR));
+        world.runS(500);
+        assertEquals(0, running(endless));
+        world.runS(200);
+        assertEquals(4, running(endless), "ten minutes after its start");
+    }
+
+    @Test
+    void theReservationHoldsThroughTheLossOfItsLeaderAndOfAllNodesAtItsStart() {
+        body(reserve("calendars", "team", 6, 1, 300, 600), 201);
+        assertTrue(world.submit(0, job(1, "long", Priority.HIGH, 3 * gpus(), 1, 900, 0), Duration.ofSeconds(900)));
+        world.runS(290);
+        world.crash(world.leader());
+        world.runS(5);
+        world.crashAll();
+        world.runS(4);
+        world.restartAll();
+        world.runS(8);
+        JobSpec run = job(2, "night", Priority.HIGH, 6, 1, 60, 0);
+        assertTrue(world.submit(1, run, Duration.ofSeconds(60)));
+        world.runS(12);
+        assertEquals(6, running(run));
+        assertEquals(1, plan(2).map().get("slots") instanceof List<?> slots ? slots.size() : 0);
+    }
+
+    @Test
+    void theLeaderKeepsWhatItKnowsWhileTheStateServiceIsOut() {
+        body(reserve("calendars", "team", 6, 1, 300, 600), 201);
+        assertTrue(world.submit(0, job(1, "long", Priority.HIGH, 3 * gpus(), 1, 900, 0), Duration.ofSeconds(900)));
+        world.runS(280);
+        JobSpec run = job(2, "night", Priority.HIGH, 6, 1, 60, 0);
+        assertTrue(world.submit(1, run, Duration.ofSeconds(60)));
+        world.runS(5);
+        world.store().out(true);
+        assertEquals(503, reserve("another", "team", 1, 1, 500, 60).status());
+        world.runS(10);
+        world.store().out(false);
+        world.runS(25);
+        assertEquals(6, running(run));
+    }
+
+    @Test
+    void nothingStartsThatWouldRunIntoAWindowAndNothingStartsInIt() {
+        body(window("patches", "zones", "a", 120, 300, 0), 201);
+        JobSpec long1 = job(1, "long", Priority.HIGH, gpus(), 1, 200, 0);
+        assertTrue(world.submit(0, long1, Duration.ofSeconds(200)));
+        for (int second = 0; second < 420; second += 10) {
+            world.runS(10);
+            assertTrue(world.workers().stream().filter(worker -> worker.zone().equals("a"))
+                    .allMatch(worker -> worker.running().isEmpty()), "at second " + second);
+        }
+        world.runS(30);
+        assertTrue(world.workers().stream().filter(worker -> worker.zone().equals("a"))
+                .anyMatch(worker -> !worker.running().isEmpty()) || running(long1) == 0);
+    }
+
+    @Test
+    void whatRunsIntoAWindowIsWarnedAndStoppedInTimeAndServicesLeaveOneByOne() {
+        JobSpec work = job(1, "long", Priority.HIGH, gpus() / 2, 1, 1000, 5);
+        assertTrue(world.submit(0, work, HOUR));
+        JobSpec service = World.spec(2, Kind.SERVICE, 4, 0);
+        assertTrue(world.submit(0, service, HOUR));
+        world.runS(20);
+        assertEquals(4, running(service));
+        long began = world.loop().wallMillis();
+        body(window("patches", "zones", "a", 240, 600, 180), 201);
+        int least = 4;
+        for (int second = 0; second < 235; second++) {
+            world.runS(1);
+            least = Math.min(least, running(service));
+        }
+        assertTrue(least >= 3, "replicas left: " + least);
+        assertEquals(4, running(service));
+        world.runS(5);
+        assertTrue(world.workers().stream().filter(worker -> worker.zone().equals("a"))
+                .allMatch(worker -> worker.running().isEmpty()), "all is gone when it begins");
+        assertTrue(world.loop().wallMillis() - began < 260_000);
+    }
+
+    @Test
+    void aWindowThatBeginsAtOnceStillWarnsFirst() {
+        JobSpec work = job(1, "long", Priority.HIGH, gpus(), 1, 1000, 5);
+        assertTrue(world.submit(0, work, HOUR));
+        world.runS(10);
+        assertEquals(gpus(), running(work));
+        body(window("now", "zones", "a", 0, 600, 0), 201);
+        world.runS(25);
+        assertEquals(gpus(), running(work), "half a minute");
+        world.runS(20);
+        assertTrue(running(work) < gpus());
+    }
+
+    @Test
+    void lowerWorkThatHasTheRoomIsWarnedAndStoppedAndEqualWorkIsNot() {
+        JobSpec low = job(1, "long", Priority.LOW, gpus() / 2, 1, 5000, 5);
+        JobSpec equal = job(2, "other", Priority.HIGH, gpus() / 2, 1, 5000, 5);
+        assertTrue(world.submit(0, low, HOUR));
+        assertTrue(world.submit(0, equal, HOUR));
+        world.runS(15);
+        int before = running(equal);
+        assertEquals(gpus(), running(low) + before);
+        body(reserve("calendars", "team", 4, 1, 200, 600), 201);
+        world.runS(202);
+        JobSpec run = job(3, "night", Priority.HIGH, 4, 1, 60, 0);
+        assertTrue(world.submit(1, run, Duration.ofSeconds(60)));
+        world.runS(12);
+        assertEquals(4, running(run));
+        assertEquals(before, running(equal));
+    }
+
+    @Test
+    void machinesAreRentedInTimeForASlot() {
+        world.mostMachines(40);
+        int before = world.workers().size();
+        int tasks = gpus() + 8;
+        body(reserve("calendars", "team", tasks, 1, 600, 600), 201);
+        world.runS(400);
+        assertTrue(world.workers().size() <= before, "not long before");
+        world.runS(190);
+        assertTrue(gpus() >= tasks, "of " + gpus());
+        JobSpec run = job(2, "night", Priority.HIGH, tasks, 1, 60, 0);
+        assertTrue(world.submit(1, run, Duration.ofSeconds(60)));
+        world.runS(20);
+        assertEquals(tasks, running(run));
+    }
+
+    @Test
+    void aRequestIsJudgedOnceForAllNodesAndRepeatedFreely() throws Malformed {
+        world.team("team", 0, 10);
+        world.calendar(Map.of());
+        world.runS(15);
+        String start = in(600);
+        Object[] first = {"team", "team", "tasks", 6, "cpus", 1.0, "gpus", 1.0, "ram_gb", 4.0, "start", start, "length_s",
+                60.0};
+        long version = body(put(0, "reservations/first", null, first), 201).count("version");
+        assertEquals(version, body(put(1, "reservations/first", null, first), 200).count("version"), "repeated");
+        first[3] = 7;
+        assertEquals(412, put(2, "reservations/first", null, first).status(), "it is another one by now");
+        assertEquals(412, put(2, "reservations/first", "1", first).status());
+        long changed = body(put(2, "reservations/first", "\"" + version + "\"", first), 200).count("version");
+        assertTrue(changed > version);
+        // Two that fit alone and not together are asked of two nodes at the same moment.
+        String body = new String(Json.encode(Fields.of("team", "team", "tasks", 3, "cpus", 1.0, "gpus", 1.0, "ram_gb", 4.0,
+                "start", start, "length_s", 60.0)));
+        List<CompletableFuture<Http.Reply>> both = List.of(
+                world.asksDesk(0, "secret", "PUT", "reservations/one", null, body),
+                world.asksDesk(1, "secret", "PUT", "reservations/two", null, body));
+        world.runS(3);
+        assertEquals(List.of(201, 409), both.stream().map(reply -> reply.join().status()).sorted().toList());
+        Fields refused = new Fields(Json.decode(both.stream().map(CompletableFuture::join)
+                .filter(reply -> reply.status() == 409).findFirst().orElseThrow().body()));
+        assertTrue(refused.text("error").contains("limit of team team") && refused.text("error").contains("nearest"),
+                refused.text("error"));
+        assertEquals(200, world.operate(0, "secret", "DELETE", "reservations/first", String.valueOf(changed), "").status());
+        assertEquals(200, world.operate(1, "secret", "DELETE", "reservations/first", null, "").status(), "repeated");
+        assertEquals(404, world.operate(1, "reader", "GET", "reservations/first", null, "").status());
+        assertEquals(1, body(world.operate(1, "reader", "GET", "reservations", null, ""), 200).list("reservations").size());
+    }
+
+    @Test
+    void whatIsWrongIsRefusedByNameAndWhoMayNotIsKeptOut() {
+        assertEquals(401, world.operate(0, "guess", "GET", "plan", null, "").status());
+        assertEquals(403, world.operate(0, "reader", "PUT", "windows/w", null, "{}").status());
+        assertEquals(405, world.operate(0, "secret", "POST", "windows/w", null, "{}").status());
+        assertEquals(404, world.operate(0, "secret", "GET", "elsewhere", null, "").status());
+        for (String[] wrong : new String[][] {
+                {"windows/w", "{}", "machines"}, {"windows/W", "{}", "name"}, {"windows/w", "null", "JSON"},
+                {"windows/w", "{\"zones\":[\"a\"],\"start\":\"soon\",\"length_s\":5}", "start"},
+                {"windows/w", "{\"zones\":[\"a\"],\"machines\":[\"m\"]}", "either"},
+                {"windows/w", "{\"zones\":[\"a\"],\"start\":\"2026-01-01T00:00\",\"length_s\":0}", "length_s"},
+                {"windows/w", "{\"zones\":[\"a\"],\"start\":\"2026-01-01T00:00\",\"length_s\":5,\"time_zone\":\"Moon\"}",
+                    "time_zone"},
+                {"windows/w", "{\"zones\":[\"a\"],\"start\":\"2026-01-01T00:00\",\"length_s\":5,\"rule\":\"FREQ=MINUTELY\"}",
+                    "rule"},
+                {"reservations/r", "{\"team\":\"t\",\"tasks\":0}", "tasks"}}) {
+            Http.Reply reply = world.operate(0, "secret", "PUT", wrong[0], null, wrong[1]);
+            assertTrue(body(reply, 400).map().get("error").toString().contains(wrong[2]), new String(reply.body()));
+        }
+        assertEquals(422, reserve("r", "nobody", 1, 1, 60, 60).status());
+        assertEquals(422, window("w", "zones", "moon", 60, 60, 0).status());
+        assertFalse(world.store().size("cal/") > 0, "nothing of it is kept");
+    }
+}
--- a/src/test/java/org/meadowhollow/story/VirtualLoop.java
+++ b/src/test/java/org/meadowhollow/story/VirtualLoop.java
@@ -16,6 +16,7 @@
 
     private final PriorityQueue<Due> due = new PriorityQueue<>();
     private long nanos;
+    private long wallAheadMillis;
     private long order;
 
     @Override
@@ -25,7 +26,12 @@
 
     @Override
     public long wallMillis() {
-        return nanos / 1_000_000;
+        return nanos / 1_000_000 + wallAheadMillis;
+    }
+
+    /** Moves the time of day on, and nothing else: what lies between two nights is left out. */
+    public void skip(Duration span) {
+        wallAheadMillis += span.toMillis();
     }
 
     @Override
--- a/src/test/java/org/meadowhollow/story/World.java
+++ b/src/test/java/org/meadowhollow/story/World.java
@@ -39,14 +39,17 @@
 import org.meadowhollow.coordination.Admission.JobState;
 import org.meadowhollow.coordination.Admission.Phase;
 import org.meadowhollow.coordination.Answer;
+import org.meadowhollow.coordination.CalendarSettings;
 import org.meadowhollow.coordination.Cloud;
 import org.meadowhollow.coordination.Node;
 import org.meadowhollow.coordination.Peers;
 import org.meadowhollow.coordination.Platform;
 import org.meadowhollow.coordination.Workers;
+import org.meadowhollow.coordination.calendar.CalendarDesk;
 import org.meadowhollow.coordination.hearing.Testimony;
 import org.meadowhollow.protocol.Http;
 import org.meadowhollow.protocol.Malformed;
+import org.meadowhollow.protocol.calendar.CalendarApi;
 import org.meadowhollow.protocol.tes.TesApi;
 import org.meadowhollow.protocol.tes.TesTokens;
 
@@ -81,6 +84,8 @@
     private Duration fetch = Duration.ofSeconds(2);
     private final List<FakeWorker> returned = new ArrayList<>();
     private final Set<MachineId> taken = new HashSet<>();
+    private int mostMachines = 40;
+    private CalendarSettings calendar = CalendarSettings.OFF;
     private boolean cloudOut;
     private boolean peersCut;
     private int nextMachine;
@@ -96,6 +101,7 @@
         private Node node;
         private Admission admission;
         private TesApi tes;
+        private CalendarApi desk;
         /** The zones whose workers it cannot hear or reach. */
         private final Set<String> cutZones = new HashSet<>();
         /** Reports do not come here, while its own messages go out and are answered. */
@@ -122,9 +128,10 @@
                     Duration.ofSeconds(8));
             EventLoop own = new OwnLoop(this);
             node = new Node(own, mine, new Direct(this), new Offer(), new Hints(this), platform, catalog,
-                    observers, new Random(nextSeed++));
+                    observers, calendar, new Random(nextSeed++));
             admission = new Admission(mine, own, catalog, platform, observers, node::counts);
             tes = new TesApi(admission, mine, own, platform, tokens(), traces, new Random(nextSeed++));
+            desk = new CalendarApi(new CalendarDesk(mine, own, catalog, platform, calendar.most()), operators());
             node.start();
         }
 
@@ -221,6 +228,53 @@
         return members.get(node).tes.answer(new Http.Request(method, "/ga4gh/tes/v1" + path, query, all::get, body));
     }
 
+    private static TesTokens operators() {
+        try {
+            // The SHA-256 of "secret" and "reader".
+            return TesTokens.of(List.of(
+                    "operator=2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b",
+                    "*=3d0941964aa3ebdcb00ccef58b1bb399f9f898465e9886d5aec7f31090a0fb30"));
+        } catch (Malformed wrong) {
+            throw new AssertionError(wrong);
+        }
+    }
+
+    /**
+     * Starts all nodes anew with reservations and windows.
+     *
+     * @param most machines that there are to reserve from, by type or type and zone
+     */
+    void calendar(Map<String, Integer> most) {
+        calendar = new CalendarSettings(true, most, Duration.ofMillis(100));
+        crashAll();
+        restartAll();
+    }
+
+    /** No more machines than these are rented out. */
+    void mostMachines(int most) {
+        mostMachines = most;
+    }
+
+    /** Sends an operator's request, and waits five seconds for the answer; null if none. */
+    Http.Reply operate(int node, String token, String method, String path, String version, String body) {
+        CompletableFuture<Http.Reply> answer = asksDesk(node, token, method, path, version, body);
+        for (int step = 0; step < 20 && !answer.isDone(); step++) {
+            run(STEP);
+        }
+        return answer.isDone() ? answer.join() : null;
+    }
+
+    /** Sends an operator's request and waits for nothing. */
+    CompletableFuture<Http.Reply> asksDesk(int node, String token, String method, String path, String version,
+            String body) {
+        Map<String, String> headers = new HashMap<>(Map.of("Authorization", "Bearer " + token));
+        if (version != null) {
+            headers.put("If-Match", version);
+        }
+        return members.get(node).desk.answer(new Http.Request(method, "/calendar/v1/" + path, Map.of(), headers::get,
+                body.getBytes(StandardCharsets.UTF_8)));
+    }
+
     /** How long the tasks of a job run that was not submitted here. */
     void runs(JobId id, Duration span) {
         runTimes.put(id, span);
@@ -695,7 +749,7 @@
             return after(answer, () -> {
                 assertTrue(!rentals.containsKey(request), "a rental's name was used twice: " + request);
                 List<MachineId> ids = new ArrayList<>();
-                for (int at = 0; at < count && workers.size() + ids.size() < 40; at++) {
+                for (int at = 0; at < count && workers.size() + ids.size() < mostMachines; at++) {
                     MachineId id = new MachineId("vm-%06d".formatted(++nextMachine));
                     ids.add(id);
                     loop.after(Duration.ofSeconds(10),
