The calendar's commands and plan pages, a month of nights, margins for what may not be stopped

Operators work by reserve, window and plan (picocli; mustache for the plan as text and page), which a node that only runs never loads.

--- a/src/main/java/org/meadowhollow/bookkeeping/calendar/Reservation.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/calendar/Reservation.java
@@ -29,6 +29,11 @@
                 && (jobs == null || jobs.contains(spec.id().value())) && spec.perTask().fitsIn(perTask);
     }
 
+    /** Whether a job's tasks may be stopped for it: as the protocol has it, for a higher priority, and no service. */
+    public boolean mayStop(JobSpec spec) {
+        return !serves(spec) && priority.above(spec.priority()) && spec.kind() != Kind.SERVICE;
+    }
+
     public boolean allows(String type, String in) {
         return (types == null || types.contains(type)) && (zone == null || zone.equals(in));
     }
--- a/src/main/java/org/meadowhollow/cli/Main.java
+++ b/src/main/java/org/meadowhollow/cli/Main.java
@@ -1,6 +1,7 @@
 package org.meadowhollow.cli;
 
 import java.io.IOException;
+import java.io.PrintWriter;
 import java.net.URI;
 import java.net.URISyntaxException;
 import java.nio.file.Path;
@@ -12,6 +13,7 @@
 import org.meadowhollow.bookkeeping.Observers;
 import org.meadowhollow.bookkeeping.OrderLog;
 import org.meadowhollow.bookkeeping.TaskTraces;
+import org.meadowhollow.cli.calendar.CalendarCommand;
 import org.meadowhollow.transport.tracing.OtlpTraces;
 import org.slf4j.LoggerFactory;
 import org.slf4j.bridge.SLF4JBridgeHandler;
@@ -81,7 +83,8 @@
 
     private Main() {
         spec.usageMessage().description("Runs one controller of the meadowhollow cluster scheduler until it is killed.")
-                .footer("", "The variable LOG_LEVEL (error, info or debug) sets how much goes to standard error.",
+                .footer("", "meadowhollow reserve, window and plan work with the calendar of a running node; see their --help.",
+                        "The variable LOG_LEVEL (error, info or debug) sets how much goes to standard error.",
                         TesOptions.TOKENS + " holds tokens as " + TES_TOKEN + " takes them, separated by blanks.");
     }
 
@@ -115,6 +118,10 @@
         // for beans that nobody reads; without a server for them they go on without.
         System.setProperty("javax.management.builder.initial", "none");
         System.setProperty("jboss.threads.eqe.register-mbean", "false");
+        if (CalendarCommand.isMeant(args)) {
+            System.exit(CalendarCommand.run(args, System.getenv(), new PrintWriter(System.out, true),
+                    new PrintWriter(System.err, true)));
+        }
         CommandLine command = new CommandLine(new Main().spec);
         command.setParameterExceptionHandler(new OneLine());
         int code = command.execute(args);
--- a/src/main/java/org/meadowhollow/cli/Rehearsal.java
+++ b/src/main/java/org/meadowhollow/cli/Rehearsal.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
 import java.util.jar.JarEntry;
 import java.util.jar.JarFile;
 import org.meadowhollow.protocol.rehearsal.StandIn;
@@ -19,8 +20,8 @@
  */
 final class Rehearsal {
     private static final String OWN_CLASSES = "org/meadowhollow/";
-    /** Loaded by those who trace, and by nobody else. */
-    private static final String TRACING = OWN_CLASSES + "transport/tracing/";
+    /** Loaded by those who trace, and by operators' commands, and by no node that only runs. */
+    private static final List<String> OTHERS = List.of(OWN_CLASSES + "transport/tracing/", OWN_CLASSES + "cli/calendar/");
     private static final String CLASS = ".class";
 
     private Rehearsal() {
@@ -82,7 +83,7 @@
         try (JarFile jar = new JarFile(own.toFile())) {
             for (JarEntry entry : (Iterable<JarEntry>) jar.stream()::iterator) {
                 String name = entry.getName();
-                if (name.startsWith(OWN_CLASSES) && !name.startsWith(TRACING) && name.endsWith(CLASS)) {
+                if (name.startsWith(OWN_CLASSES) && OTHERS.stream().noneMatch(name::startsWith) && name.endsWith(CLASS)) {
                     Class.forName(name.substring(0, name.length() - CLASS.length()).replace('/', '.'));
                 }
             }
--- /dev/null
+++ b/src/main/java/org/meadowhollow/cli/calendar/PlanPage.java
@@ -0,0 +1,81 @@
+package org.meadowhollow.cli.calendar;
+
+import com.github.mustachejava.DefaultMustacheFactory;
+import com.github.mustachejava.Mustache;
+import java.io.StringWriter;
+import java.time.DateTimeException;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.format.DateTimeFormatter;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.meadowhollow.protocol.Fields;
+import org.meadowhollow.protocol.Malformed;
+
+/** A plan as a node tells it, from templates: a table in plain text, or a page. */
+final class PlanPage {
+    private static final DateTimeFormatter TIME = DateTimeFormatter.ofPattern("EEE d MMM HH:mm", Locale.ENGLISH);
+
+    private PlanPage() {
+    }
+
+    /** A line of the plan; the fields are what the templates name. */
+    private static Map<String, Object> line(Fields told, String what, String detail, String note, boolean bad, ZoneId zone)
+            throws Malformed {
+        Map<String, Object> line = new LinkedHashMap<>();
+        line.put("from", TIME.format(Instant.parse(told.text("from")).atZone(zone)));
+        line.put("until", TIME.format(Instant.parse(told.text("until")).atZone(zone)));
+        line.put("order", told.text("from"));
+        line.put("what", what);
+        line.put("detail", detail);
+        line.put("note", note);
+        line.put("bad", bad);
+        line.put("row", "%-17s %-17s %-32s %s%s".formatted(line.get("from"), line.get("until"), what, detail,
+                note.isEmpty() ? "" : "  ! " + note));
+        return line;
+    }
+
+    /**
+     * @param plan the body of a node's answer
+     * @param zoneId whose clocks the times are told by
+     * @throws Malformed if the answer or the time zone makes no sense
+     */
+    static String render(Map<String, Object> plan, String zoneId, boolean html) throws Malformed {
+        ZoneId zone;
+        try {
+            zone = ZoneId.of(zoneId);
+        } catch (DateTimeException unknown) {
+            throw new Malformed("there is no time zone " + zoneId);
+        }
+        Fields told = new Fields(plan);
+        List<Map<String, Object>> lines = new ArrayList<>();
+        for (Fields slot : told.list("slots")) {
+            long met = slot.count("met");
+            long tasks = slot.count("tasks");
+            List<String> machines = new ArrayList<>();
+            slot.fields("machines").map().forEach((pair, count) -> machines.add(count + " x " + pair));
+            lines.add(line(slot, "reservation " + slot.text("reservation"), "team " + slot.text("team") + ", " + met
+                    + " of " + tasks + " tasks, " + String.join(" + ", machines), met < tasks ? String.join("; ",
+                    slot.textsOrNull("against")) : "", met < tasks, zone));
+        }
+        for (Fields outage : told.list("outages")) {
+            lines.add(line(outage, "window " + outage.text("window"), outage.text("scope").toLowerCase(Locale.ROOT) + " "
+                    + String.join(", ", outage.textsOrNull("targets")) + " out", "", false, zone));
+        }
+        lines.sort(Comparator.comparing((Map<String, Object> line) -> (String) line.get("order"))
+                .thenComparing(line -> (String) line.get("what")));
+        Mustache template = new DefaultMustacheFactory("org/meadowhollow/cli/calendar")
+                .compile(html ? "plan.html" : "plan.txt");
+        StringWriter page = new StringWriter();
+        Map<String, Object> scope = new LinkedHashMap<>();
+        scope.put("lines", lines);
+        scope.put("zone", zoneId);
+        scope.put("none", lines.isEmpty());
+        template.execute(page, scope);
+        return page.toString();
+    }
+}
--- a/src/main/java/org/meadowhollow/coordination/CalendarKeeper.java
+++ b/src/main/java/org/meadowhollow/coordination/CalendarKeeper.java
@@ -133,7 +133,7 @@
             if (since == null) {
                 if (warned.size() < MOST_NOTED) {
                     warned.put(key, now);
-                    LOG.info("task {} attempt {} on {} will be stopped in {} s: {}", placement.task(),
+                    LOG.info("task {} attempt {} on {} will be stopped in {} s unless it is done: {}", placement.task(),
                             placement.attempt(), placement.machine(), Math.max(LEAST_WARNING.toSeconds(),
                                     Math.round(spill.latestInS())), spill.why());
                 }
--- a/src/main/java/org/meadowhollow/coordination/calendar/Estimates.java
+++ b/src/main/java/org/meadowhollow/coordination/calendar/Estimates.java
@@ -60,6 +60,12 @@
         });
     }
 
+    /** The same for a task that nobody may stop: one of ten that takes longer would be one too many. */
+    double surelyS(JobSpec spec) {
+        return (spec.estimateS() > 0 ? spec.estimateS() : UNKNOWN_S)
+                * Math.max(UNKNOWN_MARGIN, margin(spec.jobClass()));
+    }
+
     /** How long a task of a job that ends by itself is expected to run at most, in seconds. */
     public double upperS(JobSpec spec) {
         return (spec.estimateS() > 0 ? spec.estimateS() : UNKNOWN_S) * margin(spec.jobClass());
--- a/src/main/java/org/meadowhollow/coordination/calendar/Outlook.java
+++ b/src/main/java/org/meadowhollow/coordination/calendar/Outlook.java
@@ -159,7 +159,7 @@
                     SeatLimit limit = limitOf(machine);
                     if (inS < limit.freeForS()) {
                         limit.out(inS, noticeS);
-                        spillsInto(machine, outage, inS, noticeS, clocks);
+                        spillsInto(machine, outage, inS, noticeS);
                     }
                 }
             }
@@ -173,27 +173,28 @@
         }
     }
 
-    private void spillsInto(Machine machine, Plan.Outage outage, double inS, double noticeS, Clocks clocks) {
+    private void spillsInto(Machine machine, Plan.Outage outage, double inS, double noticeS) {
         String why = "window " + outage.window().name() + " takes its machine";
         for (Placement placement : machine.placements()) {
             JobSpec spec = placement.job().spec();
             boolean stays = spec.kind() == Kind.SERVICE;
-            // A service leaves when its notice begins; whatever ends by itself may try to.
+            // A service leaves when its notice begins. All others are told, though most of them will be done by then:
+            // one that is not, against all estimates, must have been told in time as well.
             double latestInS = inS - spec.saveS() - STOP_MARGIN_S;
             double stopInS = stays ? inS - noticeS : latestInS;
-            if (!placement.stopping() && stopInS < WARN_S && (stays || leftS(placement, clocks) > inS)) {
+            if (!placement.stopping() && stopInS < WARN_S) {
                 spills.add(new Spill(placement, Math.min(stopInS, latestInS), latestInS, why));
             }
         }
     }
 
-    /** How much longer a task is expected to run at most. */
-    private double leftS(Placement placement, Clocks clocks) {
+    /** How much longer a task is expected to run at most, with more to spare if it may not be stopped. */
+    private double leftS(Placement placement, Reservation reservation, Clocks clocks) {
         JobSpec spec = placement.job().spec();
         if (spec.kind() == Kind.SERVICE) {
             return Double.POSITIVE_INFINITY;
         }
-        double wholeS = estimates.upperS(spec);
+        double wholeS = reservation.mayStop(spec) ? estimates.upperS(spec) : estimates.surelyS(spec);
         double ranS = placement.runningSince() == null ? 0 : clocks.now().secondsSince(placement.runningSince());
         return Math.max(wholeS - ranS, wholeS * LEAST_LEFT);
     }
@@ -261,19 +262,35 @@
     /** Keeps room that is free or will be by the start; says for how many tasks. */
     private int hold(Machine machine, Reservation reservation, double inS, int most, Clocks clocks) {
         Resources coming = Resources.NONE;
+        List<Placement> ending = new ArrayList<>();
         for (Placement placement : machine.placements()) {
-            if (placement.stopping() || leftS(placement, clocks) <= inS) {
+            if (placement.stopping() || leftS(placement, reservation, clocks) <= inS) {
                 coming = coming.plus(placement.job().spec().perTask());
+                ending.add(placement);
             }
         }
         Resources held = limits.containsKey(machine.id()) ? limits.get(machine.id()).held() : Resources.NONE;
         int tasks = reservation.perTask().countIn(machine.free().plus(coming).minus(held), most);
         if (tasks > 0) {
             limitOf(machine).hold(reservation, inS, tasks, coming);
+            if (inS < WARN_S && !held.plus(reservation.perTask().times(tasks)).fitsIn(machine.free())) {
+                // They are counted on to be done by then; one that is not, against all estimates, has to go.
+                ending.stream().filter(placement -> mayStop(placement, reservation))
+                        .forEach(placement -> spill(placement, reservation, inS));
+            }
         }
         return tasks;
     }
 
+    private static boolean mayStop(Placement placement, Reservation reservation) {
+        return reservation.mayStop(placement.job().spec()) && !placement.stopping();
+    }
+
+    private void spill(Placement placement, Reservation reservation, double inS) {
+        double latestInS = inS - placement.job().spec().saveS() - STOP_MARGIN_S;
+        spills.add(new Spill(placement, latestInS, latestInS, "its room is reserved for " + reservation.name()));
+    }
+
     /** Keeps room that work of a lower priority has; it is told, and stopped in time. */
     private int holdByStopping(Machine machine, Reservation reservation, double inS, int most) {
         Resources held = limits.containsKey(machine.id()) ? limits.get(machine.id()).held() : Resources.NONE;
@@ -286,8 +303,7 @@
             if (tasks == most) {
                 break;
             }
-            if (!reservation.serves(spec) && reservation.priority().above(spec.priority())
-                    && spec.kind() != Kind.SERVICE && !placement.stopping()) {
+            if (mayStop(placement, reservation)) {
                 room = room.plus(spec.perTask());
                 coming = coming.plus(spec.perTask());
                 stopped.add(placement);
@@ -296,10 +312,7 @@
         }
         if (tasks > 0) {
             limitOf(machine).hold(reservation, inS, tasks, coming);
-            for (Placement placement : stopped) {
-                double latestInS = inS - placement.job().spec().saveS() - STOP_MARGIN_S;
-                spills.add(new Spill(placement, latestInS, latestInS, "its room is reserved for " + reservation.name()));
-            }
+            stopped.forEach(placement -> spill(placement, reservation, inS));
         }
         return tasks;
     }
--- a/src/main/java/org/meadowhollow/coordination/calendar/SeatLimit.java
+++ b/src/main/java/org/meadowhollow/coordination/calendar/SeatLimit.java
@@ -81,7 +81,8 @@
         }
         Resources kept = Resources.NONE;
         for (Hold hold : holds) {
-            if (lastsS > hold.startsInS && !hold.reservation.serves(spec)) {
+            double untilS = stays || hold.reservation.mayStop(spec) ? lastsS : fetchS + estimates.surelyS(spec);
+            if (untilS > hold.startsInS && !hold.reservation.serves(spec)) {
                 kept = kept.plus(hold.room());
             }
         }
--- a/src/test/java/org/meadowhollow/cli/ControllerTest.java
+++ b/src/test/java/org/meadowhollow/cli/ControllerTest.java
@@ -117,6 +117,26 @@
         }
     }
 
+    @Test
+    void theCalendarIsTakenOnAListenerOfItsOwn() throws Exception {
+        CalendarOptions options = CalendarOptions.of("127.0.0.1:0", List.of("operator=" + HASH), null, null,
+                List.of("t=4", "t/z=2"), Map.of());
+        try (Controller controller = Controller.builder(settings(SETTINGS)).calendar(options).start()) {
+            byte[] none = new byte[0];
+            assertEquals("401", status(ask(controller.calendarPort(), "GET", "/calendar/v1/plan", none)));
+            assertEquals("404", status(ask(controller.port(), "GET", "/calendar/v1/plan", none)));
+            assertEquals("413", status(ask(controller.calendarPort(), "PUT", "/calendar/v1/windows/w", new byte[70_000])));
+        }
+        assertNull(CalendarOptions.of(null, List.of(), null, null, List.of(), Map.of()));
+        for (String[] wrong : new String[][] {{null, "operator=" + HASH, "t=4", "--calendar-listen"},
+                {"127.0.0.1:0", "t=" + HASH, "t=4", "--calendar-token"}, {"127.0.0.1:0", "operator=12", "t=4", "SHA256"},
+                {"127.0.0.1:0", "operator=" + HASH, "t=many", "--calendar-most"}}) {
+            Settings.Unusable unusable = assertThrows(Settings.Unusable.class, () -> CalendarOptions.of(wrong[0],
+                    List.of(wrong[1]), null, null, List.of(wrong[2]), Map.of()));
+            assertTrue(unusable.getMessage().contains(wrong[3]), unusable.getMessage());
+        }
+    }
+
     @Test
     void someSocketsAreLeftForWhatANodeOpensItself() throws Exception {
         assertEquals(0, Controller.mostCallers(settings(SETTINGS)), "the file does not say how many there are");
--- /dev/null
+++ b/src/test/java/org/meadowhollow/story/MonthOfNightsTest.java
@@ -0,0 +1,144 @@
+package org.meadowhollow.story;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.LocalDate;
+import java.time.LocalTime;
+import java.time.ZoneId;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.Priority;
+import org.meadowhollow.bookkeeping.TaskId;
+import org.meadowhollow.protocol.Fields;
+import org.meadowhollow.protocol.Http;
+import org.meadowhollow.protocol.Json;
+
+/**
+ * A month of nights on a fleet that other work could fill, with a run at two each night; what lies between is left out
+ * of the clocks. The month has a night on which the clocks go back.
+ */
+class MonthOfNightsTest {
+    private static final ZoneId ZONE = ZoneId.of("America/New_York");
+    private static final LocalDate FIRST = LocalDate.of(2026, 10, 20);
+    private static final int NIGHTS = 30;
+    private static final int TASKS = 8;
+    /** Rounds are a second apart, reports three, and an image takes two. */
+    private static final double ON_TIME_S = 15;
+
+    /**
+     * @param onTime nights on which all of the run ran within {@link #ON_TIME_S}
+     * @param others tasks of other work that were done
+     */
+    private record Month(int onTime, int others) {
+    }
+
+    private static Month month(long seed, boolean reserved, boolean faults) {
+        Random random = new Random(seed);
+        World world = new World();
+        for (int at = 0; at < 4; at++) {
+            world.machine(World.SMALL, at % 2 == 0 ? "a" : "b");
+        }
+        world.machine(World.LARGE, "a");
+        world.machine(World.LARGE, "b");
+        world.mostMachines(6);
+        world.calendar(Map.of());
+        world.loop().skip(Duration.between(Instant.ofEpochMilli(world.loop().wallMillis()),
+                FIRST.atStartOfDay(ZONE).toInstant()));
+        world.runS(15);
+        if (reserved) {
+            Http.Reply reply = world.operate(0, "secret", "PUT", "reservations/nightly", null, new String(Json.encode(
+                    Fields.of("team", "team", "priority", "urgent", "tasks", TASKS, "cpus", 1.0, "gpus", 1.0, "ram_gb", 4.0,
+                            "class", "nightly", "start", FIRST.atTime(2, 0).toString(), "time_zone", ZONE.getId(), "rule",
+                            "FREQ=DAILY", "length_s", 900.0))));
+            assertEquals(201, reply.status(), new String(reply.body()));
+        }
+        int number = 0;
+        int onTime = 0;
+        int others = 0;
+        for (int night = 0; night < NIGHTS; night++) {
+            Instant two = FIRST.plusDays(night).atTime(LocalTime.of(2, 0)).atZone(ZONE).toInstant();
+            world.loop().skip(Duration.between(Instant.ofEpochMilli(world.loop().wallMillis()), two.minusSeconds(600)));
+            List<JobSpec> background = new ArrayList<>();
+            for (int at = 0; at < 6; at++) {
+                double estimate = 100 + random.nextInt(800);
+                JobSpec spec = World.spec(++number, Kind.ARRAY, 8, 1);
+                JobSpec other = new JobSpec(spec.id(), "other", "team", spec.kind(), random.nextBoolean() ? Priority.NORMAL
+                        : Priority.HIGH, 8, spec.perTask(), null, null, false, false, false, spec.image(), 1, estimate, 20, 4,
+                        Double.NaN);
+                background.add(other);
+                // Wrong by up to half, either way.
+                assertTrue(world.submit(at % 3, other, Duration.ofMillis((long) (estimate * (500 + random.nextInt(1000))))));
+                world.runS(random.nextInt(60));
+            }
+            fault(world, faults ? random.nextInt(5) : -1);
+            double leftS = (two.toEpochMilli() - world.loop().wallMillis()) / 1000.0;
+            world.runS(Math.max(0, leftS));
+            JobSpec run = World.spec(++number, Kind.ARRAY, TASKS, 1);
+            run = new JobSpec(run.id(), "nightly", "team", run.kind(), Priority.HIGH, TASKS, run.perTask(), null, null, false,
+                    false, false, run.image(), 1, 60, 0, 0, Double.NaN);
+            for (int node = 0; !world.submit(node % 3, run, Duration.ofSeconds(60)); node++) {
+                assertTrue(node < 10, "nobody takes it");
+            }
+            world.runS(ON_TIME_S);
+            int running = 0;
+            for (int task = 0; task < TASKS; task++) {
+                running += world.on(new TaskId(run.id(), task)).isEmpty() ? 0 : 1;
+            }
+            onTime += running == TASKS ? 1 : 0;
+            world.runS(200);
+            world.restartAll();
+            world.runS(5);
+            for (JobSpec each : background) {
+                others += world.poll(0, each.id()).orElseThrow().done();
+                world.cancel(1, each.id());
+            }
+            world.cancel(1, run.id());
+            world.runS(30);
+        }
+        return new Month(onTime, others);
+    }
+
+    /** Something that happens in the last minutes before the run. */
+    private static void fault(World world, int which) {
+        switch (which) {
+            case 0 -> {
+                world.crash(world.leader());
+                world.runS(20);
+            }
+            case 1 -> {
+                world.crashAll();
+                world.runS(3);
+                world.restartAll();
+            }
+            case 2 -> {
+                world.store().out(true);
+                world.runS(20);
+                world.store().out(false);
+            }
+            case 3 -> world.cloudOut(true);
+            default -> world.cloudOut(false);
+        }
+    }
+
+    @Test
+    void everyReservedRunStartsOnTimeAndTheSameMonthWithoutItsReservationDoesNot() {
+        Month with = month(1, true, false);
+        Month without = month(1, false, false);
+        assertEquals(NIGHTS, with.onTime());
+        assertTrue(without.onTime() < NIGHTS / 2, () -> "" + without);
+    }
+
+    @Test
+    void everyReservedRunStartsOnTimeWhileThingsFail() {
+        Month with = month(2, true, true);
+        assertEquals(NIGHTS, with.onTime());
+    }
+}
