--- a/src/test/java/org/meadowhollow/story/CalendarStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/CalendarStoriesTest.java
@@ -258,6 +258,69 @@
         assertEquals(tasks, running(run));
     }
 
+    @Test
+    void machinesThatAreLostBeforeTheSlotAreReplaced() {
+        world.mostMachines(40);
+        body(reserve("calendars", "team", 6, 1, 300, 600), 201);
+        assertTrue(world.submit(0, job(1, "long", Priority.HIGH, 3 * gpus(), 1, 900, 0), Duration.ofSeconds(900)));
+        world.runS(180);
+        world.workers().stream().filter(worker -> worker.running().isEmpty()).forEach(world::take);
+        world.mostMachines(80);
+        world.runS(125);
+        JobSpec run = job(2, "night", Priority.HIGH, 6, 1, 60, 0);
+        assertTrue(world.submit(1, run, Duration.ofSeconds(60)));
+        world.runS(12);
+        assertEquals(6, running(run));
+    }
+
+    @Test
+    void theRoomOfAJobThatIsCancelledInItsSlotIsThereForTheNext() {
+        body(reserve("calendars", "team", 6, 1, 300, 600), 201);
+        assertTrue(world.submit(0, job(1, "long", Priority.HIGH, 3 * gpus(), 1, 900, 0), Duration.ofSeconds(900)));
+        world.runS(305);
+        JobSpec wrong = job(2, "night", Priority.HIGH, 6, 1, 60, 0);
+        assertTrue(world.submit(1, wrong, HOUR));
+        world.runS(15);
+        assertTrue(world.cancel(2, wrong.id()));
+        world.runS(8);
+        JobSpec right = job(3, "night", Priority.HIGH, 6, 1, 60, 0);
+        assertTrue(world.submit(1, right, Duration.ofSeconds(60)));
+        world.runS(12);
+        assertEquals(6, running(right));
+    }
+
+    @Test
+    void aGangThatAWindowStopsGoesWholeAndComesBackElsewhere() {
+        JobSpec spec = World.spec(1, Kind.GANG, 4, 1);
+        JobSpec gang = new JobSpec(spec.id(), "gang", "team", Kind.GANG, Priority.HIGH, 4, spec.perTask(), null, null, true,
+                false, false, spec.image(), 1, 500, 10, 4, Double.NaN);
+        assertTrue(world.submit(0, gang, HOUR));
+        world.runS(15);
+        assertEquals(4, running(gang));
+        String zone = placeOf(gang, 0).zone();
+        body(window("patches", "zones", zone, 150, 600, 0), 201);
+        world.runS(120);
+        assertEquals(4, running(gang), "not before it has to");
+        world.runS(45);
+        assertTrue(world.workers().stream().filter(worker -> worker.zone().equals(zone))
+                .allMatch(worker -> worker.running().isEmpty()));
+        assertEquals(4, running(gang), "in the other zone");
+    }
+
+    @Test
+    void twoWindowsThatTogetherTakeAllZonesLeaveNothingRunningAndEndWithThem() {
+        body(window("one", "zones", "a", 60, 300, 0), 201);
+        body(window("two", "zones", "b", 120, 120, 0), 201);
+        JobSpec work = job(1, "long", Priority.HIGH, 4, 1, 100, 0);
+        assertTrue(world.submit(0, work, Duration.ofSeconds(100)));
+        world.runS(130);
+        assertEquals(0, running(work));
+        world.runS(90);
+        assertEquals(0, running(work));
+        world.runS(40);
+        assertEquals(4, running(work), "in the zone whose window is over");
+    }
+
     @Test
     void aRequestIsJudgedOnceForAllNodesAndRepeatedFreely() throws Malformed {
         world.team("team", 0, 10);
--- a/src/test/java/org/meadowhollow/story/TesStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/TesStoriesTest.java
@@ -365,6 +365,22 @@
         assertEquals(503, create(0, TASK.formatted("task", "1", ""), null).status());
     }
 
+    @Test
+    void aCreateThatASlowStateServiceTakesLateIsFoundByItsKey() {
+        world.line(1).hold(true);
+        String body = TASK.formatted("late", "1", "");
+        Http.Reply reply = create(1, body, "night-2");
+        assertTrue(reply == null || reply.status() == 503, "nobody knows whether it will be");
+        world.line(1).hold(false);
+        world.runS(3);
+        String id = (String) body(create(2, body, "night-2")).get("id");
+        world.runs(new JobId(id), SHORT);
+        world.runS(25);
+        assertEquals("COMPLETE", state(0, id));
+        assertEquals(1, world.starts());
+        assertEquals(1, world.store().size("tesx/"));
+    }
+
     @Test
     void whatCanNeverRunAndWhatIsWrongIsRefusedByName() {
         for (String[] wrong : new String[][] {
