--- a/src/test/java/org/meadowhollow/story/CalendarStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/CalendarStoriesTest.java
@@ -157,6 +157,54 @@
         assertEquals(1, plan(2).map().get("slots") instanceof List<?> slots ? slots.size() : 0);
     }
 
+    @Test
+    void aNewLeaderPlacesNothingBeforeItKnowsTheCalendar() {
+        body(reserve("calendars", "team", gpus(), 1, 60, 7200), 201);
+        world.crashAll();
+        world.runS(8);
+        world.restartAll();
+        for (int node = 0; node < 3; node++) {
+            world.line(node).hide("cal/");
+        }
+        world.runS(3);
+        JobSpec work = job(1, "long", Priority.HIGH, 4, 1, 900, 0);
+        assertTrue(world.submit(0, work, HOUR));
+        world.runS(20);
+        assertEquals(0, running(work));
+        for (int node = 0; node < 3; node++) {
+            world.line(node).hide("/");
+        }
+        world.runS(20);
+        assertEquals(0, running(work), "all is reserved");
+        assertEquals(Phase.QUEUED, phase(work));
+    }
+
+    @Test
+    void inItsSlotAReservedRunGoesBeforeOlderWorkOfItsTeamThatWaitsForTheSameLimit() {
+        world.team("team", 0, 4);
+        world.calendar(Map.of());
+        world.runS(15);
+        body(reserve("calendars", "team", 4, 1, 60, 600), 201);
+        assertTrue(world.submit(0, job(1, "other", Priority.HIGH, 200, 1, 10, 0), Duration.ofSeconds(10)));
+        world.runS(62);
+        JobSpec run = job(2, "night", Priority.HIGH, 4, 1, 300, 0);
+        assertTrue(world.submit(1, run, Duration.ofSeconds(300)));
+        world.runS(35);
+        assertEquals(4, running(run));
+    }
+
+    @Test
+    void nothingIsRentedIntoAWindow() {
+        body(window("patches", "zones", "a", 30, 600, 0), 201);
+        world.mostMachines(40);
+        List<FakeWorker> before = world.workers();
+        assertTrue(world.submit(0, job(1, "other", Priority.HIGH, 200, 1, 300, 0), Duration.ofSeconds(300)));
+        world.runS(60);
+        List<FakeWorker> rented = world.workers().stream().filter(worker -> !before.contains(worker)).toList();
+        assertFalse(rented.isEmpty());
+        assertTrue(rented.stream().allMatch(worker -> worker.zone().equals("b")));
+    }
+
     @Test
     void theLeaderKeepsWhatItKnowsWhileTheStateServiceIsOut() {
         body(reserve("calendars", "team", 6, 1, 300, 600), 201);
--- a/src/test/java/org/meadowhollow/story/FakeStore.java
+++ b/src/test/java/org/meadowhollow/story/FakeStore.java
@@ -140,6 +140,7 @@
     final class Line implements StateStore {
         private boolean cut;
         private boolean losesAnswers;
+        private String hidden = "/";
         private boolean dead;
         private boolean blind;
         private int mostWrites;
@@ -153,6 +154,11 @@
             cut = now;
         }
 
+        /** Refuses to list the keys under a prefix, until it is told another one. */
+        void hide(String prefix) {
+            hidden = prefix;
+        }
+
         /** Watches show nothing, however long they wait. */
         void blind(boolean now) {
             blind = now;
@@ -240,6 +246,9 @@
         @Override
         public CompletableFuture<Page> list(String prefix, String after, int most, Urgency urgency) {
             return call(() -> {
+                if (prefix.startsWith(hidden)) {
+                    throw new StateException(Outcome.REFUSED, "hidden");
+                }
                 List<Entry> entries = new ArrayList<>();
                 for (Map.Entry<String, Stored> each : keys.tailMap(after == null ? prefix : after, after == null)
                         .entrySet()) {
