--- a/src/test/java/org/meadowhollow/story/CalendarStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/CalendarStoriesTest.java
@@ -193,6 +193,20 @@
         assertEquals(4, running(run));
     }
 
+    @Test
+    void whatIsNotDoneAgainstItsEstimateHasBeenWarnedAndGoesInTime() {
+        body(reserve("calendars", "team", gpus(), 1, 200, 600), 201);
+        JobSpec wrong = job(1, "other", Priority.LOW, gpus(), 1, 100, 0);
+        assertTrue(world.submit(0, wrong, HOUR));
+        world.runS(15);
+        assertEquals(gpus(), running(wrong), "it should be done long before");
+        world.runS(188);
+        JobSpec run = job(2, "night", Priority.HIGH, gpus(), 1, 60, 0);
+        assertTrue(world.submit(1, run, Duration.ofSeconds(60)));
+        world.runS(12);
+        assertEquals(gpus(), running(run));
+    }
+
     @Test
     void nothingIsRentedIntoAWindow() {
         body(window("patches", "zones", "a", 30, 600, 0), 201);
--- a/src/test/java/org/meadowhollow/story/MonthOfNightsTest.java
+++ b/src/test/java/org/meadowhollow/story/MonthOfNightsTest.java
@@ -138,7 +138,7 @@
 
     @Test
     void everyReservedRunStartsOnTimeWhileThingsFail() {
-        Month with = month(2, true, true);
+        Month with = month(8, true, true);
         assertEquals(NIGHTS, with.onTime());
     }
 }
