--- a/src/test/java/org/meadowhollow/story/CalendarStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/CalendarStoriesTest.java
@@ -75,6 +75,18 @@
                 false, false, false, spec.image(), spec.imageGb(), estimateS, saveS > 0 ? 10 : 0, saveS, Double.NaN);
     }
 
+    /** Fills all there is for a quarter of an hour, as its estimate says, and would again. */
+    private void longWork() {
+        assertTrue(world.submit(0, job(1, "long", Priority.HIGH, 3 * gpus(), 1, 900, 0), Duration.ofSeconds(900)));
+    }
+
+    /** Comes to use a reservation, at its start or later. */
+    private JobSpec reservedRun(int number, int tasks) {
+        JobSpec run = job(number, "night", Priority.HIGH, tasks, 1, 60, 0);
+        assertTrue(world.submit(1, run, Duration.ofSeconds(60)));
+        return run;
+    }
+
     private int running(JobSpec spec) {
         int count = 0;
         for (int task = 0; task < spec.tasks(); task++) {
@@ -92,11 +104,9 @@
         if (reserved) {
             body(reserve("calendars", "team", 6, 1, 300, 600), 201);
         }
-        // Long work keeps coming; its estimate says that it would not be done by then.
-        assertTrue(world.submit(0, job(1, "long", Priority.HIGH, 3 * gpus(), 1, 900, 0), Duration.ofSeconds(900)));
+        longWork();
         world.runS(305);
-        JobSpec run = job(2, "night", Priority.HIGH, 6, 1, 60, 0);
-        assertTrue(world.submit(1, run, Duration.ofSeconds(60)));
+        JobSpec run = reservedRun(2, 6);
         world.runS(10);
         return running(run);
     }
@@ -142,7 +152,7 @@
     @Test
     void theReservationHoldsThroughTheLossOfItsLeaderAndOfAllNodesAtItsStart() {
         body(reserve("calendars", "team", 6, 1, 300, 600), 201);
-        assertTrue(world.submit(0, job(1, "long", Priority.HIGH, 3 * gpus(), 1, 900, 0), Duration.ofSeconds(900)));
+        longWork();
         world.runS(290);
         world.crash(world.leader());
         world.runS(5);
@@ -150,8 +160,7 @@
         world.runS(4);
         world.restartAll();
         world.runS(8);
-        JobSpec run = job(2, "night", Priority.HIGH, 6, 1, 60, 0);
-        assertTrue(world.submit(1, run, Duration.ofSeconds(60)));
+        JobSpec run = reservedRun(2, 6);
         world.runS(12);
         assertEquals(6, running(run));
         assertEquals(1, plan(2).map().get("slots") instanceof List<?> slots ? slots.size() : 0);
@@ -201,8 +210,7 @@
         world.runS(15);
         assertEquals(gpus(), running(wrong), "it should be done long before");
         world.runS(188);
-        JobSpec run = job(2, "night", Priority.HIGH, gpus(), 1, 60, 0);
-        assertTrue(world.submit(1, run, Duration.ofSeconds(60)));
+        JobSpec run = reservedRun(2, gpus());
         world.runS(12);
         assertEquals(gpus(), running(run));
     }
@@ -222,10 +230,9 @@
     @Test
     void theLeaderKeepsWhatItKnowsWhileTheStateServiceIsOut() {
         body(reserve("calendars", "team", 6, 1, 300, 600), 201);
-        assertTrue(world.submit(0, job(1, "long", Priority.HIGH, 3 * gpus(), 1, 900, 0), Duration.ofSeconds(900)));
+        longWork();
         world.runS(280);
-        JobSpec run = job(2, "night", Priority.HIGH, 6, 1, 60, 0);
-        assertTrue(world.submit(1, run, Duration.ofSeconds(60)));
+        JobSpec run = reservedRun(2, 6);
         world.runS(5);
         world.store().out(true);
         assertEquals(503, reserve("another", "team", 1, 1, 500, 60).status());
@@ -297,8 +304,7 @@
         assertEquals(gpus(), running(low) + before);
         body(reserve("calendars", "team", 4, 1, 200, 600), 201);
         world.runS(202);
-        JobSpec run = job(3, "night", Priority.HIGH, 4, 1, 60, 0);
-        assertTrue(world.submit(1, run, Duration.ofSeconds(60)));
+        JobSpec run = reservedRun(3, 4);
         world.runS(12);
         assertEquals(4, running(run));
         assertEquals(before, running(equal));
@@ -314,8 +320,7 @@
         assertTrue(world.workers().size() <= before, "not long before");
         world.runS(190);
         assertTrue(gpus() >= tasks, "of " + gpus());
-        JobSpec run = job(2, "night", Priority.HIGH, tasks, 1, 60, 0);
-        assertTrue(world.submit(1, run, Duration.ofSeconds(60)));
+        JobSpec run = reservedRun(2, tasks);
         world.runS(20);
         assertEquals(tasks, running(run));
     }
@@ -324,13 +329,12 @@
     void machinesThatAreLostBeforeTheSlotAreReplaced() {
         world.mostMachines(40);
         body(reserve("calendars", "team", 6, 1, 300, 600), 201);
-        assertTrue(world.submit(0, job(1, "long", Priority.HIGH, 3 * gpus(), 1, 900, 0), Duration.ofSeconds(900)));
+        longWork();
         world.runS(180);
         world.workers().stream().filter(worker -> worker.running().isEmpty()).forEach(world::take);
         world.mostMachines(80);
         world.runS(125);
-        JobSpec run = job(2, "night", Priority.HIGH, 6, 1, 60, 0);
-        assertTrue(world.submit(1, run, Duration.ofSeconds(60)));
+        JobSpec run = reservedRun(2, 6);
         world.runS(12);
         assertEquals(6, running(run));
     }
@@ -338,15 +342,14 @@
     @Test
     void theRoomOfAJobThatIsCancelledInItsSlotIsThereForTheNext() {
         body(reserve("calendars", "team", 6, 1, 300, 600), 201);
-        assertTrue(world.submit(0, job(1, "long", Priority.HIGH, 3 * gpus(), 1, 900, 0), Duration.ofSeconds(900)));
+        longWork();
         world.runS(305);
         JobSpec wrong = job(2, "night", Priority.HIGH, 6, 1, 60, 0);
         assertTrue(world.submit(1, wrong, HOUR));
         world.runS(15);
         assertTrue(world.cancel(2, wrong.id()));
         world.runS(8);
-        JobSpec right = job(3, "night", Priority.HIGH, 6, 1, 60, 0);
-        assertTrue(world.submit(1, right, Duration.ofSeconds(60)));
+        JobSpec right = reservedRun(3, 6);
         world.runS(12);
         assertEquals(6, running(right));
     }
