Coordination gets rooms: platform, admission, placement, hearing, leadership, fleet

What remains flat is one leadership's own work (Leader, Loading, Reconciliation and the like), which share the leader's lock.

--- a/src/main/java/org/meadowhollow/cli/Settings.java
+++ b/src/main/java/org/meadowhollow/cli/Settings.java
@@ -9,7 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import org.meadowhollow.bookkeeping.Resources;
-import org.meadowhollow.coordination.Platform;
+import org.meadowhollow.coordination.platform.Platform;
 import org.meadowhollow.protocol.Fields;
 import org.meadowhollow.protocol.Json;
 import org.meadowhollow.protocol.Malformed;
--- a/src/main/java/org/meadowhollow/coordination/CalendarKeeper.java
+++ b/src/main/java/org/meadowhollow/coordination/CalendarKeeper.java
@@ -25,6 +25,10 @@
 import org.meadowhollow.coordination.calendar.Outlook;
 import org.meadowhollow.coordination.calendar.Plan;
 import org.meadowhollow.coordination.calendar.Supply;
+import org.meadowhollow.coordination.fleet.Fleet;
+import org.meadowhollow.coordination.placement.Aims;
+import org.meadowhollow.coordination.placement.Cluster;
+import org.meadowhollow.coordination.platform.Platform;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/src/main/java/org/meadowhollow/coordination/ImageNotes.java
+++ b/src/main/java/org/meadowhollow/coordination/ImageNotes.java
@@ -17,6 +17,7 @@
 import org.meadowhollow.bookkeeping.StateStore.Urgency;
 import org.meadowhollow.bookkeeping.Transaction;
 import org.meadowhollow.bookkeeping.Version;
+import org.meadowhollow.coordination.platform.Platform;
 
 /**
  * Notes in the state service which machines have which image cached, for no report tells, and a successor that
--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -40,7 +40,24 @@
 import org.meadowhollow.bookkeeping.TaskState;
 import org.meadowhollow.bookkeeping.Term;
 import org.meadowhollow.bookkeeping.Version;
+import org.meadowhollow.coordination.admission.Admission;
+import org.meadowhollow.coordination.fleet.Fleet;
+import org.meadowhollow.coordination.fleet.GivingUp;
+import org.meadowhollow.coordination.fleet.Listening;
+import org.meadowhollow.coordination.fleet.SilenceWatch;
+import org.meadowhollow.coordination.fleet.TermHolder;
 import org.meadowhollow.coordination.hearing.Deafness;
+import org.meadowhollow.coordination.leadership.Leadership;
+import org.meadowhollow.coordination.placement.Aims;
+import org.meadowhollow.coordination.placement.Cluster;
+import org.meadowhollow.coordination.placement.Expected;
+import org.meadowhollow.coordination.placement.PlacementRound;
+import org.meadowhollow.coordination.placement.RoomMaker;
+import org.meadowhollow.coordination.placement.Snapshot;
+import org.meadowhollow.coordination.platform.Cloud;
+import org.meadowhollow.coordination.platform.Peers;
+import org.meadowhollow.coordination.platform.Platform;
+import org.meadowhollow.coordination.platform.Workers;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -48,7 +65,7 @@
  * One leadership: everything that the leader of one term knows and does. A new term begins with a new
  * object, so nothing that an old term believed can leak into it.
  */
-public final class Leader implements Ledger.Listener {
+final class Leader implements Ledger.Listener, TermHolder {
     private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
     /** The design's round. */
     private static final Duration ROUND = Duration.ofSeconds(1);
@@ -158,7 +175,8 @@
         leadership.keepUp();
     }
 
-    synchronized boolean isClosed() {
+    @Override
+    public synchronized boolean isClosed() {
         return closed;
     }
 
@@ -329,7 +347,8 @@
         }
     }
 
-    void lost(Machine machine, Placement placement, String why, Moment now) {
+    @Override
+    public void lost(Machine machine, Placement placement, String why, Moment now) {
         LOG.info("task {} attempt {} on {} is lost: {}", placement.task(), placement.attempt(),
                 placement.machine(), why);
         if (machine != null) {
@@ -416,7 +435,8 @@
         }
     }
 
-    void send(Machine machine, Session session, List<Order> orders) {
+    @Override
+    public void send(Machine machine, Session session, List<Order> orders) {
         workers.send(machine.address(), term, session, orders).whenComplete((report, failure) -> {
             if (failure == null) {
                 direct(report);
@@ -471,16 +491,19 @@
      * Whether to place, stop, rent and return: the lease certainly holds, and the workers are heard. To a deaf leader
      * everything that waits seems to lack room, and what it would do about it comes too early or hits what is healthy.
      */
-    synchronized boolean mayAct() {
+    @Override
+    public synchronized boolean mayAct() {
         return leadership.mayStart() && listening.hearing() != Deafness.Hearing.DEAF;
     }
 
     /** Whether what is silent is so for its own reasons, as far as can be told. */
-    synchronized boolean hearsWell() {
+    @Override
+    public synchronized boolean hearsWell() {
         return listening.hearing() == Deafness.Hearing.GOOD;
     }
 
-    synchronized boolean isSilent(Machine machine, Moment now) {
+    @Override
+    public synchronized boolean isSilent(Machine machine, Moment now) {
         return listening.isLate(machine, now);
     }
 
@@ -507,7 +530,8 @@
     }
 
     /** Stops a task so that it can save what it did. */
-    void stopSaving(Placement placement, String why) {
+    @Override
+    public void stopSaving(Placement placement, String why) {
         Job job = placement.job();
         if (job.spec().kind() == Kind.GANG) {
             // An orderly stop saves only if all tasks hear of it together.
@@ -624,28 +648,34 @@
 
     // ---- for the fleet ----
 
-    synchronized List<Machine> machineList() {
+    @Override
+    public synchronized List<Machine> machineList() {
         return List.copyOf(machines.values());
     }
 
-    synchronized double readyS(JobSpec spec) {
+    @Override
+    public synchronized double readyS(JobSpec spec) {
         return aims.readyS(spec);
     }
 
-    synchronized boolean isOut(String type, String zone) {
+    @Override
+    public synchronized boolean isOut(String type, String zone) {
         return cluster.outlook().isOut(type, zone);
     }
 
-    synchronized double largestImageGb() {
+    @Override
+    public synchronized double largestImageGb() {
         return aims.largestImageGb();
     }
 
-    synchronized boolean isLoaded() {
+    @Override
+    public synchronized boolean isLoaded() {
         return loading.isDone();
     }
 
     /** Takes in what the cloud lists: machines not yet heard of, their addresses, and failed ones. */
-    synchronized void listed(List<Cloud.Listed> list) {
+    @Override
+    public synchronized void listed(List<Cloud.Listed> list) {
         listed = true;
         Moment now = loop.now();
         listening.listed(now);
@@ -670,7 +700,8 @@
     }
 
     /** Takes a machine, and all that was on it, as gone. */
-    synchronized void gone(MachineId id, String why, boolean forget) {
+    @Override
+    public synchronized void gone(MachineId id, String why, boolean forget) {
         Moment now = loop.now();
         Machine machine = machines.get(id);
         List<Placement> placements = machine != null ? List.copyOf(machine.placements())
--- a/src/main/java/org/meadowhollow/coordination/Loading.java
+++ b/src/main/java/org/meadowhollow/coordination/Loading.java
@@ -17,6 +17,9 @@
 import org.meadowhollow.bookkeeping.StateStore.Urgency;
 import org.meadowhollow.bookkeeping.Term;
 import org.meadowhollow.bookkeeping.Version;
+import org.meadowhollow.coordination.placement.Aims;
+import org.meadowhollow.coordination.placement.Cluster;
+import org.meadowhollow.coordination.placement.Expected;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/src/main/java/org/meadowhollow/coordination/Node.java
+++ b/src/main/java/org/meadowhollow/coordination/Node.java
@@ -20,7 +20,13 @@
 import org.meadowhollow.bookkeeping.Term;
 import org.meadowhollow.bookkeeping.Transaction;
 import org.meadowhollow.bookkeeping.Version;
+import org.meadowhollow.coordination.admission.Admission;
 import org.meadowhollow.coordination.hearing.Earshot;
+import org.meadowhollow.coordination.leadership.Leadership;
+import org.meadowhollow.coordination.platform.Cloud;
+import org.meadowhollow.coordination.platform.Peers;
+import org.meadowhollow.coordination.platform.Platform;
+import org.meadowhollow.coordination.platform.Workers;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/src/main/java/org/meadowhollow/coordination/Reconciliation.java
+++ b/src/main/java/org/meadowhollow/coordination/Reconciliation.java
@@ -15,6 +15,8 @@
 import org.meadowhollow.bookkeeping.TaskId;
 import org.meadowhollow.bookkeeping.TaskState;
 import org.meadowhollow.bookkeeping.Term;
+import org.meadowhollow.coordination.leadership.Leadership;
+import org.meadowhollow.coordination.placement.Cluster;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/src/main/java/org/meadowhollow/coordination/Admission.java
+++ b/src/main/java/org/meadowhollow/coordination/admission/Admission.java
@@ -1,4 +1,4 @@
-package org.meadowhollow.coordination;
+package org.meadowhollow.coordination.admission;
 
 import java.time.Duration;
 import java.util.LinkedHashMap;
@@ -24,6 +24,7 @@
 import org.meadowhollow.bookkeeping.TaskTraces;
 import org.meadowhollow.bookkeeping.Transaction;
 import org.meadowhollow.bookkeeping.Version;
+import org.meadowhollow.coordination.platform.Platform;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/src/main/java/org/meadowhollow/coordination/calendar/CalendarDesk.java
+++ b/src/main/java/org/meadowhollow/coordination/calendar/CalendarDesk.java
@@ -23,8 +23,8 @@
 import org.meadowhollow.bookkeeping.calendar.CalendarRecords;
 import org.meadowhollow.bookkeeping.calendar.Reservation;
 import org.meadowhollow.bookkeeping.calendar.Window;
-import org.meadowhollow.coordination.Admission;
-import org.meadowhollow.coordination.Platform;
+import org.meadowhollow.coordination.admission.Admission;
+import org.meadowhollow.coordination.platform.Platform;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/src/main/java/org/meadowhollow/coordination/Fleet.java
+++ b/src/main/java/org/meadowhollow/coordination/fleet/Fleet.java
@@ -1,4 +1,4 @@
-package org.meadowhollow.coordination;
+package org.meadowhollow.coordination.fleet;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -20,11 +20,14 @@
 import org.meadowhollow.bookkeeping.Moment;
 import org.meadowhollow.bookkeeping.Resources;
 import org.meadowhollow.bookkeeping.Term;
+import org.meadowhollow.coordination.placement.Turnover;
+import org.meadowhollow.coordination.platform.Cloud;
+import org.meadowhollow.coordination.platform.Platform;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /** Rents machines for the work that waits, and returns those that are idle, faulty or silent. */
-final class Fleet {
+public final class Fleet {
     private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
     /** The cloud's limit of machines in one request. */
     private static final int MOST_RENTED = 50;
@@ -54,7 +57,7 @@
      * @param zone the only one that will do, or null
      * @param agedS how long ago the job was submitted
      */
-    record Need(JobSpec spec, int tasks, String zone, double agedS) {
+    public record Need(JobSpec spec, int tasks, String zone, double agedS) {
     }
 
     private record Source(String type, String zone, boolean spot) {
@@ -68,7 +71,7 @@
         private Duration length = FIRST_PAUSE;
     }
 
-    private final Leader leader;
+    private final TermHolder leader;
     private final Cloud cloud;
     private final Platform platform;
     private final Catalog catalog;
@@ -86,7 +89,7 @@
     private boolean releasing;
     private boolean closed;
 
-    Fleet(Leader leader, Cloud cloud, Platform platform, Catalog catalog, EventLoop loop, Term term,
+    public Fleet(TermHolder leader, Cloud cloud, Platform platform, Catalog catalog, EventLoop loop, Term term,
             GivingUp givingUp) {
         this.leader = leader;
         this.cloud = cloud;
@@ -97,22 +100,22 @@
         this.givingUp = givingUp;
     }
 
-    void start() {
+    public void start() {
         list();
     }
 
-    synchronized void close() {
+    public synchronized void close() {
         closed = true;
     }
 
     /** Takes in what a round found: what to rent for, and the machines to keep for what is likely to come. */
-    synchronized void needs(List<Need> now, Set<MachineId> keep) {
+    public synchronized void needs(List<Need> now, Set<MachineId> keep) {
         needs = now;
         reserved = keep;
     }
 
     /** Whether a machine was returned for certain, so that a late report of it means nothing. */
-    synchronized boolean isGone(MachineId id) {
+    public synchronized boolean isGone(MachineId id) {
         return released.containsKey(id);
     }
 
@@ -169,7 +172,7 @@
      * have placed something on a machine that is idle for all that this leader knows. Nor while hardly any machine is
      * heard: all of them seem useless then, and all that waits seems to need others.
      */
-    void act() {
+    public void act() {
         List<Machine> machines = leader.machineList();
         if (!leader.isLoaded() || catalog.isEmpty() || !leader.mayAct()) {
             return;
--- a/src/main/java/org/meadowhollow/coordination/GivingUp.java
+++ b/src/main/java/org/meadowhollow/coordination/fleet/GivingUp.java
@@ -1,4 +1,4 @@
-package org.meadowhollow.coordination;
+package org.meadowhollow.coordination.fleet;
 
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -14,6 +14,7 @@
 import org.meadowhollow.bookkeeping.MachineId;
 import org.meadowhollow.bookkeeping.Moment;
 import org.meadowhollow.coordination.hearing.Deafness;
+import org.meadowhollow.coordination.platform.Platform;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -26,7 +27,7 @@
  * and one that it took away is left out; only one that hangs is paid for. So what is not returned for silence alone waits for the cloud's word, or for
  * {@link #LAST_RESORT_LEASES}.
  */
-final class GivingUp {
+public final class GivingUp {
     private static final Logger LOG = LoggerFactory.getLogger(GivingUp.class);
     /** A silent machine is given up after this many leases: its tasks are gone, but it may yet go on. */
     private static final double GIVE_UP_LEASES = 1.5;
@@ -53,7 +54,7 @@
     private final ArrayDeque<Moment> lateReports = new ArrayDeque<>();
     private Moment suspendedUntil;
 
-    GivingUp(Listening listening, Platform platform) {
+    public GivingUp(Listening listening, Platform platform) {
         this.listening = listening;
         this.platform = platform;
     }
@@ -67,7 +68,7 @@
     }
 
     /** A report has come: if it is from a machine that was about to be given up, others may be heard again as well. */
-    void reported(Machine machine, Moment now) {
+    public void reported(Machine machine, Moment now) {
         if (machine.heardAt() == null || listening.silentS(machine, now) <= givenUpS()) {
             return;
         }
--- a/src/main/java/org/meadowhollow/coordination/Listening.java
+++ b/src/main/java/org/meadowhollow/coordination/fleet/Listening.java
@@ -1,4 +1,4 @@
-package org.meadowhollow.coordination;
+package org.meadowhollow.coordination.fleet;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -14,7 +14,11 @@
 import org.meadowhollow.bookkeeping.Moment;
 import org.meadowhollow.coordination.hearing.Deafness;
 import org.meadowhollow.coordination.hearing.Deafness.Hearing;
-import org.meadowhollow.coordination.hearing.Testimony;
+import org.meadowhollow.coordination.leadership.Leadership;
+import org.meadowhollow.coordination.placement.Cluster;
+import org.meadowhollow.coordination.platform.Peers;
+import org.meadowhollow.coordination.platform.Platform;
+import org.meadowhollow.coordination.platform.Testimony;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -23,7 +27,7 @@
  * whose network failed towards its workers alone took hundreds of healthy machines for silent, returned them to the
  * cloud and was refused others. Guarded by the leader's lock.
  */
-final class Listening {
+public final class Listening {
     private static final Logger LOG = LoggerFactory.getLogger(Listening.class);
     /** Reports come up to a quarter late, and a worker that lost its connection turns to the next node a second later. */
     private static final double LATEST_REPORT = 1.25;
@@ -46,7 +50,7 @@
     private record Question(List<MachineId> machines) {
     }
 
-    private final Leader leader;
+    private final TermHolder leader;
     private final Cluster cluster;
     private final Platform platform;
     private final EventLoop loop;
@@ -65,7 +69,7 @@
     private List<Testimony> answers = List.of();
     private Moment answersAt;
 
-    Listening(Leader leader, Cluster cluster, Platform platform, EventLoop loop, Peers peers, Leadership leadership,
+    public Listening(TermHolder leader, Cluster cluster, Platform platform, EventLoop loop, Peers peers, Leadership leadership,
             Moment begunAt) {
         this.leader = leader;
         this.cluster = cluster;
@@ -76,12 +80,12 @@
         this.begunAt = begunAt;
     }
 
-    Hearing hearing() {
+    public Hearing hearing() {
         return hearing;
     }
 
     /** One look at all machines. What follows from it is done by {@link #act}. */
-    void round(Moment now) {
+    public void round(Moment now) {
         List<Machine> late = new ArrayList<>();
         int known = cluster.unseen().size();
         boolean allDue = now.since(begunAt).compareTo(reportDue().plus(NO_ANSWER)) > 0;
@@ -125,7 +129,7 @@
     }
 
     /** Whether a machine's report is overdue; what it answers directly shows that it lives, and renews no lease. */
-    boolean isLate(Machine machine, Moment now) {
+    public boolean isLate(Machine machine, Moment now) {
         Moment last = machine.answeredAt() == null ? machine.knownSince().plus(NO_ANSWER) : machine.answeredAt();
         return now.since(last).compareTo(reportDue()) > 0;
     }
@@ -137,7 +141,7 @@
     }
 
     /** The cloud has given a list. */
-    void listed(Moment now) {
+    public void listed(Moment now) {
         lastListAt = now;
     }
 
@@ -173,7 +177,7 @@
     }
 
     /** Asks what the round found worth asking, and gives the lease up if others hear better. Outside the lock. */
-    void act() {
+    public void act() {
         Question next;
         Deafness.Verdict verdict = null;
         synchronized (leader) {
--- a/src/main/java/org/meadowhollow/coordination/SilenceWatch.java
+++ b/src/main/java/org/meadowhollow/coordination/fleet/SilenceWatch.java
@@ -1,4 +1,4 @@
-package org.meadowhollow.coordination;
+package org.meadowhollow.coordination.fleet;
 
 import java.time.Duration;
 import java.util.HashMap;
@@ -11,6 +11,8 @@
 import org.meadowhollow.bookkeeping.Placement;
 import org.meadowhollow.bookkeeping.Session;
 import org.meadowhollow.bookkeeping.Term;
+import org.meadowhollow.coordination.placement.Cluster;
+import org.meadowhollow.coordination.platform.Platform;
 
 /**
  * Watches over machines that are silent, on notice or idle. What was on a silent one counts as running until its
@@ -28,7 +30,7 @@
     /** Questions that may hang at a time: each for 3 s, before the connection is given up. */
     public static final int MOST_HANGING = 3 * MOST_PROBES;
 
-    private final Leader leader;
+    private final TermHolder leader;
     private final Cluster cluster;
     private final Platform platform;
     private final Term term;
@@ -36,7 +38,7 @@
     private final Map<MachineId, Moment> probedAt = new HashMap<>();
     private int probes;
 
-    SilenceWatch(Leader leader, Cluster cluster, Platform platform, Term term, Moment begunAt) {
+    public SilenceWatch(TermHolder leader, Cluster cluster, Platform platform, Term term, Moment begunAt) {
         this.leader = leader;
         this.cluster = cluster;
         this.platform = platform;
@@ -45,7 +47,7 @@
     }
 
     /** One round over all machines. */
-    void round(Moment now) {
+    public void round(Moment now) {
         probes = 0;
         for (Machine machine : List.copyOf(cluster.machines().values())) {
             watchOver(machine, now);
@@ -53,7 +55,7 @@
         expireUnseen(now);
     }
 
-    void forget(MachineId machine) {
+    public void forget(MachineId machine) {
         probedAt.remove(machine);
     }
 
--- a/src/main/java/org/meadowhollow/coordination/hearing/Deafness.java
+++ b/src/main/java/org/meadowhollow/coordination/hearing/Deafness.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.meadowhollow.coordination.platform.Testimony;
 
 /**
  * Tells a leader that has lost its workers from workers that are lost. Many machines silent at once speak against the
--- a/src/main/java/org/meadowhollow/coordination/Leadership.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/Leadership.java
@@ -1,4 +1,4 @@
-package org.meadowhollow.coordination;
+package org.meadowhollow.coordination.leadership;
 
 import java.time.Duration;
 import java.util.HashSet;
@@ -19,7 +19,8 @@
 import org.meadowhollow.bookkeeping.Transaction;
 import org.meadowhollow.bookkeeping.Version;
 import org.meadowhollow.coordination.hearing.Earshot;
-import org.meadowhollow.coordination.hearing.Standing;
+import org.meadowhollow.coordination.platform.Peers;
+import org.meadowhollow.coordination.platform.Platform;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -176,7 +177,7 @@
     }
 
     /** Whether giving up without knowing of a node that hears has not been tried for a time. */
-    synchronized boolean mayResignAlone(Duration pause) {
+    public synchronized boolean mayResignAlone(Duration pause) {
         return resignedAloneAt == null || loop.now().since(resignedAloneAt).compareTo(pause) >= 0;
     }
 
--- a/src/main/java/org/meadowhollow/coordination/hearing/Standing.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/Standing.java
@@ -1,4 +1,4 @@
-package org.meadowhollow.coordination.hearing;
+package org.meadowhollow.coordination.leadership;
 
 import java.time.Duration;
 import java.util.LinkedHashMap;
--- a/src/main/java/org/meadowhollow/coordination/Aims.java
+++ b/src/main/java/org/meadowhollow/coordination/placement/Aims.java
@@ -1,4 +1,4 @@
-package org.meadowhollow.coordination;
+package org.meadowhollow.coordination.placement;
 
 import java.time.Duration;
 import java.util.HashSet;
@@ -7,9 +7,10 @@
 import org.meadowhollow.bookkeeping.JobSpec;
 import org.meadowhollow.bookkeeping.Kind;
 import org.meadowhollow.bookkeeping.MachineType;
+import org.meadowhollow.coordination.platform.Platform;
 
 /** What the objectives and the machine types mean for the jobs that have come so far. */
-final class Aims {
+public final class Aims {
     /** A task without a machine that passes goes by room alone after this long (DESIGN's value). */
     static final Duration DESPERATE = Duration.ofSeconds(30);
 
@@ -18,13 +19,13 @@
     private final Set<String> largeFor = new HashSet<>();
     private double largestImageGb;
 
-    Aims(Platform platform, Catalog catalog) {
+    public Aims(Platform platform, Catalog catalog) {
         this.platform = platform;
         this.catalog = catalog;
     }
 
     /** Notes the machine types that a job's tasks need most of, and the size of its image. */
-    void note(JobSpec spec) {
+    public void note(JobSpec spec) {
         largestImageGb = Math.max(largestImageGb, spec.imageGb());
         for (MachineType type : catalog.types()) {
             if (isLarge(spec, type)) {
@@ -46,7 +47,7 @@
         return largeFor.contains(type.name());
     }
 
-    double largestImageGb() {
+    public double largestImageGb() {
         return largestImageGb;
     }
 
@@ -63,7 +64,7 @@
     }
 
     /** How long a new machine takes at best until it can run one of the job's tasks. */
-    double readyS(JobSpec spec) {
+    public double readyS(JobSpec spec) {
         double readyS = Double.MAX_VALUE;
         for (MachineType type : catalog.types()) {
             if (fits(spec, type)) {
@@ -74,7 +75,7 @@
     }
 
     /** Whether a job needs machines of its own and could not be started in time on new ones. */
-    boolean needsReserve(JobSpec spec) {
+    public boolean needsReserve(JobSpec spec) {
         boolean large = false;
         for (MachineType type : catalog.types()) {
             large |= isLarge(spec, type);
--- a/src/main/java/org/meadowhollow/coordination/Cluster.java
+++ b/src/main/java/org/meadowhollow/coordination/placement/Cluster.java
@@ -1,4 +1,4 @@
-package org.meadowhollow.coordination;
+package org.meadowhollow.coordination.placement;
 
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.ArrayList;
@@ -16,11 +16,12 @@
 import org.meadowhollow.bookkeeping.Resources;
 import org.meadowhollow.bookkeeping.Term;
 import org.meadowhollow.coordination.calendar.Outlook;
+import org.meadowhollow.coordination.platform.Platform;
 
 /** The jobs and machines of one leadership, as far as it knows them; guarded by the leader's lock. */
-final class Cluster {
+public final class Cluster {
     /** Reports missed in a row before a machine counts as silent. */
-    static final double SILENT_REPORTS = 2.0;
+    public static final double SILENT_REPORTS = 2.0;
 
     private final Platform platform;
     private final Term term;
@@ -31,39 +32,39 @@
 
     private Outlook outlook = Outlook.NONE;
 
-    Cluster(Platform platform, Term term) {
+    public Cluster(Platform platform, Term term) {
         this.platform = platform;
         this.term = term;
     }
 
-    Map<JobId, Job> jobs() {
+    public Map<JobId, Job> jobs() {
         return jobs;
     }
 
-    Map<MachineId, Machine> machines() {
+    public Map<MachineId, Machine> machines() {
         return machines;
     }
 
     /** What the calendar means for the round. */
-    Outlook outlook() {
+    public Outlook outlook() {
         return outlook;
     }
 
-    void outlook(Outlook now) {
+    public void outlook(Outlook now) {
         outlook = now;
     }
 
     /** What each machine's past says of it. */
-    Map<MachineId, RiskTable> risks() {
+    public Map<MachineId, RiskTable> risks() {
         return risks;
     }
 
     /** What may be running on machines that neither a list nor a report has shown. */
-    Map<MachineId, List<Placement>> unseen() {
+    public Map<MachineId, List<Placement>> unseen() {
         return unseen;
     }
 
-    void add(Machine machine) {
+    public void add(Machine machine) {
         machines.put(machine.id(), machine);
         risks.put(machine.id(), new RiskTable());
         List<Placement> known = unseen.remove(machine.id());
@@ -73,7 +74,7 @@
     }
 
     /** Takes in what a predecessor committed. */
-    void restore(Placement placement) {
+    public void restore(Placement placement) {
         Machine machine = machines.get(placement.machine());
         if (machine != null) {
             machine.placements().add(placement);
@@ -83,7 +84,7 @@
     }
 
     /** Whether a machine can be told to start tasks now. */
-    boolean usable(Machine machine, Moment now) {
+    public boolean usable(Machine machine, Moment now) {
         return !machine.draining() && machine.heardAt() != null && machine.shown().equals(term)
                 && machine.session() != null
                 && now.secondsSince(machine.heardAt()) < SILENT_REPORTS * platform.reportEvery().toNanos() / 1e9;
--- a/src/main/java/org/meadowhollow/coordination/Expected.java
+++ b/src/main/java/org/meadowhollow/coordination/placement/Expected.java
@@ -1,4 +1,4 @@
-package org.meadowhollow.coordination;
+package org.meadowhollow.coordination.placement;
 
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -12,7 +12,7 @@
  * twice the time that a new machine takes. Kept for tasks that need a machine of their own, since others nearly
  * always find some room.
  */
-final class Expected {
+public final class Expected {
     /** Jobs kept at most; bounds memory and what a round spends on them. */
     private static final int MOST_KEPT = 64;
     /** Arrivals come in bunches, so twice the time that a new machine takes is looked back. */
@@ -28,7 +28,7 @@
      *
      * @param ready how long a new machine takes until it can run one of the job's tasks
      */
-    void came(JobSpec spec, Moment at, Duration ready) {
+    public void came(JobSpec spec, Moment at, Duration ready) {
         arrivals.add(new Arrival(spec, at, ready));
         if (arrivals.size() > MOST_KEPT) {
             arrivals.poll();
@@ -36,7 +36,7 @@
     }
 
     /** The jobs to keep room for, the latest first. */
-    List<JobSpec> likely(Moment now) {
+    public List<JobSpec> likely(Moment now) {
         arrivals.removeIf(arrival -> now.since(arrival.at()).compareTo(arrival.ready().multipliedBy(WINDOWS)) > 0);
         List<JobSpec> specs = new ArrayList<>();
         arrivals.descendingIterator().forEachRemaining(arrival -> specs.add(arrival.spec()));
--- a/src/main/java/org/meadowhollow/coordination/PlacementRound.java
+++ b/src/main/java/org/meadowhollow/coordination/placement/PlacementRound.java
@@ -1,4 +1,4 @@
-package org.meadowhollow.coordination;
+package org.meadowhollow.coordination.placement;
 
 import it.unimi.dsi.fastutil.objects.Object2DoubleMap;
 import it.unimi.dsi.fastutil.objects.Object2IntMap;
--- a/src/main/java/org/meadowhollow/coordination/Preemption.java
+++ b/src/main/java/org/meadowhollow/coordination/placement/Preemption.java
@@ -1,4 +1,4 @@
-package org.meadowhollow.coordination;
+package org.meadowhollow.coordination.placement;
 
 import java.util.ArrayList;
 import java.util.Comparator;
--- a/src/main/java/org/meadowhollow/coordination/RoomMaker.java
+++ b/src/main/java/org/meadowhollow/coordination/placement/RoomMaker.java
@@ -1,4 +1,4 @@
-package org.meadowhollow.coordination;
+package org.meadowhollow.coordination.placement;
 
 import it.unimi.dsi.fastutil.objects.Object2IntMap;
 import java.time.Duration;
@@ -13,9 +13,10 @@
 import org.meadowhollow.bookkeeping.Placement;
 import org.meadowhollow.bookkeeping.Resources;
 import org.meadowhollow.coordination.calendar.SeatLimit;
+import org.meadowhollow.coordination.platform.Platform;
 
 /** Finds what to stop for waiting jobs that no new machine could serve in time. */
-final class RoomMaker {
+public final class RoomMaker {
     /** Time for a stop to take effect and the room to be used before more is stopped for the same job. */
     private static final Duration AGAIN = Duration.ofSeconds(10);
 
@@ -23,14 +24,14 @@
     private final Platform platform;
     private final Aims aims;
 
-    RoomMaker(Cluster cluster, Platform platform, Aims aims) {
+    public RoomMaker(Cluster cluster, Platform platform, Aims aims) {
         this.cluster = cluster;
         this.platform = platform;
         this.aims = aims;
     }
 
     /** The tasks to stop for one of the job's; their room goes to it in a later round, in which it comes first. */
-    List<Placement> victims(Job job, Object2IntMap<String> zones, boolean guaranteed, Moment now) {
+    public List<Placement> victims(Job job, Object2IntMap<String> zones, boolean guaranteed, Moment now) {
         JobSpec spec = job.spec();
         if (spec.kind() == Kind.GANG && spec.tasks() > 1
                 || now.secondsSince(job.waitingSince()) < aims.patienceS(spec, guaranteed)
--- a/src/main/java/org/meadowhollow/coordination/Snapshot.java
+++ b/src/main/java/org/meadowhollow/coordination/placement/Snapshot.java
@@ -1,4 +1,4 @@
-package org.meadowhollow.coordination;
+package org.meadowhollow.coordination.placement;
 
 import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
 import java.util.ArrayList;
@@ -18,9 +18,10 @@
 import org.meadowhollow.bookkeeping.Placement;
 import org.meadowhollow.bookkeeping.Resources;
 import org.meadowhollow.bookkeeping.TaskId;
+import org.meadowhollow.coordination.platform.Platform;
 
 /** What a round decides from: the machines that can take tasks, the jobs that wait in their order, and the teams. */
-final class Snapshot {
+public final class Snapshot {
     /** Tasks of one job looked at in a round: more than fit on any fleet at once, and bounded. */
     private static final int MOST_TASKS = 2000;
 
@@ -33,7 +34,7 @@
     private final Map<JobId, Boolean> guaranteed;
     private final Map<String, PlacementRound.Share> shares;
 
-    Snapshot(Cluster cluster, Platform platform, Aims aims, Moment now) {
+    public Snapshot(Cluster cluster, Platform platform, Aims aims, Moment now) {
         this.cluster = cluster;
         this.platform = platform;
         this.now = now;
@@ -43,20 +44,20 @@
         addWaiting();
     }
 
-    List<PlacementRound.Seat> seats() {
+    public List<PlacementRound.Seat> seats() {
         return seats;
     }
 
-    List<PlacementRound.Waiting> waiting() {
+    public List<PlacementRound.Waiting> waiting() {
         return waiting;
     }
 
-    Map<String, PlacementRound.Share> shares() {
+    public Map<String, PlacementRound.Share> shares() {
         return shares;
     }
 
     /** Whether a job fits into its team's guarantee together with the team's earlier unfinished jobs. */
-    boolean isGuaranteed(JobId job) {
+    public boolean isGuaranteed(JobId job) {
         return guaranteed.getOrDefault(job, false);
     }
 
--- a/src/main/java/org/meadowhollow/coordination/Turnover.java
+++ b/src/main/java/org/meadowhollow/coordination/placement/Turnover.java
@@ -1,4 +1,4 @@
-package org.meadowhollow.coordination;
+package org.meadowhollow.coordination.placement;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -18,7 +18,7 @@
  * The places that tasks of arrays will leave soon. A waiting task that can still be in time on one of them needs
  * no machine of its own, which would hardly be ready sooner.
  */
-final class Turnover {
+public final class Turnover {
     /** Owners' estimates are often wrong by half. */
     private static final double ESTIMATE_MARGIN = 1.3;
     /** A job that is late in any case should not become later than this share of its time. */
@@ -35,7 +35,7 @@
     private final PriorityQueue<Place> places = new PriorityQueue<>(Comparator.comparingDouble(Place::inS));
 
     /** Notes the tasks of arrays that are on machines where others can follow them. */
-    Turnover(List<Machine> machines, Moment now) {
+    public Turnover(List<Machine> machines, Moment now) {
         for (Machine machine : machines) {
             if (machine.draining()) {
                 continue;
@@ -57,7 +57,7 @@
     }
 
     /** Notes a task that a machine not yet up will take first. */
-    void follows(JobSpec spec, MachineType type, String zone, boolean spot, double readyInS) {
+    public void follows(JobSpec spec, MachineType type, String zone, boolean spot, double readyInS) {
         places.add(new Place(readyInS + runS(spec), spec.perTask(), type, zone, spot));
     }
 
@@ -67,7 +67,7 @@
      * @param agedS how long ago the job was submitted
      * @param readyS how long a new machine takes until it could run a task
      */
-    int take(JobSpec spec, int tasks, double agedS, double readyS) {
+    public int take(JobSpec spec, int tasks, double agedS, double readyS) {
         double startInS = latestStartS(spec, agedS, readyS);
         Deque<Place> unsuited = new ArrayDeque<>();
         List<Place> followed = new ArrayList<>();
--- a/src/main/java/org/meadowhollow/coordination/Peers.java
+++ b/src/main/java/org/meadowhollow/coordination/platform/Peers.java
@@ -1,11 +1,10 @@
-package org.meadowhollow.coordination;
+package org.meadowhollow.coordination.platform;
 
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.meadowhollow.bookkeeping.MachineId;
 import org.meadowhollow.bookkeeping.Term;
-import org.meadowhollow.coordination.hearing.Testimony;
 
 /** The other controllers. What they are told saves time and proves nothing. */
 public interface Peers {
--- a/src/main/java/org/meadowhollow/coordination/hearing/Testimony.java
+++ b/src/main/java/org/meadowhollow/coordination/platform/Testimony.java
@@ -1,4 +1,4 @@
-package org.meadowhollow.coordination.hearing;
+package org.meadowhollow.coordination.platform;
 
 import java.util.Set;
 import org.meadowhollow.bookkeeping.MachineId;
--- a/src/main/java/org/meadowhollow/coordination/Workers.java
+++ b/src/main/java/org/meadowhollow/coordination/platform/Workers.java
@@ -1,4 +1,4 @@
-package org.meadowhollow.coordination;
+package org.meadowhollow.coordination.platform;
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
--- a/src/main/java/org/meadowhollow/protocol/calendar/CalendarApi.java
+++ b/src/main/java/org/meadowhollow/protocol/calendar/CalendarApi.java
@@ -11,7 +11,7 @@
 import org.meadowhollow.bookkeeping.calendar.Calendar;
 import org.meadowhollow.bookkeeping.calendar.Reservation;
 import org.meadowhollow.bookkeeping.calendar.Window;
-import org.meadowhollow.coordination.Admission;
+import org.meadowhollow.coordination.admission.Admission;
 import org.meadowhollow.coordination.calendar.Admittance;
 import org.meadowhollow.coordination.calendar.CalendarDesk;
 import org.meadowhollow.protocol.Fields;
--- a/src/main/java/org/meadowhollow/protocol/cloud/CloudClient.java
+++ b/src/main/java/org/meadowhollow/protocol/cloud/CloudClient.java
@@ -11,7 +11,7 @@
 import org.meadowhollow.bookkeeping.MachineId;
 import org.meadowhollow.bookkeeping.MachineType;
 import org.meadowhollow.bookkeeping.Resources;
-import org.meadowhollow.coordination.Cloud;
+import org.meadowhollow.coordination.platform.Cloud;
 import org.meadowhollow.protocol.Fields;
 import org.meadowhollow.protocol.Http;
 import org.meadowhollow.protocol.Malformed;
--- a/src/main/java/org/meadowhollow/protocol/peers/PeerLink.java
+++ b/src/main/java/org/meadowhollow/protocol/peers/PeerLink.java
@@ -18,8 +18,8 @@
 import java.util.function.Predicate;
 import org.meadowhollow.bookkeeping.MachineId;
 import org.meadowhollow.bookkeeping.Term;
-import org.meadowhollow.coordination.Peers;
-import org.meadowhollow.coordination.hearing.Testimony;
+import org.meadowhollow.coordination.platform.Peers;
+import org.meadowhollow.coordination.platform.Testimony;
 import org.meadowhollow.protocol.Fields;
 import org.meadowhollow.protocol.Http;
 
--- a/src/main/java/org/meadowhollow/protocol/users/UserApi.java
+++ b/src/main/java/org/meadowhollow/protocol/users/UserApi.java
@@ -7,7 +7,7 @@
 import org.meadowhollow.bookkeeping.JobId;
 import org.meadowhollow.bookkeeping.JobSpec;
 import org.meadowhollow.bookkeeping.StateException;
-import org.meadowhollow.coordination.Admission;
+import org.meadowhollow.coordination.admission.Admission;
 import org.meadowhollow.protocol.Fields;
 import org.meadowhollow.protocol.Http;
 import org.meadowhollow.protocol.Malformed;
--- a/src/main/java/org/meadowhollow/protocol/workers/WorkerClient.java
+++ b/src/main/java/org/meadowhollow/protocol/workers/WorkerClient.java
@@ -8,7 +8,7 @@
 import org.meadowhollow.bookkeeping.Report;
 import org.meadowhollow.bookkeeping.Session;
 import org.meadowhollow.bookkeeping.Term;
-import org.meadowhollow.coordination.Workers;
+import org.meadowhollow.coordination.platform.Workers;
 import org.meadowhollow.protocol.Fields;
 import org.meadowhollow.protocol.Http;
 import org.meadowhollow.protocol.Malformed;
--- a/src/test/java/org/meadowhollow/coordination/GivingUpTest.java
+++ b/src/test/java/org/meadowhollow/coordination/fleet/GivingUpTest.java
@@ -1,4 +1,4 @@
-package org.meadowhollow.coordination;
+package org.meadowhollow.coordination.fleet;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -12,6 +12,8 @@
 import org.meadowhollow.bookkeeping.Moment;
 import org.meadowhollow.bookkeeping.Resources;
 import org.meadowhollow.bookkeeping.Term;
+import org.meadowhollow.coordination.placement.Cluster;
+import org.meadowhollow.coordination.platform.Platform;
 
 class GivingUpTest {
     private static final MachineType TYPE = new MachineType("type", Resources.of(8, 2, 32), 50, 1, 2, 1, 10,
--- a/src/test/java/org/meadowhollow/coordination/ExpectedTest.java
+++ b/src/test/java/org/meadowhollow/coordination/placement/ExpectedTest.java
@@ -1,4 +1,4 @@
-package org.meadowhollow.coordination;
+package org.meadowhollow.coordination.placement;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
--- a/src/test/java/org/meadowhollow/protocol/PeerLinkTest.java
+++ b/src/test/java/org/meadowhollow/protocol/PeerLinkTest.java
@@ -7,7 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
-import org.meadowhollow.coordination.Peers.Sign;
+import org.meadowhollow.coordination.platform.Peers.Sign;
 import org.meadowhollow.protocol.peers.PeerLink;
 
 class PeerLinkTest {
--- a/src/test/java/org/meadowhollow/story/CalendarStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/CalendarStoriesTest.java
@@ -18,7 +18,7 @@
 import org.meadowhollow.bookkeeping.Priority;
 import org.meadowhollow.bookkeeping.Resources;
 import org.meadowhollow.bookkeeping.TaskId;
-import org.meadowhollow.coordination.Admission.Phase;
+import org.meadowhollow.coordination.admission.Admission.Phase;
 import org.meadowhollow.protocol.Fields;
 import org.meadowhollow.protocol.Http;
 import org.meadowhollow.protocol.Json;
--- a/src/test/java/org/meadowhollow/story/GangStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/GangStoriesTest.java
@@ -10,7 +10,7 @@
 import org.meadowhollow.bookkeeping.JobSpec;
 import org.meadowhollow.bookkeeping.Kind;
 import org.meadowhollow.bookkeeping.TaskId;
-import org.meadowhollow.coordination.Admission.Phase;
+import org.meadowhollow.coordination.admission.Admission.Phase;
 
 /** Tasks that run together, or apart over zones. */
 class GangStoriesTest extends Story {
--- a/src/test/java/org/meadowhollow/story/JobStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/JobStoriesTest.java
@@ -11,7 +11,7 @@
 import org.meadowhollow.bookkeeping.JobSpec;
 import org.meadowhollow.bookkeeping.Kind;
 import org.meadowhollow.bookkeeping.TaskId;
-import org.meadowhollow.coordination.Admission.Phase;
+import org.meadowhollow.coordination.admission.Admission.Phase;
 
 /** What becomes of jobs, and what their users are told. */
 class JobStoriesTest extends Story {
--- a/src/test/java/org/meadowhollow/story/LeaderStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/LeaderStoriesTest.java
@@ -9,7 +9,7 @@
 import org.meadowhollow.bookkeeping.JobSpec;
 import org.meadowhollow.bookkeeping.Kind;
 import org.meadowhollow.bookkeeping.TaskId;
-import org.meadowhollow.coordination.Admission.Phase;
+import org.meadowhollow.coordination.admission.Admission.Phase;
 
 /** Leaders that crash, are deposed, or lose the state service. */
 class LeaderStoriesTest extends Story {
--- a/src/test/java/org/meadowhollow/story/MachineStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/MachineStoriesTest.java
@@ -12,7 +12,7 @@
 import org.meadowhollow.bookkeeping.Report;
 import org.meadowhollow.bookkeeping.TaskId;
 import org.meadowhollow.bookkeeping.TaskState;
-import org.meadowhollow.coordination.Admission.Phase;
+import org.meadowhollow.coordination.admission.Admission.Phase;
 
 /** Machines that hang, fall silent, are taken back, rented and returned. */
 class MachineStoriesTest extends Story {
--- a/src/test/java/org/meadowhollow/story/RandomTroubleTest.java
+++ b/src/test/java/org/meadowhollow/story/RandomTroubleTest.java
@@ -11,8 +11,8 @@
 import org.junit.jupiter.params.provider.MethodSource;
 import org.meadowhollow.bookkeeping.JobSpec;
 import org.meadowhollow.bookkeeping.Kind;
-import org.meadowhollow.coordination.Admission.JobState;
-import org.meadowhollow.coordination.Admission.Phase;
+import org.meadowhollow.coordination.admission.Admission.JobState;
+import org.meadowhollow.coordination.admission.Admission.Phase;
 
 /** Troubles of all kinds at random times, from fixed seeds; the world checks the rules at every step. */
 class RandomTroubleTest {
--- a/src/test/java/org/meadowhollow/story/ScaleTest.java
+++ b/src/test/java/org/meadowhollow/story/ScaleTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.meadowhollow.bookkeeping.JobSpec;
 import org.meadowhollow.bookkeeping.Kind;
-import org.meadowhollow.coordination.Admission.Phase;
+import org.meadowhollow.coordination.admission.Admission.Phase;
 
 /** What a large deployment must bear; it counts messages and records, not seconds of a machine's time. */
 class ScaleTest {
--- a/src/test/java/org/meadowhollow/story/Story.java
+++ b/src/test/java/org/meadowhollow/story/Story.java
@@ -7,7 +7,7 @@
 import org.meadowhollow.bookkeeping.Kind;
 import org.meadowhollow.bookkeeping.Priority;
 import org.meadowhollow.bookkeeping.TaskId;
-import org.meadowhollow.coordination.Admission.Phase;
+import org.meadowhollow.coordination.admission.Admission.Phase;
 
 /** A small deployment for stories of what happens while things fail; {@link World} checks the protocol's rules. */
 abstract class Story {
--- a/src/test/java/org/meadowhollow/story/TesStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/TesStoriesTest.java
@@ -24,7 +24,7 @@
 import org.meadowhollow.bookkeeping.OrderLog;
 import org.meadowhollow.bookkeeping.Records;
 import org.meadowhollow.bookkeeping.TaskId;
-import org.meadowhollow.coordination.Admission;
+import org.meadowhollow.coordination.admission.Admission;
 import org.meadowhollow.protocol.Fields;
 import org.meadowhollow.protocol.Http;
 import org.meadowhollow.protocol.Json;
