--- a/src/main/java/org/meadowhollow/bookkeeping/Records.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Records.java
@@ -26,6 +26,9 @@
     /** Tasks in a chunk at most: a round's changes to a job then mostly fit into one record. */
     private static final int MOST_IN_CHUNK = 100;
 
+    /** The form of the records that this program reads and writes. */
+    public static final int SCHEMA = 1;
+
     private Records() {
     }
 
@@ -201,6 +204,17 @@
         return true;
     }
 
+    /** Adds the versions of a live job's records, as far as they are known. */
+    public static void digest(Job job, Digests digests) {
+        digests.add(job(job.id()), job.version());
+        for (int at = 0; at < job.chunkCount(); at++) {
+            if (job.hasChunk(at) || job.chunk(at).inFlight()) {
+                Chunk chunk = job.chunk(at);
+                digests.add(chunk(chunk), chunk.inFlight() ? null : chunk.version());
+            }
+        }
+    }
+
     /** Which machines have an image, and about how large that is in the state service. */
     public record ImageRecord(Map<String, Object> map, int bytes) {
     }
--- a/src/main/java/org/meadowhollow/cli/Controller.java
+++ b/src/main/java/org/meadowhollow/cli/Controller.java
@@ -4,9 +4,14 @@
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.random.RandomGenerator;
 import javax.net.ssl.SSLContext;
 import org.meadowhollow.bookkeeping.Catalog;
+import org.meadowhollow.bookkeeping.Digests;
 import org.meadowhollow.bookkeeping.Observers;
 import org.meadowhollow.coordination.CalendarSettings;
 import org.meadowhollow.coordination.Node;
@@ -14,6 +19,9 @@
 import org.meadowhollow.coordination.calendar.CalendarDesk;
 import org.meadowhollow.coordination.fleet.SilenceWatch;
 import org.meadowhollow.coordination.platform.Platform;
+import org.meadowhollow.coordination.platform.TableDelta;
+import org.meadowhollow.coordination.platform.TableQuestion;
+import org.meadowhollow.coordination.succession.StandbySettings;
 import org.meadowhollow.protocol.NodeApi;
 import org.meadowhollow.protocol.RateBudget;
 import org.meadowhollow.protocol.calendar.CalendarApi;
@@ -68,7 +76,8 @@
     private final Observers observers;
 
     private Controller(XnioLoop loop, Settings settings, TesOptions tesOptions, SSLContext tesKeys,
-            CalendarOptions calendarOptions, SSLContext calendarKeys, Observers observers, RandomGenerator random) {
+            CalendarOptions calendarOptions, SSLContext calendarKeys, StandbySettings standby, Observers observers,
+            RandomGenerator random) {
         this.loop = loop;
         this.observers = observers;
         Platform platform = settings.platform();
@@ -79,9 +88,21 @@
         CloudClient cloud = new CloudClient(http, settings.cloud(), loop, budget(platform.cloudRps()));
         PeerLink peers = new PeerLink(http, settings.peers());
         Catalog catalog = new Catalog();
-        node = new Node(loop, state, new WorkerClient(http), cloud, peers, platform, catalog, observers,
+        Node started = new Node(loop, state, new WorkerClient(http), cloud, peers, platform, catalog, observers,
                 calendarOptions == null ? CalendarSettings.OFF : new CalendarSettings(true, calendarOptions.most(),
-                        settings.skew()), random);
+                        settings.skew()), standby, random);
+        node = started;
+        peers.testator(new PeerLink.Testator() {
+            @Override
+            public Optional<TableDelta> tables(TableQuestion question) {
+                return started.tables(question);
+            }
+
+            @Override
+            public Optional<Digests> digests() {
+                return started.digests();
+            }
+        });
         peers.listener(node::heardOf);
         peers.served(() -> !state.seemsOut());
         peers.hearing(node::isHardOfHearing, node::heardAmong);
@@ -135,6 +156,7 @@
         private RandomGenerator random = RandomGenerator.getDefault();
         private TesOptions tes;
         private CalendarOptions calendar;
+        private StandbySettings standby = StandbySettings.OFF;
         private Observers observers = Observers.NONE;
 
         private Builder(Settings settings) {
@@ -158,6 +180,16 @@
             return this;
         }
 
+        /**
+         * Keeps warm what is needed to take over while another node leads.
+         *
+         * @param program the version that other nodes are told
+         */
+        public Builder standby(String program) {
+            standby = new StandbySettings(true, program, settings.zone());
+            return this;
+        }
+
         /** Are told what happens to jobs; by default nobody is. The traces are closed with the controller. */
         public Builder observers(Observers told) {
             observers = told;
@@ -171,8 +203,8 @@
             XnioLoop loop = new XnioLoop();
             try {
                 // Built where it runs, so that one thread alone loads classes and reads files while it starts.
-                return loop.call(() -> new Controller(loop, settings, tes, keys, calendar, calendarKeys, observers,
-                        random));
+                return loop.call(() -> new Controller(loop, settings, tes, keys, calendar, calendarKeys, standby,
+                        observers, random));
             } catch (RuntimeException failure) {
                 loop.close();
                 throw failure;
@@ -194,6 +226,21 @@
         return calendar == null ? -1 : calendar.port();
     }
 
+    /**
+     * Gives the lease to the standby that could take over best, if this node leads, before it is closed.
+     *
+     * @param most how long to wait for that
+     */
+    public void handOver(Duration most) {
+        try {
+            loop.call(node::handOver).get(most.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException late) {
+            // Whoever is to lead next finds the lease ended, or waits until it has.
+        }
+    }
+
     @Override
     public void close() {
         if (tes != null) {
--- a/src/main/java/org/meadowhollow/cli/Main.java
+++ b/src/main/java/org/meadowhollow/cli/Main.java
@@ -5,6 +5,7 @@
 import java.net.URI;
 import java.net.URISyntaxException;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Locale;
@@ -41,6 +42,9 @@
     private static final String CALENDAR_KEY = "--calendar-key";
     private static final String CALENDAR_MOST = "--calendar-most";
     private static final String TRACE_OTLP = "--trace-otlp";
+    private static final String STANDBY = "--standby";
+    /** A hand-over takes one change in the state service. */
+    private static final Duration HAND_OVER = Duration.ofSeconds(2);
     private static final String REHEARSE = "--rehearse";
 
     private final CommandSpec spec = CommandSpec.wrapWithoutInspection(this)
@@ -75,6 +79,9 @@
             .addOption(OptionSpec.builder(TRACE_OTLP).paramLabel("URL").type(String.class)
                     .description("send spans of tasks whose clients trace them there, by OTLP over HTTP"
                             + " (default: nowhere)").build())
+            .addOption(OptionSpec.builder(STANDBY)
+                    .description("keep warm what is needed to take over while another node leads, and hand the lead"
+                            + " over when told to end").build())
             .addOption(OptionSpec.builder(REHEARSE).hidden(true).build())
             .addOption(OptionSpec.builder("-h", "--help").usageHelp(true)
                     .description("Show this help message and exit.").build())
@@ -169,8 +176,17 @@
         try {
             OrderLog order = given.hasMatchedOption(ORDER_LOG)
                     ? new OrderLog(event -> LoggerFactory.getLogger(OrderLog.class).info("{}", event)) : OrderLog.NONE;
-            Controller.builder(settings).tes(tes).calendar(calendar).observers(new Observers(order, traces == null ? TaskTraces.NONE
-                    : traced(traces, settings.platform().member()))).start();
+            Controller.Builder builder = Controller.builder(settings).tes(tes).calendar(calendar)
+                    .observers(new Observers(order, traces == null ? TaskTraces.NONE
+                    : traced(traces, settings.platform().member())));
+            boolean standby = given.hasMatchedOption(STANDBY);
+            if (standby) {
+                builder.standby(new Version().getVersion()[0]);
+            }
+            Controller controller = builder.start();
+            if (standby) {
+                Runtime.getRuntime().addShutdownHook(new Thread(() -> controller.handOver(HAND_OVER), "hand-over"));
+            }
             // The log counts milliseconds from the start, for formatting the time of day made every start a fifth
             // longer. This line tells what the count was at which time.
             LoggerFactory.getLogger(Main.class).info("{} runs, at {}", settings.platform().member(), Instant.now());
--- a/src/main/java/org/meadowhollow/cli/Settings.java
+++ b/src/main/java/org/meadowhollow/cli/Settings.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import org.meadowhollow.bookkeeping.Resources;
 import org.meadowhollow.coordination.platform.Platform;
 import org.meadowhollow.protocol.Fields;
@@ -18,11 +19,11 @@
  * The platform's settings file, checked.
  *
  * @param skew how far the time of day may be off on either side, zero if the file does not say
+ * @param zone that this node is in, empty if the file does not say
  * @param sockets how many sockets and files the process may have open, 0 if the file does not say
  */
 public record Settings(Endpoint listen, Endpoint back, Map<String, String> peers, String cloud, String state,
-        int sockets, Platform platform,
-        Duration skew) {
+        String zone, int sockets, Platform platform, Duration skew) {
 
     /** An address of this machine. */
     public record Endpoint(String host, int port) {
@@ -59,7 +60,7 @@
         Endpoint back = endpoint(file.text("back"), "back");
         return new Settings(listen, back, peers, address(external.text("cloud"), "cloud"),
                 address(external.text("state"), "state"),
-                sockets(file.fields("settings")), platform(file.text("member"), file.fields("settings")),
+                Objects.requireNonNullElse(file.textOrNull("area"), ""), sockets(file.fields("settings")), platform(file.text("member"), file.fields("settings")),
                 Duration.ofNanos((long) (file.fields("settings").amountOr("skew_ms", 0) * 1e6)));
     }
 
--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -16,6 +16,7 @@
 import org.meadowhollow.bookkeeping.Cause;
 import org.meadowhollow.bookkeeping.Chunk;
 import org.meadowhollow.bookkeeping.Companion;
+import org.meadowhollow.bookkeeping.Digests;
 import org.meadowhollow.bookkeeping.EventLoop;
 import org.meadowhollow.bookkeeping.Job;
 import org.meadowhollow.bookkeeping.JobId;
@@ -58,6 +59,13 @@
 import org.meadowhollow.coordination.platform.Peers;
 import org.meadowhollow.coordination.platform.Platform;
 import org.meadowhollow.coordination.platform.Workers;
+import org.meadowhollow.coordination.platform.TableDelta;
+import org.meadowhollow.coordination.platform.TableQuestion;
+import org.meadowhollow.coordination.succession.FirstDecision;
+import org.meadowhollow.coordination.succession.Inheritance;
+import org.meadowhollow.coordination.succession.Membership;
+import org.meadowhollow.coordination.succession.TableFeed;
+import org.meadowhollow.coordination.succession.Takeover;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -86,6 +94,13 @@
      * about to be taken, and are listed for long after; waiting for them took each takeover the whole time.
      */
     private static final double NEARLY_ALL = 0.9;
+    /**
+     * The share of the machines that the last leader heard of which a warm leader's first round needs. Most of them have
+     * waited at this node for a leader; for the rest it knows the tables and what may run there.
+     */
+    private static final double ENOUGH = 0.5;
+    /** How often a warm leader looks whether its first round can be. */
+    private static final Duration EARLY = Duration.ofMillis(200);
     /** Failures of a job's tasks after which it has to wait before the next start. */
     private static final int FAILURES_BEFORE_HOLD = 3;
     private static final int MOST_HOLD_S = 60;
@@ -115,17 +130,23 @@
     private final Listening listening;
     private final GivingUp givingUp;
     private final CalendarKeeper calendar;
+    private final Version leaderVersion;
+    private final Inheritance inheritance;
+    private final Takeover takeover;
+    private final TableFeed feed;
+    private final Membership members = new Membership();
     private final Object2IntOpenHashMap<MachineId> faults = new Object2IntOpenHashMap<>();
     private final Expected expected = new Expected();
     private boolean listed;
     private boolean gathered;
+    private boolean begun;
     private boolean closed;
     private long byTable;
     private long byRoom;
 
     public Leader(EventLoop loop, StateStore store, Workers workers, Cloud cloud, Peers peers, Platform platform,
             Catalog catalog, Leadership leadership, Term term, Version leaderVersion, Observers observers,
-            CalendarSettings calendarSettings) {
+            CalendarSettings calendarSettings, Inheritance inheritance, Moment noticedAt) {
         this.loop = loop;
         this.store = store;
         this.workers = workers;
@@ -133,7 +154,11 @@
         this.catalog = catalog;
         this.leadership = leadership;
         this.term = term;
+        this.leaderVersion = leaderVersion;
+        this.inheritance = inheritance;
         this.begunAt = loop.now();
+        this.takeover = new Takeover(term, noticedAt, begunAt);
+        this.feed = new TableFeed(term);
         this.cluster = new Cluster(platform, term);
         this.jobs = cluster.jobs();
         this.machines = cluster.machines();
@@ -141,9 +166,10 @@
         this.rooms = new RoomMaker(cluster, platform, aims);
         this.ledger = new Ledger(store, loop, platform.txnOps(), leaderVersion, observers, this);
         this.images = new ImageNotes(store, leaderVersion, platform);
-        this.loading = new Loading(this, store, loop, cluster, aims, expected, ledger, images, term);
+        this.loading = new Loading(this, store, loop, cluster, aims, expected, ledger, images, term,
+                leaderVersion, inheritance, takeover);
         this.silence = new SilenceWatch(this, cluster, platform, term, begunAt);
-        this.reconciliation = new Reconciliation(this, cluster, images, leadership, term);
+        this.reconciliation = new Reconciliation(this, cluster, images, leadership, term, inheritance, feed);
         this.listening = new Listening(this, cluster, platform, loop, peers, leadership, begunAt);
         this.givingUp = new GivingUp(listening, platform);
         this.calendar = new CalendarKeeper(this, cluster, aims, catalog, platform, store, loop, calendarSettings);
@@ -156,6 +182,9 @@
         calendar.start();
         fleet.start();
         loop.after(ROUND, this::round);
+        if (inheritance.isWarm()) {
+            loop.after(EARLY, this::early);
+        }
         loop.after(HOLD_SWEEP, this::sweepHeld);
     }
 
@@ -477,7 +506,7 @@
             leadership.keepUp();
             listening.round(now);
             silence.round(now);
-            if (mayAct() && hasGathered(now) && calendar.isReady()) {
+            if (mayDecide(now)) {
                 place(now);
             }
             ledger.flush();
@@ -487,6 +516,47 @@
         fleet.act();
     }
 
+    /** The first round of a warm leader, as soon as it may decide; its other rounds come every second from its begin. */
+    private void early() {
+        synchronized (this) {
+            if (closed || begun) {
+                return;
+            }
+            loop.after(EARLY, this::early);
+            Moment now = loop.now();
+            if (loading.isDone() && mayDecide(now)) {
+                place(now);
+                ledger.flush();
+            }
+        }
+    }
+
+    /** Whether a round may decide: for the first one all checks hold, for later ones those that can fail again. */
+    private boolean mayDecide(Moment now) {
+        if (begun) {
+            return mayAct() && calendar.isReady();
+        }
+        Set<FirstDecision.Check> failing = FirstDecision.failing(new FirstDecision.Facts(leadership.mayStart(), term,
+                leadership.highest(), leaderVersion, loading.revision(), !catalog.isEmpty(), calendar.isReady(),
+                listening.hearing() != Deafness.Hearing.DEAF, heard(), needed(now)));
+        takeover.waitsFor(failing);
+        begun = failing.isEmpty();
+        return begun;
+    }
+
+    private int heard() {
+        return (int) machines.values().stream().filter(machine -> machine.heardAt() != null).count();
+    }
+
+    /** Machines whose reports the first round needs; what then is only placed, and not rented or made room for. */
+    private int needed(Moment now) {
+        if (hasGathered(now)) {
+            return 0;
+        }
+        int awaited = inheritance.awaited(now);
+        return awaited == 0 ? Integer.MAX_VALUE : (int) Math.ceil(ENOUGH * (awaited + heard()));
+    }
+
     /**
      * Whether to place, stop, rent and return: the lease certainly holds, and the workers are heard. To a deaf leader
      * everything that waits seems to lack room, and what it would do about it comes too early or hits what is healthy.
@@ -544,11 +614,16 @@
     }
 
     private void place(Moment now) {
+        boolean full = hasGathered(now);
         calendar.look(now);
         Snapshot snapshot = new Snapshot(cluster, platform, aims, now);
         PlacementRound.Outcome outcome = PlacementRound.run(snapshot.seats(), snapshot.shares(), snapshot.waiting(),
                 mostJobs());
         carryOut(outcome.decisions(), now);
+        if (full) {
+            takeover.fullRound(inheritance.tables(), now);
+        }
+        takeover.firstRound(heard(), needed(now), outcome.decisions().size(), now);
         List<Fleet.Need> needs = new ArrayList<>();
         int preempting = 0;
         for (PlacementRound.Waiting waiting : snapshot.waiting()) {
@@ -557,6 +632,9 @@
                 continue;
             }
             Job job = jobs.get(waiting.spec().id());
+            if (!full) {
+                continue;
+            }
             needs.add(new Fleet.Need(job.spec(), count, onlyZone(waiting),
                     (loop.wallMillis() - job.acceptedAtMillis()) / 1000.0));
             giveUpIncomplete(job, now);
@@ -569,6 +647,9 @@
                 }
             }
         }
+        if (!full) {
+            return;
+        }
         calendar.carryOut(now);
         Set<MachineId> reserved = reserve(snapshot, needs, now);
         reserved.addAll(cluster.outlook().kept());
@@ -722,6 +803,31 @@
         ledger.flush();
     }
 
+    // ---- for standbys ----
+
+    /** What the tables have come to know since a standby last asked; empty until the records are in. */
+    synchronized Optional<TableDelta> tables(TableQuestion asked) {
+        if (closed || !loading.isDone()) {
+            return Optional.empty();
+        }
+        members.seen(asked.from(), loop.now());
+        return Optional.of(feed.answer(asked, cluster.machines(), cluster.risks(), loop.now()));
+    }
+
+    synchronized Optional<Digests> digests() {
+        if (closed || !loading.isDone()) {
+            return Optional.empty();
+        }
+        Digests digests = new Digests();
+        jobs.values().forEach(job -> Records.digest(job, digests));
+        return Optional.of(digests);
+    }
+
+    /** The standby that could take over best, as far as is known. */
+    synchronized Optional<String> heir() {
+        return members.heir(Records.SCHEMA, loop.now());
+    }
+
     /** Counts of a live job for display; empty when it is not known here. */
     public synchronized Optional<Admission.JobState> counts(JobId id) {
         Job job = jobs.get(id);
--- a/src/main/java/org/meadowhollow/coordination/Loading.java
+++ b/src/main/java/org/meadowhollow/coordination/Loading.java
@@ -1,6 +1,8 @@
 package org.meadowhollow.coordination;
 
 import java.time.Duration;
+import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -10,6 +12,7 @@
 import org.meadowhollow.bookkeeping.Ledger;
 import org.meadowhollow.bookkeeping.Moment;
 import org.meadowhollow.bookkeeping.Placement;
+import org.meadowhollow.bookkeeping.RecordImage;
 import org.meadowhollow.bookkeeping.Records;
 import org.meadowhollow.bookkeeping.StateException;
 import org.meadowhollow.bookkeeping.StateException.Outcome;
@@ -20,6 +23,8 @@
 import org.meadowhollow.coordination.placement.Aims;
 import org.meadowhollow.coordination.placement.Cluster;
 import org.meadowhollow.coordination.placement.Expected;
+import org.meadowhollow.coordination.succession.Inheritance;
+import org.meadowhollow.coordination.succession.Takeover;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -41,10 +46,15 @@
     private final Ledger ledger;
     private final ImageNotes images;
     private final Term term;
+    private final Version keyTakenAt;
+    private final Inheritance inheritance;
+    private final Takeover takeover;
+    private int records;
+    private Version revision;
     private boolean loaded;
 
     Loading(Leader leader, StateStore store, EventLoop loop, Cluster cluster, Aims aims, Expected expected,
-            Ledger ledger, ImageNotes images, Term term) {
+            Ledger ledger, ImageNotes images, Term term, Version keyTakenAt, Inheritance inheritance, Takeover takeover) {
         this.leader = leader;
         this.store = store;
         this.loop = loop;
@@ -54,10 +64,47 @@
         this.ledger = ledger;
         this.images = images;
         this.term = term;
+        this.keyTakenAt = keyTakenAt;
+        this.inheritance = inheritance;
+        this.takeover = takeover;
     }
 
+    /** Takes the records in that this node has followed, or else reads them page by page. */
     void start() {
-        loadJobs(this::loadTasks);
+        if (!inheritance.isWarm()) {
+            loadJobs(this::loadTasks);
+            return;
+        }
+        inheritance.records(keyTakenAt).thenAccept(images -> {
+            synchronized (leader) {
+                if (leader.isClosed()) {
+                    return;
+                }
+                if (images.isEmpty()) {
+                    LOG.info("term {} reads all records: what was followed here does not reach to its key", term);
+                    loadJobs(this::loadTasks);
+                } else {
+                    take(images.get());
+                }
+            }
+        });
+    }
+
+    private void take(Map<String, RecordImage> followed) {
+        RecordImage jobs = followed.get(Records.JOBS);
+        jobs.entries().forEach(entry -> takeJob(entry.key(), entry.value(), entry.version()));
+        leader.keepUp();
+        takeTasks(followed.get(Records.TASKS).entries());
+        leader.keepUp();
+        takeImages(List.copyOf(followed.get(Records.IMAGES).entries()));
+        followed.values().forEach(image -> records += image.size());
+        loaded(jobs.revision(), "the image", followed.values().stream().map(RecordImage::revision)
+                .min(Comparator.comparingLong(Version::value)).orElseThrow());
+    }
+
+    /** The revision up to which all is in, or null before that. */
+    Version revision() {
+        return revision;
     }
 
     /** Whether all that a predecessor wrote is known. */
@@ -77,6 +124,7 @@
                     loop.after(RETRY, () -> read(prefix, after, first, take, then));
                     return;
                 }
+                records += page.entries().size();
                 take.accept(page.entries());
                 leader.keepUp();
                 Version from = first == null ? page.revision() : first;
@@ -95,21 +143,32 @@
     }
 
     private void loadTasks(Version watchFrom) {
-        read(Records.TASKS, null, null, tasks -> tasks.forEach(entry -> {
+        read(Records.TASKS, null, null, this::takeTasks, unused -> loadImages(watchFrom));
+    }
+
+    private void takeTasks(Collection<StateStore.Entry> tasks) {
+        for (StateStore.Entry entry : tasks) {
             if (!Records.load(entry, cluster.jobs(), loop.now())) {
                 ledger.leftover(entry.key());
             }
-        }), unused -> loadImages(watchFrom));
+        }
     }
 
     private void loadImages(Version watchFrom) {
-        read(Records.IMAGES, null, null, notes -> images.load(notes, loop.now()), unused -> {
-            cluster.machines().values().forEach(images::met);
-            loaded(watchFrom);
-        });
+        read(Records.IMAGES, null, null, this::takeImages,
+                unused -> loaded(watchFrom, "pages", watchFrom));
+    }
+
+    private void takeImages(List<StateStore.Entry> notes) {
+        images.load(notes, loop.now());
+        cluster.machines().values().forEach(images::met);
     }
 
-    private void loaded(Version watchFrom) {
+    /**
+     * @param from what the records were taken from
+     * @param reached the revision up to which all is in
+     */
+    private void loaded(Version watchFrom, String from, Version reached) {
         int placed = 0;
         for (Job job : cluster.jobs().values()) {
             ledger.restored(job);
@@ -125,6 +184,8 @@
             }
         }
         loaded = true;
+        revision = reached;
+        takeover.recordsIn(from, records, loop.now());
         LOG.info("term {} has loaded {} jobs with {} tasks that may be running", term, cluster.jobs().size(), placed);
         watch(watchFrom);
     }
--- a/src/main/java/org/meadowhollow/coordination/Node.java
+++ b/src/main/java/org/meadowhollow/coordination/Node.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import org.meadowhollow.bookkeeping.Catalog;
+import org.meadowhollow.bookkeeping.Digests;
 import org.meadowhollow.bookkeeping.EventLoop;
 import org.meadowhollow.bookkeeping.JobId;
 import org.meadowhollow.bookkeeping.MachineId;
@@ -27,6 +28,12 @@
 import org.meadowhollow.coordination.platform.Peers;
 import org.meadowhollow.coordination.platform.Platform;
 import org.meadowhollow.coordination.platform.Workers;
+import org.meadowhollow.coordination.platform.NodeStatus;
+import org.meadowhollow.coordination.platform.TableDelta;
+import org.meadowhollow.coordination.platform.TableQuestion;
+import org.meadowhollow.coordination.succession.Inheritance;
+import org.meadowhollow.coordination.succession.Standby;
+import org.meadowhollow.coordination.succession.StandbySettings;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -59,6 +66,8 @@
     private final Peers peers;
     private final HeldReports orphans = new HeldReports();
     private final Earshot earshot = new Earshot();
+    /** Null unless this node keeps warm what a successor needs. */
+    private final Standby standby;
     private Leader leader;
     private boolean sweeping;
     private Moment othersServedAt;
@@ -67,7 +76,7 @@
 
     public Node(EventLoop loop, StateStore store, Workers workers, Cloud cloud, Peers peers, Platform platform,
             Catalog catalog, Observers observers,
-            CalendarSettings calendar, RandomGenerator random) {
+            CalendarSettings calendar, StandbySettings standbySettings, RandomGenerator random) {
         this.calendar = calendar;
         this.observers = observers;
         this.loop = loop;
@@ -78,10 +87,16 @@
         this.catalog = catalog;
         this.peers = peers;
         this.leadership = new Leadership(store, loop, peers, platform, earshot, random, this);
+        this.standby = standbySettings.on() ? new Standby(loop, store, peers, new NodeStatus(platform.member(),
+                random.nextLong(), standbySettings.zone(), standbySettings.program(), Records.SCHEMA, Version.ABSENT),
+                leadership::leader, leadership::highest) : null;
     }
 
     public void start() {
         leadership.start();
+        if (standby != null) {
+            standby.start();
+        }
         readTypes();
         watchState();
     }
@@ -158,9 +173,9 @@
     }
 
     @Override
-    public void elected(Term term, Version leaderVersion) {
+    public void elected(Term term, Version leaderVersion, Moment noticedAt) {
         Leader begun = new Leader(loop, store, workers, cloud, peers, platform, catalog, leadership, term,
-                leaderVersion, observers, calendar);
+                leaderVersion, observers, calendar, standby == null ? Inheritance.NONE : standby.handOver(), noticedAt);
         synchronized (this) {
             if (leader != null) {
                 leader.close();
@@ -183,6 +198,9 @@
                 leader = null;
             }
         }
+        if (standby != null && !isClosed()) {
+            standby.start();
+        }
         listenAgain(addresses);
     }
 
@@ -205,6 +223,30 @@
         return now != null && !now.hearsWell();
     }
 
+    /** What this node's tables have come to know, for a standby that asks; empty if it does not lead. */
+    public Optional<TableDelta> tables(TableQuestion question) {
+        Leader now = leader();
+        return now == null ? Optional.empty() : now.tables(question);
+    }
+
+    /** The digests of the records as this node knows them; empty if it does not lead, or has not loaded them. */
+    public Optional<Digests> digests() {
+        Leader now = leader();
+        return now == null ? Optional.empty() : now.digests();
+    }
+
+    /** Records that audits found wrong in what this node follows. */
+    public long wrongRecords() {
+        return standby == null ? 0 : standby.wrongRecords();
+    }
+
+    /** Gives the lease to the standby that could take over best, because this node is about to end. */
+    public CompletableFuture<Void> handOver() {
+        Leader now = leader();
+        return now == null ? CompletableFuture.completedFuture(null)
+                : leadership.handOver(now.heir().orElse(null));
+    }
+
     /** Those of some machines whose reports have come to this node within a time. */
     public Set<MachineId> heardAmong(List<MachineId> machines, Duration within) {
         return earshot.among(machines, within, loop.now());
@@ -275,6 +317,9 @@
 
     public synchronized void close() {
         closed = true;
+        if (standby != null) {
+            standby.close();
+        }
         if (leader != null) {
             leader.close();
         }
--- a/src/main/java/org/meadowhollow/coordination/Reconciliation.java
+++ b/src/main/java/org/meadowhollow/coordination/Reconciliation.java
@@ -17,6 +17,8 @@
 import org.meadowhollow.bookkeeping.Term;
 import org.meadowhollow.coordination.leadership.Leadership;
 import org.meadowhollow.coordination.placement.Cluster;
+import org.meadowhollow.coordination.succession.Inheritance;
+import org.meadowhollow.coordination.succession.TableFeed;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -34,13 +36,18 @@
     private final ImageNotes images;
     private final Leadership leadership;
     private final Term term;
+    private final Inheritance inheritance;
+    private final TableFeed feed;
 
-    Reconciliation(Leader leader, Cluster cluster, ImageNotes images, Leadership leadership, Term term) {
+    Reconciliation(Leader leader, Cluster cluster, ImageNotes images, Leadership leadership, Term term,
+            Inheritance inheritance, TableFeed feed) {
         this.leader = leader;
         this.cluster = cluster;
         this.images = images;
         this.leadership = leadership;
         this.term = term;
+        this.inheritance = inheritance;
+        this.feed = feed;
     }
 
     /** Takes a report's news in; false if it is older than what is known. */
@@ -48,6 +55,9 @@
         if (machine.session() != null && !report.isNewerThan(machine.session(), machine.seq())) {
             return false;
         }
+        if (machine.session() == null) {
+            inheritance.table(report, now).ifPresent(table -> cluster.risks().put(machine.id(), table));
+        }
         machine.reported(report);
         if (!leader.isLoaded()) {
             return true;
@@ -90,8 +100,9 @@
             }
         }
         machine.settling().keySet().removeIf(task -> !listed.containsKey(task));
-        cluster.risks().get(machine.id()).add(machine.placements().size(),
+        int sample = cluster.risks().get(machine.id()).add(machine.placements().size(),
                 machine.booked().shareOf(machine.type().room()), machine.takeLost(), now);
+        feed.sampled(machine, sample, now);
         return true;
     }
 
--- a/src/main/java/org/meadowhollow/coordination/leadership/Leadership.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/Leadership.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import org.meadowhollow.bookkeeping.EventLoop;
 import org.meadowhollow.bookkeeping.LeaseId;
@@ -64,8 +65,13 @@
 
     /** What follows from a change of leadership. */
     public interface Listener {
-        /** This member leads from now on. */
-        void elected(Term term, Version leaderVersion);
+        /**
+         * This member leads from now on.
+         *
+         * @param leaderVersion the revision of the transaction that took the key
+         * @param noticedAt when this node saw that nobody leads, or null
+         */
+        void elected(Term term, Version leaderVersion, Moment noticedAt);
 
         /** This member does not lead any more. */
         void deposed(String why);
@@ -142,6 +148,11 @@
         return term;
     }
 
+    /** The highest term heard of, by whomever it was shown. */
+    public synchronized Term highest() {
+        return leaderTerm;
+    }
+
     /** The leader last heard of, or null. */
     public synchronized String leader() {
         return leader;
@@ -189,31 +200,49 @@
      * @param heir a node that hears them, or null if none is known
      */
     public void resign(String heir) {
+        giveUp("hears hardly any worker and gives its lease up", heir, Standing.resigned(term.value(), member, heir), "it hears hardly any worker", () -> {
+            deaf = true;
+            resignedAloneAt = heir == null ? loop.now() : resignedAloneAt;
+        });
+    }
+
+    /**
+     * Gives the lease to another node, because this one is going to end. The others leave it to that node for a moment.
+     *
+     * @param heir the node that is to take it, or null if it does not matter which
+     * @return done when the lease is given up, or when it is clear that it cannot be
+     */
+    public CompletableFuture<Void> handOver(String heir) {
+        return giveUp("hands its lease over", heir, Standing.handedOver(term.value(), heir), "it was handed over", () -> { });
+    }
+
+    private CompletableFuture<Void> giveUp(String what, String heir, Map<String, Object> terms, String why,
+            Runnable given) {
         int expected;
         Transaction giveUp;
         LeaseId held;
         synchronized (this) {
             if (!leading || resigning) {
-                return;
+                return CompletableFuture.completedFuture(null);
             }
             resigning = true;
             expected = epoch;
             held = lease;
             giveUp = new Transaction().guard(Records.LEADER, leaderVersion).delete(Records.LEADER)
-                    .put(Records.TERM, Standing.resigned(term.value(), member, heir));
+                    .put(Records.TERM, terms);
         }
-        LOG.info("term {} hears hardly any worker and gives its lease up{}", term, heir == null ? "" : " to " + heir);
-        store.commit(giveUp, Urgency.LEASE).whenComplete((commit, failure) -> {
+        LOG.info("term {} {}{}", term, what, heir == null ? "" : " to " + heir);
+        return store.commit(giveUp, Urgency.LEASE).handle((commit, failure) -> {
             synchronized (this) {
                 resigning = false;
                 if (failure != null || epoch != expected) {
-                    return;
+                    return null;
                 }
-                deaf = true;
-                resignedAloneAt = heir == null ? loop.now() : resignedAloneAt;
+                given.run();
             }
-            stepDown(commit.applied() ? "it hears hardly any worker" : "the leader's record has changed");
+            stepDown(commit.applied() ? why : "the leader's record has changed");
             store.revoke(held);
+            return null;
         });
     }
 
@@ -432,8 +461,11 @@
 
     private void claim(int expected, Version leaderVersion, LeaseId granted, Moment sentAt,
             Optional<StateStore.Entry> counter) {
-        Term next = counter.map(entry -> new Term(((Number) entry.value().get("term")).longValue()))
-                .orElse(Term.NONE).next();
+        Term counted = counter.map(entry -> new Term(((Number) entry.value().get("term")).longValue()))
+                .orElse(Term.NONE);
+        Term heard = highest();
+        // Workers drop a term below what they have shown, and may have shown one that the counter does not know.
+        Term next = (heard.isAfter(counted) ? heard : counted).next();
         Transaction claim = new Transaction()
                 .guard(Records.LEADER, leaderVersion)
                 .guard(Records.TERM, counter.map(StateStore.Entry::version).orElse(Version.ABSENT))
@@ -449,7 +481,9 @@
                 later(RETRY, expected, () -> look(expected));
                 return;
             }
+            Moment noticedAt;
             synchronized (this) {
+                noticedAt = freeSince;
                 lease = granted;
                 leaseSentAt = sentAt;
                 renewalSentAt = sentAt;
@@ -462,7 +496,7 @@
                 freeSince = null;
             }
             LOG.info("elected: {} leads in term {}", member, next);
-            listener.elected(next, commit.revision());
+            listener.elected(next, commit.revision(), noticedAt);
             peers.announce(member, next);
             keepRenewing(expected);
         });
--- a/src/main/java/org/meadowhollow/coordination/leadership/Standing.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/Standing.java
@@ -35,6 +35,11 @@
         return record;
     }
 
+    /** The record of terms as a leader leaves it that is going to end. */
+    static Map<String, Object> handedOver(long term, String heir) {
+        return heir == null ? Map.of("term", term) : Map.of("term", term, HEIR, heir);
+    }
+
     /**
      * How long after the lease became free this node leaves it to others.
      *
@@ -44,16 +49,16 @@
      */
     public static Duration after(Map<String, Object> terms, String member, boolean hears, boolean deaf) {
         Object gaveUp = terms == null ? null : terms.get(DEAF);
+        Object heir = terms == null ? null : terms.get(HEIR);
         if (hears) {
-            Object heir = gaveUp == null ? null : terms.get(HEIR);
             return heir == null || heir.equals(member) ? Duration.ZERO : FOR_THE_HEIR;
         }
         if (deaf || member.equals(gaveUp)) {
             return FOR_THOSE_WHO_HEAR;
         }
-        if (gaveUp == null || member.equals(terms.get(HEIR))) {
+        if (heir == null && gaveUp == null || member.equals(heir)) {
             return Duration.ZERO;
         }
-        return FOR_THE_DEAF;
+        return gaveUp == null ? FOR_THE_HEIR : FOR_THE_DEAF;
     }
 }
--- a/src/main/java/org/meadowhollow/coordination/placement/Cluster.java
+++ b/src/main/java/org/meadowhollow/coordination/placement/Cluster.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SortedMap;
 import java.util.TreeMap;
 import org.meadowhollow.bookkeeping.Job;
 import org.meadowhollow.bookkeeping.JobId;
@@ -26,7 +27,7 @@
     private final Platform platform;
     private final Term term;
     private final Map<JobId, Job> jobs = new TreeMap<>();
-    private final Map<MachineId, Machine> machines = new TreeMap<>();
+    private final SortedMap<MachineId, Machine> machines = new TreeMap<>();
     private final Map<MachineId, RiskTable> risks = new HashMap<>();
     private final Map<MachineId, List<Placement>> unseen = new HashMap<>();
 
@@ -41,7 +42,7 @@
         return jobs;
     }
 
-    public Map<MachineId, Machine> machines() {
+    public SortedMap<MachineId, Machine> machines() {
         return machines;
     }
 
--- a/src/main/java/org/meadowhollow/coordination/platform/Peers.java
+++ b/src/main/java/org/meadowhollow/coordination/platform/Peers.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.meadowhollow.bookkeeping.Digests;
 import org.meadowhollow.bookkeeping.MachineId;
 import org.meadowhollow.bookkeeping.Term;
 
@@ -23,4 +25,25 @@
 
     /** What each of the others says of machines: which have reported to it within a time before its answer. */
     CompletableFuture<List<Testimony>> hearing(List<MachineId> machines, Duration within);
+
+    /** An answer was not understood: it is damaged, or of another version. */
+    final class Unreadable extends RuntimeException {
+        private static final long serialVersionUID = 1;
+
+        public Unreadable(String why) {
+            super(why);
+        }
+    }
+
+    /**
+     * What a leader's risk tables have come to know; empty if there is no answer or the node does not lead. Fails with
+     * {@link Unreadable}.
+     */
+    CompletableFuture<Optional<TableDelta>> tables(String leader, TableQuestion question);
+
+    /**
+     * The digests of a leader's records; empty if there is no answer or the node does not lead. Fails with
+     * {@link Unreadable}.
+     */
+    CompletableFuture<Optional<Digests>> digests(String leader);
 }
--- /dev/null
+++ b/src/main/java/org/meadowhollow/coordination/succession/RecordFollower.java
@@ -0,0 +1,242 @@
+package org.meadowhollow.coordination.succession;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.meadowhollow.bookkeeping.Digests;
+import org.meadowhollow.bookkeeping.EventLoop;
+import org.meadowhollow.bookkeeping.RecordImage;
+import org.meadowhollow.bookkeeping.StateException;
+import org.meadowhollow.bookkeeping.StateException.Outcome;
+import org.meadowhollow.bookkeeping.StateStore;
+import org.meadowhollow.bookkeeping.StateStore.Change;
+import org.meadowhollow.bookkeeping.StateStore.Changes;
+import org.meadowhollow.bookkeeping.StateStore.Entry;
+import org.meadowhollow.bookkeeping.StateStore.Page;
+import org.meadowhollow.bookkeeping.StateStore.Urgency;
+import org.meadowhollow.bookkeeping.Version;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Follows the records under a prefix: reads them once, then asks for what has changed, at most every
+ * {@link #PAUSE} while there are changes and every {@link #WATCH} while there are none.
+ */
+final class RecordFollower {
+    private static final Logger LOG = LoggerFactory.getLogger(RecordFollower.class);
+    /** A leader writes thirty records a second and more; answered one by one they would take all requests there are. */
+    static final Duration PAUSE = Duration.ofSeconds(2);
+    private static final Duration WATCH = Duration.ofSeconds(20);
+    private static final Duration RETRY = Duration.ofSeconds(3);
+    /** Records that do not fit are not tried again soon. */
+    private static final Duration TOO_LARGE_FOR = Duration.ofMinutes(5);
+    /** Changes asked for in vain before the records are read anew: their answer may be too large to come. */
+    private static final int MOST_FAILURES = 3;
+
+    private final StateStore store;
+    private final EventLoop loop;
+    private final String prefix;
+    private final long mostBytes;
+    private RecordImage image;
+    private int life;
+    private int failures;
+
+    /**
+     * @param mostBytes of memory that the records may take, about; more are not followed
+     */
+    RecordFollower(StateStore store, EventLoop loop, String prefix, long mostBytes) {
+        this.store = store;
+        this.loop = loop;
+        this.prefix = prefix;
+        this.mostBytes = mostBytes;
+    }
+
+    void start() {
+        read(begin());
+    }
+
+    synchronized void stop() {
+        life++;
+        image = null;
+    }
+
+    /** The revision that the image stands at, or null while there is none. */
+    synchronized Version revision() {
+        return image == null ? null : image.revision();
+    }
+
+    private synchronized int begin() {
+        image = null;
+        failures = 0;
+        return ++life;
+    }
+
+    private synchronized boolean isCurrent(int mine) {
+        return life == mine;
+    }
+
+    private void later(Duration pause, int mine, Runnable work) {
+        loop.after(pause, () -> {
+            if (isCurrent(mine)) {
+                work.run();
+            }
+        });
+    }
+
+    private void read(int mine) {
+        page(mine, null, null);
+    }
+
+    private void page(int mine, String after, RecordImage begun) {
+        store.list(prefix, after, Urgency.BACKGROUND).whenComplete((page, failure) -> {
+            if (!isCurrent(mine)) {
+                return;
+            }
+            if (failure != null) {
+                later(RETRY, mine, () -> page(mine, after, begun));
+                return;
+            }
+            RecordImage growing = begun == null ? new RecordImage(prefix, page.revision()) : begun;
+            growing.addPage(page.entries());
+            if (isTooLarge(growing, mine)) {
+                return;
+            }
+            if (page.more()) {
+                page(mine, page.entries().get(page.entries().size() - 1).key(), growing);
+                return;
+            }
+            synchronized (this) {
+                image = growing;
+                failures = 0;
+            }
+            later(PAUSE, mine, () -> follow(mine));
+        });
+    }
+
+    private boolean isTooLarge(RecordImage growing, int mine) {
+        if (growing.bytes() <= mostBytes) {
+            return false;
+        }
+        LOG.info("the records under {} take more than {} bytes and are not followed", prefix, mostBytes);
+        synchronized (this) {
+            image = null;
+        }
+        later(TOO_LARGE_FOR, mine, () -> read(mine));
+        return true;
+    }
+
+    private void follow(int mine) {
+        RecordImage followed;
+        synchronized (this) {
+            followed = image;
+        }
+        store.watch(prefix, followed.revision(), WATCH).whenComplete((changes, failure) -> {
+            if (!isCurrent(mine)) {
+                return;
+            }
+            if (failure == null && !followed.revision().isAfter(changes.revision())) {
+                synchronized (this) {
+                    failures = 0;
+                    followed.apply(changes);
+                }
+                if (!isTooLarge(followed, mine)) {
+                    later(PAUSE, mine, () -> follow(mine));
+                }
+            } else if (failure == null || StateException.of(failure) == Outcome.TOO_OLD || ++failures >= MOST_FAILURES) {
+                LOG.info("the records under {} are read anew: {}", prefix, failure == null
+                        ? "the state service went back to " + changes.revision().value() : failure.getMessage());
+                later(PAUSE, begin(), this::start);
+            } else {
+                later(RETRY, mine, () -> follow(mine));
+            }
+        });
+    }
+
+    /**
+     * Ends the following and hands the image over, with all changes up to a revision.
+     *
+     * @return empty if there is no image, or none as late as that
+     */
+    CompletableFuture<Optional<RecordImage>> handOver(Version atLeast) {
+        RecordImage last;
+        synchronized (this) {
+            last = image;
+            stop();
+        }
+        if (last == null) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+        return store.watch(prefix, last.revision(), Duration.ZERO).handle((changes, failure) -> {
+            // Guards against an image that is older than the key, and against one of a history that is not served now.
+            if (failure != null || atLeast.isAfter(changes.revision()) || last.revision().isAfter(changes.revision())) {
+                return Optional.empty();
+            }
+            last.apply(changes);
+            return Optional.of(last);
+        });
+    }
+
+    /** The digests of the image's parts, or none while there is no image. */
+    synchronized Digests digests() {
+        return image == null ? Digests.NONE : Digests.of(image);
+    }
+
+    /**
+     * Reads one part of the records again and judges the image by it. What changed in between is not judged.
+     *
+     * @return the keys that were wrong in the image; empty if it was right, or nothing could be told
+     */
+    CompletableFuture<List<String>> readAgain(String part) {
+        int mine;
+        RecordImage judged;
+        synchronized (this) {
+            if (image == null) {
+                return CompletableFuture.completedFuture(List.of());
+            }
+            // The following rests meanwhile, so that all changes since the image's revision come by here.
+            mine = ++life;
+            judged = image;
+        }
+        return store.list(part, null, Urgency.BACKGROUND).thenCombine(
+                store.watch(prefix, judged.revision(), Duration.ZERO), (page, changes) -> {
+                    synchronized (this) {
+                        boolean comparable = isCurrent(mine) && !page.more()
+                                && !judged.revision().isAfter(changes.revision());
+                        List<String> wrong = comparable ? wrong(judged, page, changes, part) : List.<String>of();
+                        if (!wrong.isEmpty()) {
+                            judged.replace(part, page.entries());
+                        }
+                        if (comparable) {
+                            judged.apply(changes);
+                        }
+                        return wrong;
+                    }
+                }).handle((wrong, failure) -> {
+                    later(PAUSE, mine, () -> follow(mine));
+                    return failure == null ? wrong : List.of();
+                });
+    }
+
+    private static List<String> wrong(RecordImage judged, Page truth, Changes changes, String part) {
+        Map<String, Entry> have = new HashMap<>();
+        judged.entries(part).forEach(entry -> have.put(entry.key(), entry));
+        List<String> wrong = new ArrayList<>();
+        for (Entry entry : truth.entries()) {
+            if (!entry.equals(have.remove(entry.key()))) {
+                wrong.add(entry.key());
+            }
+        }
+        wrong.addAll(have.keySet());
+        for (Change change : changes.changes()) {
+            wrong.remove(change.key());
+        }
+        // A page that was read after the changes may have later ones in it; they will come by themselves.
+        Version seen = changes.revision();
+        wrong.removeIf(key -> truth.revision().isAfter(seen));
+        return wrong;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/meadowhollow/coordination/succession/TableCopies.java
@@ -0,0 +1,138 @@
+package org.meadowhollow.coordination.succession;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.meadowhollow.bookkeeping.MachineId;
+import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.Report;
+import org.meadowhollow.bookkeeping.Session;
+import org.meadowhollow.bookkeeping.Term;
+import org.meadowhollow.coordination.placement.RiskTable;
+import org.meadowhollow.coordination.platform.NodeStatus;
+import org.meadowhollow.coordination.platform.TableDelta;
+import org.meadowhollow.coordination.platform.TableQuestion;
+
+/** Copies of a leader's risk tables, kept up to date by its answers. Hints: a wrong one costs a worse place, no more. */
+final class TableCopies {
+    /** Tables kept; bounds memory, at a few kilobytes each. */
+    private static final int MOST_TABLES = 2000;
+
+    /** Older copies tell of a machine as it was; the tables themselves are rebuilt from as much. */
+    static final Duration MOST_AGE = RiskTable.RECENT;
+
+    private record Copy(RiskTable table, int incarnation, Session session, long seq, Moment at) {
+    }
+
+    /** What became of an answer. */
+    enum Taken { IN, MORE, DEPOSED, BROKEN }
+
+    private final Map<MachineId, Copy> copies = new HashMap<>();
+    private Term term = Term.NONE;
+    private long upTo = -1;
+    /** The machine after which whole tables go on, or empty. */
+    private String wholeAfter = "";
+
+    int size() {
+        return copies.size();
+    }
+
+    /** Machines that the leader has heard of within a time before now, and that have not been inherited yet. */
+    int heardWithin(Duration span, Moment now) {
+        int count = 0;
+        for (Copy copy : copies.values()) {
+            count += now.since(copy.at()).compareTo(span) <= 0 ? 1 : 0;
+        }
+        return count;
+    }
+
+    TableQuestion question(NodeStatus from) {
+        return new TableQuestion(from, term, upTo, wholeAfter);
+    }
+
+    /**
+     * Takes an answer in.
+     *
+     * @param highest the highest term that this node has heard of: what a leader says that it deposed is not believed
+     */
+    Taken take(TableDelta delta, Term highest, Moment now) {
+        if (highest.isAfter(delta.term())) {
+            return Taken.DEPOSED;
+        }
+        // Samples that do not follow what is here are worth nothing; a late answer to an earlier question is one.
+        boolean follows = delta.term().equals(term) && upTo >= 0;
+        if (!delta.whole() && (!follows || delta.upTo() < upTo)) {
+            return Taken.BROKEN;
+        }
+        try {
+            for (TableDelta.Part part : delta.parts()) {
+                takePart(part, delta.whole(), now);
+            }
+        } catch (IllegalArgumentException broken) {
+            askForWhole();
+            return Taken.BROKEN;
+        }
+        boolean unfinished = delta.whole() && delta.more() && !delta.parts().isEmpty();
+        term = delta.term();
+        wholeAfter = unfinished ? delta.parts().get(delta.parts().size() - 1).machine().value() : "";
+        upTo = unfinished ? -1 : delta.upTo();
+        if (delta.whole() && !unfinished) {
+            copies.values().removeIf(copy -> now.since(copy.at()).compareTo(MOST_AGE) > 0);
+        }
+        return delta.more() ? Taken.MORE : Taken.IN;
+    }
+
+    void askForWhole() {
+        upTo = -1;
+        wholeAfter = "";
+    }
+
+    private void takePart(TableDelta.Part part, boolean whole, Moment now) {
+        Copy known = copies.get(part.machine());
+        if (known == null && copies.size() >= MOST_TABLES) {
+            return;
+        }
+        if (whole) {
+            copies.put(part.machine(), new Copy(RiskTable.of(part.table(), now), part.incarnation(), part.session(),
+                    part.seq(), now));
+            return;
+        }
+        if (part.samples().length % TableDelta.SAMPLE != 0) {
+            throw new IllegalArgumentException("half a sample");
+        }
+        // A name that is used again begins a table of its own.
+        boolean same = known != null && known.incarnation() == part.incarnation();
+        RiskTable table = same ? known.table() : new RiskTable();
+        Session session = same ? known.session() : new Session(0);
+        long seq = same ? known.seq() : 0;
+        for (int at = 0; at < part.samples().length; at += TableDelta.SAMPLE) {
+            Session itsSession = new Session(part.samples()[at]);
+            long itsSeq = part.samples()[at + 1];
+            // Whole tables that came page by page may have some of them already.
+            if (itsSession.isAfter(session) || itsSession.equals(session) && itsSeq > seq) {
+                table.replay((int) part.samples()[at + 3],
+                        new Moment(now.nanos() - Math.max(0, part.samples()[at + 2]) * 1_000_000));
+                session = itsSession;
+                seq = itsSeq;
+            }
+        }
+        copies.put(part.machine(), new Copy(table, part.incarnation(), session, seq, now));
+    }
+
+    /**
+     * Hands over the table of a machine whose first report has come.
+     *
+     * @return empty if there is none, if the name meant another machine, or if it is too old to tell anything
+     */
+    Optional<RiskTable> inherit(Report report, Moment now) {
+        Copy copy = copies.remove(report.machine());
+        if (copy == null || now.since(copy.at()).compareTo(MOST_AGE) > 0
+                || copy.incarnation() != TableFeed.incarnation(report.type(), report.zone(), report.spot(), report.address())
+                || !report.isNewerThan(copy.session(), copy.seq() - 1)) {
+            return Optional.empty();
+        }
+        return Optional.of(copy.table());
+    }
+
+}
--- /dev/null
+++ b/src/main/java/org/meadowhollow/coordination/succession/Takeover.java
@@ -0,0 +1,67 @@
+package org.meadowhollow.coordination.succession;
+
+import java.util.Locale;
+import java.util.Set;
+import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.Term;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The phases of one takeover, as one line of the log once the first full round is over. Guarded by the leader's lock. */
+public final class Takeover {
+    private static final Logger LOG = LoggerFactory.getLogger(Takeover.class);
+
+    private final Term term;
+    private final Moment noticedAt;
+    private final Moment keyAt;
+    private Moment recordsAt;
+    private String records = "none";
+    private Moment firstAt;
+    private String first = "";
+    private Set<FirstDecision.Check> lastFailing = Set.of();
+    private boolean told;
+
+    /**
+     * @param noticedAt when this node saw that nobody leads, or null if it did not come to see it
+     */
+    public Takeover(Term term, Moment noticedAt, Moment keyAt) {
+        this.term = term;
+        this.noticedAt = noticedAt;
+        this.keyAt = keyAt;
+    }
+
+    /**
+     * @param from what they were read from
+     */
+    public void recordsIn(String from, int count, Moment now) {
+        recordsAt = now;
+        records = count + " from " + from;
+    }
+
+    /** A round was not begun yet because of these checks; the last to fail is what the first round waited for. */
+    public void waitsFor(Set<FirstDecision.Check> failing) {
+        lastFailing = failing;
+    }
+
+    public void firstRound(int reported, int needed, int placed, Moment now) {
+        if (firstAt == null) {
+            firstAt = now;
+            first = placed + " tasks placed with " + reported + " machines heard of " + needed + " needed, last for "
+                    + lastFailing;
+        }
+    }
+
+    /** The first round for which nearly all machines had reported; says it all, once. */
+    public void fullRound(int tables, Moment now) {
+        if (!told && firstAt != null) {
+            told = true;
+            LOG.info("takeover in term {}: seen {} s before the key; after it, records in {} s ({}), first round in {} s"
+                    + " ({}), full round in {} s; {} tables inherited", term, seconds(noticedAt, keyAt),
+                    seconds(keyAt, recordsAt), records, seconds(keyAt, firstAt), first, seconds(keyAt, now), tables);
+        }
+    }
+
+    private static String seconds(Moment from, Moment to) {
+        return from == null || to == null ? "?" : String.format(Locale.ROOT, "%.2f", to.secondsSince(from));
+    }
+}
--- a/src/main/java/org/meadowhollow/protocol/peers/PeerLink.java
+++ b/src/main/java/org/meadowhollow/protocol/peers/PeerLink.java
@@ -8,17 +8,26 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.BitSet;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
+import java.util.zip.CRC32C;
+import org.meadowhollow.bookkeeping.Digests;
 import org.meadowhollow.bookkeeping.MachineId;
+import org.meadowhollow.bookkeeping.Session;
 import org.meadowhollow.bookkeeping.Term;
+import org.meadowhollow.bookkeeping.Version;
+import org.meadowhollow.coordination.platform.NodeStatus;
 import org.meadowhollow.coordination.platform.Peers;
+import org.meadowhollow.coordination.platform.TableDelta;
+import org.meadowhollow.coordination.platform.TableQuestion;
 import org.meadowhollow.coordination.platform.Testimony;
 import org.meadowhollow.protocol.Fields;
 import org.meadowhollow.protocol.Http;
@@ -28,6 +37,10 @@
     private static final String LEADER = "/leader";
     private static final String SERVED = "/served";
     private static final String HEARING = "/hearing";
+    private static final String TABLES = "/tables";
+    private static final String DIGESTS = "/digests";
+    /** The form of what standbys are told; one that is not known is not read. */
+    static final int FORM = 1;
     private static final Duration ANSWER = Duration.ofSeconds(2);
     /** A node that is up but slow must not be taken for one that is silent too soon. */
     private static final Duration SIGN = Duration.ofSeconds(1);
@@ -53,6 +66,43 @@
     record HearingHint(boolean served, long[] heard) {
     }
 
+    /** A question about a leader's tables, and what the node that asks says of itself. */
+    record TablesQuestionHint(int form, String member, long incarnation, String zone, String program, int schema,
+            long revision, long term, long after, String afterMachine) {
+    }
+
+    /** An answer of which a receiver can tell whether it knows its form and whether it is whole, before it reads it. */
+    record SealedHint(int form, int checksum, byte[] body) {
+    }
+
+    /** The answer about tables: the columns of its parts. */
+    record TablesHint(long term, long upTo, boolean whole, boolean more, String[] machines, int[] incarnations,
+            long[] sessions, long[] seqs, int[][] tables, long[][] samples) {
+    }
+
+    /** The digests of a leader's records. */
+    record DigestsHint(String[] parts, int[] records, long[] sums, String[] unsettled) {
+    }
+
+    /** What a leading node tells its standbys; all answers are empty while it does not lead. */
+    public interface Testator {
+        Optional<TableDelta> tables(TableQuestion question);
+
+        Optional<Digests> digests();
+    }
+
+    private static final Testator NOBODY = new Testator() {
+        @Override
+        public Optional<TableDelta> tables(TableQuestion question) {
+            return Optional.empty();
+        }
+
+        @Override
+        public Optional<Digests> digests() {
+            return Optional.empty();
+        }
+    };
+
     /** Those of some machines that have reported to this node within a time. */
     public interface Ears {
         Set<MachineId> among(List<MachineId> machines, Duration within);
@@ -64,6 +114,7 @@
     private Kryo kryo;
     private volatile BooleanSupplier served = () -> false;
     private volatile BooleanSupplier deaf = () -> false;
+    private volatile Testator testator = NOBODY;
     private volatile Ears ears = (machines, within) -> Set.of();
     private volatile BiConsumer<Term, String> listener = (term, member) -> { };
 
@@ -85,6 +136,14 @@
             kryo.register(long[].class);
             kryo.register(HearingQuestion.class);
             kryo.register(HearingHint.class);
+            kryo.register(byte[].class);
+            kryo.register(int[].class);
+            kryo.register(int[][].class);
+            kryo.register(long[][].class);
+            kryo.register(TablesQuestionHint.class);
+            kryo.register(SealedHint.class);
+            kryo.register(TablesHint.class);
+            kryo.register(DigestsHint.class);
         }
         return kryo;
     }
@@ -100,6 +159,11 @@
         ears = heard;
     }
 
+    /** Answers standbys while this node leads. */
+    public void testator(Testator now) {
+        testator = now;
+    }
+
     public void listener(BiConsumer<Term, String> told) {
         listener = told;
     }
@@ -121,6 +185,13 @@
         if (method.equals("POST") && path.equals(HEARING)) {
             return CompletableFuture.completedFuture(heardOf(body));
         }
+        if (method.equals("POST") && path.equals(TABLES)) {
+            return CompletableFuture.completedFuture(tablesOf(body));
+        }
+        if (method.equals("GET") && path.equals(DIGESTS)) {
+            return CompletableFuture.completedFuture(testator.digests().map(this::digestsReply)
+                    .orElseGet(() -> Http.Reply.error(404, "this node does not lead")));
+        }
         if (!method.equals("POST") || !path.equals(LEADER)) {
             return CompletableFuture.completedFuture(Http.Reply.error(404, "no such path"));
         }
@@ -134,6 +205,124 @@
         return CompletableFuture.completedFuture(Http.Reply.of(200, Fields.of()));
     }
 
+    // ---- what standbys are told ----
+
+    private Http.Reply tablesOf(byte[] body) {
+        TablesQuestionHint asked;
+        try {
+            asked = (TablesQuestionHint) decode(body);
+        } catch (KryoException | IllegalArgumentException | ClassCastException broken) {
+            return Http.Reply.error(400, "not a question");
+        }
+        if (asked.form() != FORM) {
+            return Http.Reply.error(400, "a question of an unknown form");
+        }
+        TableQuestion question = new TableQuestion(new NodeStatus(asked.member(), asked.incarnation(), asked.zone(),
+                asked.program(), asked.schema(), new Version(asked.revision())), new Term(asked.term()), asked.after(),
+                asked.afterMachine());
+        return testator.tables(question).map(this::tablesReply)
+                .orElseGet(() -> Http.Reply.error(404, "this node does not lead"));
+    }
+
+    private Http.Reply tablesReply(TableDelta delta) {
+        List<TableDelta.Part> parts = delta.parts();
+        return sealed(new TablesHint(delta.term().value(), delta.upTo(), delta.whole(), delta.more(),
+                parts.stream().map(part -> part.machine().value()).toArray(String[]::new),
+                parts.stream().mapToInt(TableDelta.Part::incarnation).toArray(),
+                parts.stream().mapToLong(part -> part.session().value()).toArray(),
+                parts.stream().mapToLong(TableDelta.Part::seq).toArray(),
+                parts.stream().map(TableDelta.Part::table).toArray(int[][]::new),
+                parts.stream().map(TableDelta.Part::samples).toArray(long[][]::new)));
+    }
+
+    private Http.Reply digestsReply(Digests digests) {
+        String[] parts = digests.parts().keySet().toArray(String[]::new);
+        return sealed(new DigestsHint(parts, digests.parts().values().stream().mapToInt(Digests.Part::records).toArray(),
+                digests.parts().values().stream().mapToLong(Digests.Part::sum).toArray(),
+                digests.unsettled().toArray(String[]::new)));
+    }
+
+    private Http.Reply sealed(Object hint) {
+        byte[] body = encode(hint);
+        return new Http.Reply(200, encode(new SealedHint(FORM, checksum(body), body)), 0);
+    }
+
+    private static int checksum(byte[] body) {
+        CRC32C sum = new CRC32C();
+        sum.update(body);
+        return (int) sum.getValue();
+    }
+
+    /** Empty if there is none: no answer, a node that does not lead, or one that knows no such question. */
+    private <T> Optional<T> unseal(Http.Reply reply, Throwable failure, Class<T> type) {
+        if (failure != null || reply.status() != 200) {
+            return Optional.empty();
+        }
+        try {
+            SealedHint hint = (SealedHint) decode(reply.body());
+            if (hint.form() != FORM) {
+                throw new Unreadable("its form " + hint.form() + " is not known");
+            }
+            if (hint.checksum() != checksum(hint.body())) {
+                throw new Unreadable("it is damaged");
+            }
+            return Optional.of(type.cast(decode(hint.body())));
+        } catch (KryoException | IllegalArgumentException | ClassCastException broken) {
+            throw new Unreadable("it makes no sense");
+        }
+    }
+
+    @Override
+    public CompletableFuture<Optional<TableDelta>> tables(String leader, TableQuestion question) {
+        String address = addresses.get(leader);
+        if (address == null) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+        NodeStatus from = question.from();
+        byte[] body = encode(new TablesQuestionHint(FORM, from.member(), from.incarnation(), from.zone(), from.program(),
+                from.schema(), from.revision().value(), question.term().value(), question.after(),
+                question.afterMachine()));
+        return http.send(address, "POST", TABLES, body, ANSWER)
+                .handle((reply, failure) -> unseal(reply, failure, TablesHint.class).map(PeerLink::delta));
+    }
+
+    private static TableDelta delta(TablesHint hint) {
+        int count = hint.machines().length;
+        if (hint.incarnations().length != count || hint.sessions().length != count || hint.seqs().length != count
+                || hint.tables().length != count || hint.samples().length != count) {
+            throw new Unreadable("its columns differ in length");
+        }
+        List<TableDelta.Part> parts = new ArrayList<>(count);
+        for (int at = 0; at < count; at++) {
+            parts.add(new TableDelta.Part(new MachineId(hint.machines()[at]), hint.incarnations()[at],
+                    new Session(hint.sessions()[at]), hint.seqs()[at], hint.tables()[at], hint.samples()[at]));
+        }
+        return new TableDelta(new Term(hint.term()), hint.upTo(), hint.whole(), hint.more(), parts);
+    }
+
+    @Override
+    public CompletableFuture<Optional<Digests>> digests(String leader) {
+        String address = addresses.get(leader);
+        if (address == null) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+        return http.send(address, "GET", DIGESTS, null, ANSWER)
+                .handle((reply, failure) -> unseal(reply, failure, DigestsHint.class).map(PeerLink::digests));
+    }
+
+    private static Digests digests(DigestsHint hint) {
+        if (hint.records().length != hint.parts().length || hint.sums().length != hint.parts().length) {
+            throw new Unreadable("its columns differ in length");
+        }
+        Map<String, Digests.Part> parts = new HashMap<>();
+        for (int at = 0; at < hint.parts().length; at++) {
+            parts.put(hint.parts()[at], new Digests.Part(hint.records()[at], hint.sums()[at]));
+        }
+        return Digests.of(parts, Set.of(hint.unsettled()));
+    }
+
+    // ---- who hears the workers ----
+
     private Http.Reply heardOf(byte[] body) {
         HearingQuestion asked;
         try {
--- a/src/test/java/org/meadowhollow/story/World.java
+++ b/src/test/java/org/meadowhollow/story/World.java
@@ -16,7 +16,10 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import java.util.function.UnaryOperator;
 import org.meadowhollow.bookkeeping.Catalog;
+import org.meadowhollow.bookkeeping.Digests;
 import org.meadowhollow.bookkeeping.EventLoop;
 import org.meadowhollow.bookkeeping.JobId;
 import org.meadowhollow.bookkeeping.JobSpec;
@@ -45,8 +48,11 @@
 import org.meadowhollow.coordination.platform.Cloud;
 import org.meadowhollow.coordination.platform.Peers;
 import org.meadowhollow.coordination.platform.Platform;
+import org.meadowhollow.coordination.platform.TableDelta;
+import org.meadowhollow.coordination.platform.TableQuestion;
 import org.meadowhollow.coordination.platform.Testimony;
 import org.meadowhollow.coordination.platform.Workers;
+import org.meadowhollow.coordination.succession.StandbySettings;
 import org.meadowhollow.protocol.Http;
 import org.meadowhollow.protocol.Malformed;
 import org.meadowhollow.protocol.calendar.CalendarApi;
@@ -86,6 +92,9 @@
     private final Set<MachineId> taken = new HashSet<>();
     private int mostMachines = 40;
     private CalendarSettings calendar = CalendarSettings.OFF;
+    private StandbySettings standby = StandbySettings.OFF;
+    private UnaryOperator<TableDelta> tablesChange = UnaryOperator.identity();
+    private Duration tablesLate = Duration.ofMillis(5);
     private boolean cloudOut;
     private boolean peersCut;
     private int nextMachine;
@@ -128,7 +137,7 @@
                     Duration.ofSeconds(8));
             EventLoop own = new OwnLoop(this);
             node = new Node(own, mine, new Direct(this), new Offer(), new Hints(this), platform, catalog,
-                    observers, calendar, new Random(nextSeed++));
+                    observers, calendar, standby, new Random(nextSeed++));
             admission = new Admission(mine, own, catalog, platform, observers, node::counts);
             tes = new TesApi(admission, mine, own, platform, tokens(), traces, new Random(nextSeed++));
             desk = new CalendarApi(new CalendarDesk(mine, own, catalog, platform, calendar.most()), operators());
@@ -250,6 +259,24 @@
         restartAll();
     }
 
+    /** Starts all nodes anew with warm standbys. */
+    World standby() {
+        standby = new StandbySettings(true, "test", "a");
+        crashAll();
+        restartAll();
+        return this;
+    }
+
+    /** What becomes of what a leader says of its tables, and how long it takes. */
+    void tables(UnaryOperator<TableDelta> change, Duration late) {
+        tablesChange = change;
+        tablesLate = late;
+    }
+
+    Node node(int node) {
+        return members.get(node).node;
+    }
+
     /** No more machines than these are rented out. */
     void mostMachines(int most) {
         mostMachines = most;
@@ -712,6 +739,32 @@
             return answers;
         }
 
+        @Override
+        public CompletableFuture<Optional<TableDelta>> tables(String leader, TableQuestion question) {
+            return told(leader, tablesLate, node -> node.tables(question).map(tablesChange));
+        }
+
+        @Override
+        public CompletableFuture<Optional<Digests>> digests(String leader) {
+            return told(leader, Duration.ofMillis(5), Node::digests);
+        }
+
+        /** What another node says now, heard a little later. */
+        private <T> CompletableFuture<Optional<T>> told(String name, Duration late, Function<Node, Optional<T>> what) {
+            CompletableFuture<Optional<T>> answer = new CompletableFuture<>();
+            Member asked = members.get(indexOf(name));
+            Optional<T> given;
+            try {
+                given = peersCut || asked.refusesPeers || asked.node == null || asked.frozen != null
+                        ? Optional.empty() : what.apply(asked.node);
+            } catch (Peers.Unreadable broken) {
+                loop.after(late, () -> answer.completeExceptionally(broken));
+                return answer;
+            }
+            loop.after(late, () -> from.whenAwake(() -> answer.complete(given)));
+            return answer;
+        }
+
         @Override
         public void announce(String leader, Term term) {
             loop.after(Duration.ofMillis(5), () -> {
