Tables outlive all nodes; stories of the standby, and what they found

Change: once a minute, behind all other records, a leader writes its tables to the state service: deflated, in chunks, two sets in turn, with a head record (form, age, checksum) written last.

--- a/src/main/java/org/meadowhollow/bookkeeping/Records.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Records.java
@@ -15,6 +15,9 @@
     public static final String JOBS = "job/";
     public static final String TASKS = "task/";
     public static final String IMAGES = "image/";
+    /** Snapshots of the risk tables, in chunks, and the record that says which of them are the newest. */
+    public static final String TABLES = "table/";
+    public static final String TABLES_HEAD = TABLES + "head";
     private static final String COMPANION = "companion";
     private static final String LOG = "log";
     /** Image names that can be part of a key as they are. */
@@ -48,6 +51,15 @@
         return TASKS + chunk.job().id().value() + '/' + chunk.index();
     }
 
+    /** The prefix of a set's chunks. */
+    public static String tableSet(int set) {
+        return TABLES + set + '/';
+    }
+
+    public static String tableChunk(int set, int chunk) {
+        return tableSet(set) + chunk;
+    }
+
     public static JobId jobOfKey(String key) {
         return new JobId(key.substring(JOBS.length()));
     }
--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -65,6 +65,7 @@
 import org.meadowhollow.coordination.succession.Inheritance;
 import org.meadowhollow.coordination.succession.Membership;
 import org.meadowhollow.coordination.succession.TableFeed;
+import org.meadowhollow.coordination.succession.TableSnapshots;
 import org.meadowhollow.coordination.succession.Takeover;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -99,6 +100,8 @@
      * waited at this node for a leader; for the rest it knows the tables and what may run there.
      */
     private static final double ENOUGH = 0.5;
+    /** When a leader that was handed no tables looks for noted ones: behind what a start brings. */
+    private static final Duration NOTED_AFTER = Duration.ofSeconds(3);
     /** How often a warm leader looks whether its first round can be. */
     private static final Duration EARLY = Duration.ofMillis(200);
     /** Failures of a job's tasks after which it has to wait before the next start. */
@@ -134,12 +137,15 @@
     private final Inheritance inheritance;
     private final Takeover takeover;
     private final TableFeed feed;
+    private final TableSnapshots snapshots;
     private final Membership members = new Membership();
     private final Object2IntOpenHashMap<MachineId> faults = new Object2IntOpenHashMap<>();
     private final Expected expected = new Expected();
     private boolean listed;
     private boolean gathered;
     private boolean begun;
+    /** Whether all tables are here that there are: a snapshot of fewer would take the place of a better one. */
+    private boolean tablesSettled;
     private boolean closed;
     private long byTable;
     private long byRoom;
@@ -159,6 +165,7 @@
         this.begunAt = loop.now();
         this.takeover = new Takeover(term, noticedAt, begunAt);
         this.feed = new TableFeed(term);
+        this.snapshots = new TableSnapshots(store, leaderVersion, platform.txnOps(), platform.valueBytes());
         this.cluster = new Cluster(platform, term);
         this.jobs = cluster.jobs();
         this.machines = cluster.machines();
@@ -511,6 +518,10 @@
             }
             ledger.flush();
             images.write(machines.values(), now);
+            if (tablesSettled && leadership.mayStart()) {
+                snapshots.write(() -> TableFeed.all(cluster.machines(), cluster.risks(), now), ledger.backlog() == 0, now,
+                        loop.wallMillis());
+            }
         }
         listening.act();
         fleet.act();
@@ -531,6 +542,23 @@
         }
     }
 
+    /** Brings tables from the state service after the first full round, which a starved node is busy enough with. */
+    private void readNotedTables() {
+        inheritance.readSnapshot(store, loop).thenRun(this::handOverNoted);
+    }
+
+    private void handOverNoted() {
+        synchronized (this) {
+            leadership.keepUp();
+            if (!closed && inheritance.handOverNoted(machines, cluster.risks(), loop.now())) {
+                loop.after(EARLY, this::handOverNoted);
+            } else {
+                tablesSettled = true;
+                LOG.info("{} tables of machines were noted in the state service and go on", inheritance.tables());
+            }
+        }
+    }
+
     /** Whether a round may decide: for the first one all checks hold, for later ones those that can fail again. */
     private boolean mayDecide(Moment now) {
         if (begun) {
@@ -620,10 +648,13 @@
         PlacementRound.Outcome outcome = PlacementRound.run(snapshot.seats(), snapshot.shares(), snapshot.waiting(),
                 mostJobs());
         carryOut(outcome.decisions(), now);
-        if (full) {
-            takeover.fullRound(inheritance.tables(), now);
-        }
         takeover.firstRound(heard(), needed(now), outcome.decisions().size(), now);
+        if (full && takeover.fullRound(inheritance.tables(), now)) {
+            tablesSettled = inheritance.isWarm() && !inheritance.lacksTables();
+            if (inheritance.lacksTables()) {
+                loop.after(NOTED_AFTER, this::readNotedTables);
+            }
+        }
         List<Fleet.Need> needs = new ArrayList<>();
         int preempting = 0;
         for (PlacementRound.Waiting waiting : snapshot.waiting()) {
--- a/src/main/java/org/meadowhollow/coordination/placement/RiskTable.java
+++ b/src/main/java/org/meadowhollow/coordination/placement/RiskTable.java
@@ -229,7 +229,15 @@
 
     @Override
     public boolean equals(Object other) {
-        return other instanceof RiskTable table && samples == table.samples && seen.equals(table.seen);
+        if (!(other instanceof RiskTable table) || samples != table.samples || seen.size() != table.seen.size()) {
+            return false;
+        }
+        for (int cell = 0; cell < COUNT_BUCKETS * SHARE_BUCKETS * GROUPS; cell++) {
+            if (seen.get(cell) != table.seen.get(cell)) {
+                return false;
+            }
+        }
+        return true;
     }
 
     @Override
--- a/src/main/java/org/meadowhollow/coordination/succession/Inheritance.java
+++ b/src/main/java/org/meadowhollow/coordination/succession/Inheritance.java
@@ -1,16 +1,22 @@
 package org.meadowhollow.coordination.succession;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import org.meadowhollow.bookkeeping.EventLoop;
+import org.meadowhollow.bookkeeping.Machine;
+import org.meadowhollow.bookkeeping.MachineId;
 import org.meadowhollow.bookkeeping.Moment;
 import org.meadowhollow.bookkeeping.RecordImage;
 import org.meadowhollow.bookkeeping.Report;
+import org.meadowhollow.bookkeeping.StateStore;
 import org.meadowhollow.bookkeeping.Version;
 import org.meadowhollow.coordination.placement.RiskTable;
+import org.meadowhollow.coordination.platform.TableDelta;
 
 /** What a standby hands to the leadership that begins on its node. Guarded by the leader's lock. */
 public final class Inheritance {
@@ -19,8 +25,14 @@
     /** Machines that the last leader heard of within this time, before it ended, are likely to report again. */
     private static final Duration LIKELY = Standby.PULL.multipliedBy(3);
 
+    /** Tables of a snapshot that are made at a time: a starved node must come to renew its lease in between. */
+    private static final int MOST_AT_ONCE = 50;
+
     private final Map<String, RecordFollower> followers;
     private final TableCopies copies;
+    /** What a snapshot holds and has not been handed over yet, and when that was so. */
+    private final ArrayDeque<TableDelta.Part> noted = new ArrayDeque<>();
+    private Moment notedAt;
     private int tables;
 
     Inheritance(Map<String, RecordFollower> followers, TableCopies copies) {
@@ -49,11 +61,51 @@
 
     /** The table of a machine whose first report has come, if what is there is of the machine as it is now. */
     public Optional<RiskTable> table(Report report, Moment now) {
-        Optional<RiskTable> table = copies.inherit(report, now);
+        return inherited(copies.inherit(report.machine(),
+                TableFeed.incarnation(report.type(), report.zone(), report.spot(), report.address()), report.session(),
+                report.seq(), now));
+    }
+
+    private Optional<RiskTable> inherited(Optional<RiskTable> table) {
         tables += table.isPresent() ? 1 : 0;
         return table;
     }
 
+    /**
+     * Where no leader handed tables over, because all nodes ended: reads those that were noted in the state service.
+     *
+     * @return done when they are here, or when it is clear that there are none
+     */
+    public CompletableFuture<Void> readSnapshot(StateStore store, EventLoop loop) {
+        return TableSnapshots.read(store, loop).thenAccept(read -> read.ifPresent(snapshot -> {
+            noted.addAll(snapshot.parts());
+            notedAt = new Moment(loop.now().nanos() - snapshot.age().toNanos());
+        }));
+    }
+
+    /** Whether no leader handed any tables over. */
+    public boolean lacksTables() {
+        return isWarm() && tables == 0 && copies.size() == 0;
+    }
+
+    /**
+     * Hands over some of the tables that were read, to machines that have reported.
+     *
+     * @return whether there are more
+     */
+    public boolean handOverNoted(Map<MachineId, Machine> machines, Map<MachineId, RiskTable> risks, Moment now) {
+        for (int done = 0; done < MOST_AT_ONCE && !noted.isEmpty(); done++) {
+            TableDelta.Part part = noted.poll();
+            copies.take(List.of(part), notedAt);
+            Machine machine = machines.get(part.machine());
+            if (machine != null && machine.session() != null) {
+                inherited(copies.inherit(machine.id(), TableFeed.incarnation(machine), machine.session(), machine.seq(),
+                        now)).ifPresent(table -> risks.put(machine.id(), table));
+            }
+        }
+        return !noted.isEmpty();
+    }
+
     /** Tables that were handed over so far. */
     public int tables() {
         return tables;
--- a/src/main/java/org/meadowhollow/coordination/succession/RecordFollower.java
+++ b/src/main/java/org/meadowhollow/coordination/succession/RecordFollower.java
@@ -146,7 +146,7 @@
                 if (!isTooLarge(followed, mine)) {
                     later(PAUSE, mine, () -> follow(mine));
                 }
-            } else if (failure == null || StateException.of(failure) == Outcome.TOO_OLD || ++failures >= MOST_FAILURES) {
+            } else if (failure == null || isLost(StateException.of(failure))) {
                 LOG.info("the records under {} are read anew: {}", prefix, failure == null
                         ? "the state service went back to " + changes.revision().value() : failure.getMessage());
                 later(PAUSE, begin(), this::start);
@@ -156,6 +156,12 @@
         });
     }
 
+    /** Whether to read anew rather than to ask again; an outage in which every request is refused loses nothing. */
+    private synchronized boolean isLost(Outcome outcome) {
+        failures += outcome == Outcome.UNKNOWN && !store.seemsOut() ? 1 : 0;
+        return outcome == Outcome.TOO_OLD || failures >= MOST_FAILURES;
+    }
+
     /**
      * Ends the following and hands the image over, with all changes up to a revision.
      *
--- a/src/main/java/org/meadowhollow/coordination/succession/TableCopies.java
+++ b/src/main/java/org/meadowhollow/coordination/succession/TableCopies.java
@@ -2,11 +2,11 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.meadowhollow.bookkeeping.MachineId;
 import org.meadowhollow.bookkeeping.Moment;
-import org.meadowhollow.bookkeeping.Report;
 import org.meadowhollow.bookkeeping.Session;
 import org.meadowhollow.bookkeeping.Term;
 import org.meadowhollow.coordination.placement.RiskTable;
@@ -33,6 +33,7 @@
     private long upTo = -1;
     /** The machine after which whole tables go on, or empty. */
     private String wholeAfter = "";
+    private long firstPageUpTo;
 
     int size() {
         return copies.size();
@@ -74,13 +75,22 @@
             return Taken.BROKEN;
         }
         boolean unfinished = delta.whole() && delta.more() && !delta.parts().isEmpty();
+        if (delta.whole() && (wholeAfter.isEmpty() || !delta.term().equals(term))) {
+            firstPageUpTo = delta.upTo();
+        }
         term = delta.term();
         wholeAfter = unfinished ? delta.parts().get(delta.parts().size() - 1).machine().value() : "";
-        upTo = unfinished ? -1 : delta.upTo();
+        // What came between the pages is missing in the earlier ones.
+        upTo = unfinished ? -1 : delta.whole() ? firstPageUpTo : delta.upTo();
         if (delta.whole() && !unfinished) {
             copies.values().removeIf(copy -> now.since(copy.at()).compareTo(MOST_AGE) > 0);
         }
-        return delta.more() ? Taken.MORE : Taken.IN;
+        return delta.more() || upTo < delta.upTo() ? Taken.MORE : Taken.IN;
+    }
+
+    /** Takes in tables as they were some time ago, from a snapshot. */
+    void take(List<TableDelta.Part> parts, Moment then) {
+        parts.forEach(part -> takePart(part, true, then));
     }
 
     void askForWhole() {
@@ -125,14 +135,12 @@
      *
      * @return empty if there is none, if the name meant another machine, or if it is too old to tell anything
      */
-    Optional<RiskTable> inherit(Report report, Moment now) {
-        Copy copy = copies.remove(report.machine());
-        if (copy == null || now.since(copy.at()).compareTo(MOST_AGE) > 0
-                || copy.incarnation() != TableFeed.incarnation(report.type(), report.zone(), report.spot(), report.address())
-                || !report.isNewerThan(copy.session(), copy.seq() - 1)) {
-            return Optional.empty();
-        }
-        return Optional.of(copy.table());
+    Optional<RiskTable> inherit(MachineId machine, int incarnation, Session session, long seq, Moment now) {
+        Copy copy = copies.remove(machine);
+        boolean isOlder = copy != null && (session.isAfter(copy.session())
+                || session.equals(copy.session()) && seq >= copy.seq());
+        return isOlder && copy.incarnation() == incarnation && now.since(copy.at()).compareTo(MOST_AGE) <= 0
+                ? Optional.of(copy.table()) : Optional.empty();
     }
 
 }
--- a/src/main/java/org/meadowhollow/coordination/succession/TableFeed.java
+++ b/src/main/java/org/meadowhollow/coordination/succession/TableFeed.java
@@ -48,7 +48,7 @@
         return List.of(type, zone, spot, String.valueOf(address)).hashCode();
     }
 
-    private static int incarnation(Machine machine) {
+    static int incarnation(Machine machine) {
         return incarnation(machine.type().name(), machine.zone(), machine.spot(), machine.address());
     }
 
@@ -60,6 +60,23 @@
         return known ? samples(asked.after(), machines, now) : whole(asked, machines, tables, now);
     }
 
+    /** All tables as they are now, for a snapshot. */
+    public static List<TableDelta.Part> all(SortedMap<MachineId, Machine> machines, Map<MachineId, RiskTable> tables,
+            Moment now) {
+        List<TableDelta.Part> parts = new ArrayList<>();
+        for (Machine machine : machines.values()) {
+            if (machine.session() != null) {
+                parts.add(part(machine, tables.get(machine.id()).export(now)));
+            }
+        }
+        return parts;
+    }
+
+    private static TableDelta.Part part(Machine machine, int[] table) {
+        return new TableDelta.Part(machine.id(), incarnation(machine), machine.session(), machine.seq(), table,
+                new long[0]);
+    }
+
     private TableDelta samples(long after, SortedMap<MachineId, Machine> machines, Moment now) {
         Map<MachineId, LongArrayList> byMachine = new LinkedHashMap<>();
         long upTo = after;
@@ -97,8 +114,7 @@
             if (machine.session() != null) {
                 int[] table = tables.get(machine.id()).export(now);
                 numbers += table.length + PART;
-                parts.add(new TableDelta.Part(machine.id(), incarnation(machine), machine.session(), machine.seq(),
-                        table, new long[0]));
+                parts.add(part(machine, table));
             }
         }
         return new TableDelta(term, next - 1, true, false, parts);
--- /dev/null
+++ b/src/main/java/org/meadowhollow/coordination/succession/TableSnapshots.java
@@ -0,0 +1,244 @@
+package org.meadowhollow.coordination.succession;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import java.util.zip.CRC32C;
+import java.util.zip.Deflater;
+import java.util.zip.DeflaterOutputStream;
+import java.util.zip.InflaterInputStream;
+import org.meadowhollow.bookkeeping.EventLoop;
+import org.meadowhollow.bookkeeping.MachineId;
+import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.Records;
+import org.meadowhollow.bookkeeping.Session;
+import org.meadowhollow.bookkeeping.StateStore;
+import org.meadowhollow.bookkeeping.StateStore.Entry;
+import org.meadowhollow.bookkeeping.StateStore.Urgency;
+import org.meadowhollow.bookkeeping.Transaction;
+import org.meadowhollow.bookkeeping.Version;
+import org.meadowhollow.coordination.platform.TableDelta;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The risk tables in the state service, for the case that all controllers end at once. Two sets of chunks are written in
+ * turn, and the record that names the newer one is written last, so that a set that is half written is never read.
+ * Guarded by the leader's lock.
+ */
+public final class TableSnapshots {
+    private static final Logger LOG = LoggerFactory.getLogger(TableSnapshots.class);
+    /** How much a full stop forgets at most: a tenth of what a table is rebuilt from, for a few changes each time. */
+    static final Duration EVERY = Duration.ofSeconds(60);
+    /** A set that is not written by then is given up; there is more urgent work. */
+    private static final Duration GIVEN_UP = EVERY.multipliedBy(2);
+    /** The form of what is written; another one is not read. */
+    static final int FORM = 1;
+    /** Machines in a set at most; bounds its chunks. */
+    private static final int MOST_MACHINES = 2000;
+    /** Text that one transaction may hold, in bytes: the protocol's 64 KiB, less room for framing. */
+    private static final int MOST_BYTES = 48 * 1024;
+    /** Bytes of a value that are not its text. */
+    private static final int FRAMING = 64;
+    private static final int SETS = 2;
+
+    private final StateStore store;
+    private final Version leaderVersion;
+    private final int mostWrites;
+    private final int chunkBytes;
+    private List<String> chunks = List.of();
+    private int written;
+    /** The set that was begun last, by whomever; -1 while that is not known. */
+    private int set = -1;
+    private Map<String, Object> head;
+    private boolean writing;
+    private Moment begunAt;
+
+    /**
+     * @param valueBytes that a value may have
+     */
+    public TableSnapshots(StateStore store, Version leaderVersion, int mostWrites, int valueBytes) {
+        this.store = store;
+        this.leaderVersion = leaderVersion;
+        this.mostWrites = mostWrites;
+        this.chunkBytes = Math.min(valueBytes, MOST_BYTES) - FRAMING;
+    }
+
+    /**
+     * Begins a set when it is time, or writes the next part of one.
+     *
+     * @param idle whether no other records wait to be written
+     */
+    public void write(Supplier<List<TableDelta.Part>> tables, boolean idle, Moment now, long wallMillis) {
+        if (writing || !idle) {
+            return;
+        }
+        if (set < 0) {
+            findSet();
+            return;
+        }
+        if (head == null || now.since(begunAt).compareTo(GIVEN_UP) > 0) {
+            if (begunAt != null && now.since(begunAt).compareTo(EVERY) < 0) {
+                return;
+            }
+            begin(tables.get(), wallMillis);
+            begunAt = now;
+        }
+        Transaction transaction = new Transaction().guard(Records.LEADER, leaderVersion);
+        int bytes = 0;
+        int next = written;
+        while (next < chunks.size() && transaction.writes().size() < mostWrites - 1
+                && bytes + chunks.get(next).length() <= MOST_BYTES) {
+            bytes += chunks.get(next).length();
+            transaction.put(Records.tableChunk(set, next), Map.of("text", chunks.get(next)));
+            next++;
+        }
+        boolean last = next == chunks.size();
+        if (last) {
+            transaction.put(Records.TABLES_HEAD, head);
+        }
+        int reached = next;
+        writing = true;
+        store.commit(transaction, Urgency.BACKGROUND).whenComplete((commit, failure) -> {
+            writing = false;
+            if (failure == null && commit.applied()) {
+                written = reached;
+                head = last ? null : head;
+            }
+        });
+    }
+
+    /** The set that an earlier leader wrote last must stand until there is a newer one. */
+    private void findSet() {
+        writing = true;
+        store.get(Records.TABLES_HEAD, Urgency.BACKGROUND).whenComplete((found, failure) -> {
+            writing = false;
+            if (failure == null) {
+                set = found.map(entry -> (int) number(entry.value(), "set")).orElse(0);
+            }
+        });
+    }
+
+    private void begin(List<TableDelta.Part> parts, long wallMillis) {
+        byte[] body = encode(parts.size() > MOST_MACHINES ? parts.subList(0, MOST_MACHINES) : parts);
+        String text = Base64.getEncoder().encodeToString(body);
+        chunks = new ArrayList<>();
+        for (int at = 0; at < text.length(); at += chunkBytes) {
+            chunks.add(text.substring(at, Math.min(text.length(), at + chunkBytes)));
+        }
+        set = (set + 1) % SETS;
+        written = 0;
+        head = Map.of("form", (long) FORM, "set", (long) set, "chunks", (long) chunks.size(), "at", wallMillis,
+                "checksum", checksum(body));
+    }
+
+    private static long checksum(byte[] body) {
+        CRC32C sum = new CRC32C();
+        sum.update(body);
+        return sum.getValue();
+    }
+
+    static byte[] encode(List<TableDelta.Part> parts) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        Deflater fast = new Deflater(Deflater.BEST_SPEED);
+        try (DataOutputStream out = new DataOutputStream(new DeflaterOutputStream(bytes, fast))) {
+            out.writeInt(parts.size());
+            for (TableDelta.Part part : parts) {
+                out.writeUTF(part.machine().value());
+                out.writeInt(part.incarnation());
+                out.writeLong(part.session().value());
+                out.writeLong(part.seq());
+                out.writeInt(part.table().length);
+                for (int number : part.table()) {
+                    out.writeInt(number);
+                }
+            }
+        } catch (IOException impossible) {
+            throw new IllegalStateException(impossible);
+        } finally {
+            fast.end();
+        }
+        return bytes.toByteArray();
+    }
+
+    private static List<TableDelta.Part> decode(byte[] body) throws IOException {
+        try (DataInputStream in = new DataInputStream(new InflaterInputStream(new ByteArrayInputStream(body)))) {
+            int count = Math.min(MOST_MACHINES, in.readInt());
+            List<TableDelta.Part> parts = new ArrayList<>();
+            for (int at = 0; at < count; at++) {
+                MachineId machine = new MachineId(in.readUTF());
+                int incarnation = in.readInt();
+                Session session = new Session(in.readLong());
+                long seq = in.readLong();
+                int length = in.readInt();
+                if (length < 0 || length > TableFeed.MOST_NUMBERS) {
+                    throw new IOException("a table of " + length + " numbers");
+                }
+                int[] table = new int[length];
+                for (int number = 0; number < table.length; number++) {
+                    table[number] = in.readInt();
+                }
+                parts.add(new TableDelta.Part(machine, incarnation, session, seq, table, new long[0]));
+            }
+            return parts;
+        }
+    }
+
+    /** Tables, and how old they are. */
+    record Read(List<TableDelta.Part> parts, Duration age) {
+    }
+
+    /** The newest whole set; empty if there is none, or none that can be used, which is said in a line. */
+    static CompletableFuture<Optional<Read>> read(StateStore store, EventLoop loop) {
+        return store.get(Records.TABLES_HEAD, Urgency.PLACEMENT).thenCompose(found -> {
+            if (found.isEmpty()) {
+                return CompletableFuture.completedFuture(Optional.<Read>empty());
+            }
+            Map<String, Object> head = found.get().value();
+            Duration age = Duration.ofMillis(Math.max(0, loop.wallMillis() - number(head, "at")));
+            if (number(head, "form") != FORM || age.compareTo(TableCopies.MOST_AGE) > 0) {
+                return unusable("it has form " + number(head, "form") + " and is " + age.toSeconds() + " s old");
+            }
+            return store.list(Records.tableSet((int) number(head, "set")), null, Urgency.PLACEMENT)
+                    .thenCompose(page -> read(head, page.entries(), age));
+        }).exceptionally(failure -> Optional.empty());
+    }
+
+    private static CompletableFuture<Optional<Read>> read(Map<String, Object> head, List<Entry> entries, Duration age) {
+        Map<String, Object> texts = new HashMap<>();
+        entries.forEach(entry -> texts.put(entry.key(), entry.value().get("text")));
+        StringBuilder text = new StringBuilder();
+        for (int at = 0; at < number(head, "chunks"); at++) {
+            text.append(texts.get(Records.tableChunk((int) number(head, "set"), at)));
+        }
+        try {
+            byte[] body = Base64.getDecoder().decode(text.toString());
+            if (checksum(body) != number(head, "checksum")) {
+                return unusable("its checksum is wrong");
+            }
+            return CompletableFuture.completedFuture(Optional.of(new Read(decode(body), age)));
+        } catch (IOException | IllegalArgumentException broken) {
+            return unusable("it makes no sense");
+        }
+    }
+
+    private static CompletableFuture<Optional<Read>> unusable(String why) {
+        LOG.info("the snapshot of the tables is not used: {}", why);
+        return CompletableFuture.completedFuture(Optional.empty());
+    }
+
+    private static long number(Map<String, Object> record, String name) {
+        return ((Number) record.get(name)).longValue();
+    }
+}
--- a/src/main/java/org/meadowhollow/coordination/succession/Takeover.java
+++ b/src/main/java/org/meadowhollow/coordination/succession/Takeover.java
@@ -40,7 +40,7 @@
 
     /** A round was not begun yet because of these checks; the last to fail is what the first round waited for. */
     public void waitsFor(Set<FirstDecision.Check> failing) {
-        lastFailing = failing;
+        lastFailing = failing.isEmpty() ? lastFailing : failing;
     }
 
     public void firstRound(int reported, int needed, int placed, Moment now) {
@@ -51,14 +51,20 @@
         }
     }
 
-    /** The first round for which nearly all machines had reported; says it all, once. */
-    public void fullRound(int tables, Moment now) {
-        if (!told && firstAt != null) {
+    /**
+     * A round for which nearly all machines had reported; says it all with the first.
+     *
+     * @return whether it was the first
+     */
+    public boolean fullRound(int tables, Moment now) {
+        if (!told) {
             told = true;
             LOG.info("takeover in term {}: seen {} s before the key; after it, records in {} s ({}), first round in {} s"
                     + " ({}), full round in {} s; {} tables inherited", term, seconds(noticedAt, keyAt),
                     seconds(keyAt, recordsAt), records, seconds(keyAt, firstAt), first, seconds(keyAt, now), tables);
+            return true;
         }
+        return false;
     }
 
     private static String seconds(Moment from, Moment to) {
--- /dev/null
+++ b/src/test/java/org/meadowhollow/coordination/succession/TablesTest.java
@@ -0,0 +1,180 @@
+package org.meadowhollow.coordination.succession;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.meadowhollow.bookkeeping.Machine;
+import org.meadowhollow.bookkeeping.MachineId;
+import org.meadowhollow.bookkeeping.MachineType;
+import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.Report;
+import org.meadowhollow.bookkeeping.Resources;
+import org.meadowhollow.bookkeeping.Session;
+import org.meadowhollow.bookkeeping.Term;
+import org.meadowhollow.bookkeeping.Version;
+import org.meadowhollow.coordination.placement.RiskTable;
+import org.meadowhollow.coordination.platform.NodeStatus;
+import org.meadowhollow.coordination.platform.TableDelta;
+import org.meadowhollow.coordination.succession.TableCopies.Taken;
+
+/** A leader's tables and a standby's copies of them. */
+class TablesTest {
+    private static final Term TERM = new Term(2);
+    private static final MachineType TYPE = new MachineType("large", Resources.of(32, 8, 128), 50, 1, 8, 4, 10,
+            List.of("a"));
+    private static final NodeStatus STANDBY = new NodeStatus("n1", 1, "a", "test", 1, new Version(5));
+
+    private final TreeMap<MachineId, Machine> machines = new TreeMap<>();
+    private final Map<MachineId, RiskTable> tables = new HashMap<>();
+    private final TableFeed feed = new TableFeed(TERM);
+    private final TableCopies copies = new TableCopies();
+    private final Random random = new Random(11);
+    private long second;
+    private long seq;
+
+    private Moment now() {
+        return new Moment(second * 1_000_000_000L);
+    }
+
+    private void machines(int count) {
+        for (int at = 0; at < count; at++) {
+            MachineId id = new MachineId("vm-%06d".formatted(at));
+            machines.put(id, new Machine(id, TYPE, "a", false));
+            tables.put(id, new RiskTable());
+        }
+    }
+
+    /** Every machine reports once in three seconds, and some lose tasks. */
+    private void reports(int rounds) {
+        for (int round = 0; round < rounds; round++) {
+            second += 3;
+            machines.values().forEach(machine -> {
+                report(machine, new Session(1), ++seq);
+                int lost = random.nextInt(5) == 0 ? 1 : 0;
+                feed.sampled(machine, tables.get(machine.id()).add(random.nextInt(9), random.nextDouble(), lost, now()),
+                        now());
+            });
+        }
+    }
+
+    private static void report(Machine machine, Session session, long number) {
+        machine.reported(new Report(machine.id(), null, "large", "a", false, session, number, TERM, Double.NaN,
+                List.of()));
+    }
+
+    private TableDelta answer() {
+        return feed.answer(copies.question(STANDBY), machines, tables, now());
+    }
+
+    /** Asks until there is no more, while the leader goes on taking reports; how many answers that took. */
+    private int pull() {
+        for (int answers = 1;; answers++) {
+            Taken taken = copies.take(answer(), TERM, now());
+            if (taken == Taken.IN) {
+                return answers;
+            }
+            assertEquals(Taken.MORE, taken);
+            reports(1);
+        }
+    }
+
+    private Optional<RiskTable> inherit(int machine, Session session, long number) {
+        MachineId id = new MachineId("vm-%06d".formatted(machine));
+        return copies.inherit(id, TableFeed.incarnation(machines.get(id)), session, number, now());
+    }
+
+    @Test
+    void copiesComeToSayTheSameThoughPagesAndSamplesOverlap() {
+        machines(300);
+        reports(30);
+        assertTrue(pull() > 1, "whole tables come by pages");
+        for (int round = 0; round < 20; round++) {
+            reports(4);
+            pull();
+        }
+        for (int at = 0; at < 300; at++) {
+            assertEquals(tables.get(new MachineId("vm-%06d".formatted(at))),
+                    inherit(at, new Session(1), seq + 1).orElseThrow());
+        }
+    }
+
+    @Test
+    void whoIsTooFarBehindGetsWholeTables() {
+        machines(100);
+        reports(3);
+        pull();
+        reports(TableFeed.MOST_KEPT / 100 + 2);
+        assertTrue(answer().whole());
+        pull();
+        assertEquals(tables.get(new MachineId("vm-000007")), inherit(7, new Session(1), seq + 1).orElseThrow());
+    }
+
+    @Test
+    void whatADeposedLeaderSaysLateIsDropped() {
+        machines(3);
+        reports(3);
+        pull();
+        TableDelta late = answer();
+        TableFeed next = new TableFeed(TERM.next());
+        Term higher = TERM.next();
+        assertEquals(Taken.IN, copies.take(next.answer(copies.question(STANDBY), machines, tables, now()), higher, now()));
+        assertEquals(Taken.DEPOSED, copies.take(late, higher, now()));
+        // Even where nothing has been heard of the higher term but the tables themselves.
+        assertEquals(Taken.BROKEN, copies.take(late, TERM, now()));
+    }
+
+    @Test
+    void damagedTablesAreAskedForAnewAsAWhole() {
+        machines(2);
+        reports(25);
+        pull();
+        reports(1);
+        TableDelta.Part damaged = new TableDelta.Part(new MachineId("vm-000001"), 1, new Session(1), seq, new int[0],
+                new long[] {1, seq, 0, -1});
+        assertEquals(Taken.BROKEN, copies.take(new TableDelta(TERM, answer().upTo(), false, false, List.of(damaged)), TERM,
+                now()));
+        assertTrue(copies.question(STANDBY).isForWhole());
+        pull();
+        assertEquals(tables.get(new MachineId("vm-000001")), inherit(1, new Session(1), seq + 1).orElseThrow());
+        int[] table = tables.get(new MachineId("vm-000000")).export(now());
+        table[0]++;
+        assertThrows(IllegalArgumentException.class, () -> RiskTable.of(table, now()));
+        assertThrows(IllegalArgumentException.class, () -> RiskTable.of(new int[] {0, 0}, now()));
+    }
+
+    @Test
+    void aTableIsOfTheMachineThatItsNameMeansNow() {
+        machines(4);
+        reports(25);
+        pull();
+        assertTrue(inherit(0, new Session(2), 1).isPresent(), "a later session of the same machine");
+        assertTrue(inherit(1, new Session(1), 1).isEmpty(), "a machine whose reports count from the start again");
+        MachineId moved = new MachineId("vm-000002");
+        assertTrue(copies.inherit(moved, TableFeed.incarnation("large", "b", false, null), new Session(1), seq + 1, now())
+                .isEmpty(), "a machine of this name in another zone");
+        second += TableCopies.MOST_AGE.toSeconds() + 1;
+        assertTrue(inherit(3, new Session(1), seq + 1).isEmpty(), "what was true long ago");
+    }
+
+    @Test
+    void aRestoredTableGoesOnAsTheOneThatItWasMadeOf() {
+        RiskTable table = new RiskTable();
+        for (int at = 0; at < 150; at++) {
+            table.add(at / 40, 0.3, at % 50 == 0 ? 1 : 0, new Moment((second += 3) * 1_000_000_000L));
+        }
+        RiskTable copy = RiskTable.of(table.export(now()), now());
+        for (int at = 0; at < 300; at++) {
+            int sample = table.add(3, 0.3, at > 100 ? 2 : 0, new Moment((second += 3) * 1_000_000_000L));
+            copy.replay(sample, now());
+            assertEquals(table, copy, "after " + at);
+        }
+    }
+}
--- a/src/test/java/org/meadowhollow/story/FakeStore.java
+++ b/src/test/java/org/meadowhollow/story/FakeStore.java
@@ -23,6 +23,8 @@
 /** The state service in memory; each node has its own line to it, which can be cut or lose answers. */
 final class FakeStore {
     private static final Duration LATENCY = Duration.ofMillis(3);
+    /** Changes that a watch can go back, as the protocol has it. */
+    private static final int MOST_LOG = 10_000;
     private static final Duration TIMEOUT = Duration.ofMillis(1500);
 
     private record Stored(byte[] value, long version, long lease) {
@@ -142,7 +144,8 @@
         private boolean losesAnswers;
         private String hidden = "/";
         private boolean dead;
-        private boolean blind;
+        private String blindTo;
+        private String skipped;
         private int mostWrites;
         private int reads;
         private final List<Runnable> held = new ArrayList<>();
@@ -161,7 +164,17 @@
 
         /** Watches show nothing, however long they wait. */
         void blind(boolean now) {
-            blind = now;
+            blindTo = now ? "" : null;
+        }
+
+        /** Watches of a prefix show nothing, however long they wait; null ends it. */
+        void blindTo(String prefix) {
+            blindTo = prefix;
+        }
+
+        /** Watches leave the changes of a key out, as no store that is right would. */
+        void skip(String key) {
+            skipped = key;
         }
 
         /** Executes requests but loses the answers. */
@@ -314,6 +327,12 @@
         private void look(CompletableFuture<Changes> answer, String prefix, Version after, Moment until) {
             expire();
             List<Change> found = new ArrayList<>();
+            boolean blind = blindTo != null && prefix.startsWith(blindTo);
+            if (!cut && !out && !blind && !log.isEmpty() && log.size() > MOST_LOG
+                    && log.get(log.size() - MOST_LOG).version().isAfter(new Version(after.value() + 1))) {
+                loop.after(latency, () -> fail(answer, Outcome.TOO_OLD));
+                return;
+            }
             if (!cut && !out && !blind) {
                 // The log is in the order of versions, and a watcher is mostly near its end.
                 int from = log.size();
@@ -321,13 +340,14 @@
                     from--;
                 }
                 for (Change change : log.subList(from, log.size())) {
-                    if (change.key().startsWith(prefix)) {
+                    if (change.key().startsWith(prefix) && !change.key().equals(skipped)) {
                         found.add(change);
                     }
                 }
             }
             if (!found.isEmpty() || until.isBefore(loop.now())) {
-                Changes changes = new Changes(new Version(revision), found);
+                // Who sees nothing cannot be told how far the store has come.
+                Changes changes = new Changes(cut || out || blind ? after : new Version(revision), found);
                 loop.after(latency, () -> complete(answer, changes));
             } else if (!dead) {
                 loop.after(Duration.ofMillis(50), () -> look(answer, prefix, after, until));
--- a/src/test/java/org/meadowhollow/story/RandomTroubleTest.java
+++ b/src/test/java/org/meadowhollow/story/RandomTroubleTest.java
@@ -27,6 +27,9 @@
     void theRulesHoldWhateverFails(long seed) {
         Random random = new Random(seed);
         World world = new World().team("team", 4, 20);
+        if (seed % 2 == 0) {
+            world.standby();
+        }
         for (int at = 0; at < 6; at++) {
             world.machine(at % 2 == 0 ? World.LARGE : World.SMALL, at < 3 ? "a" : "b");
         }
--- /dev/null
+++ b/src/test/java/org/meadowhollow/story/StandbyStoriesTest.java
@@ -0,0 +1,263 @@
+package org.meadowhollow.story;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.function.UnaryOperator;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.Records;
+import org.meadowhollow.bookkeeping.Term;
+import org.meadowhollow.bookkeeping.Version;
+import org.meadowhollow.coordination.admission.Admission.Phase;
+import org.meadowhollow.coordination.platform.NodeStatus;
+import org.meadowhollow.coordination.platform.Peers;
+import org.meadowhollow.coordination.platform.TableDelta;
+import org.meadowhollow.coordination.platform.TableQuestion;
+
+/** What a warm standby follows, what it takes over, and what must not mislead it. */
+class StandbyStoriesTest extends Story {
+    /** Samples that a table needs before it says anything, at a report every 3 s, and some. */
+    private static final double LEARNT_S = 80;
+    private static final int LEAST_SAMPLES = 20;
+    private int wrongExpected;
+
+    @BeforeEach
+    void warm() {
+        world.standby();
+        world.runS(5);
+        // Keeps the machines, with room on each for more.
+        assertTrue(world.submit(0, World.spec(9, Kind.ARRAY, 6, 4), Duration.ofHours(1)));
+        world.runS(30);
+    }
+
+    @AfterEach
+    void noImageWasWrong() {
+        long wrong = 0;
+        for (int node = 0; node < 3; node++) {
+            wrong += world.node(node) == null ? 0 : world.node(node).wrongRecords();
+        }
+        assertEquals(wrongExpected, wrong);
+    }
+
+    private int other(int besides) {
+        return (besides + 1) % 3;
+    }
+
+    /** Tables of a leader that have seen enough to say something. */
+    private long learnt(int node) {
+        TableQuestion whole = new TableQuestion(new NodeStatus("test", 1, "a", "", 0, Version.ABSENT), Term.NONE, -1, "");
+        return world.node(node).tables(whole).map(TableDelta::parts).orElse(List.of()).stream()
+                .filter(part -> part.table()[0] >= LEAST_SAMPLES).count();
+    }
+
+    private int untilAnotherLeads(int than) {
+        for (int step = 0; step < 60 && (world.leader() < 0 || world.leader() == than); step++) {
+            world.runS(0.25);
+        }
+        assertNotEquals(than, world.leader());
+        return world.leader();
+    }
+
+    private void untilDone(JobSpec job, double seconds) {
+        world.runS(seconds);
+        assertEquals(Phase.DONE, phase(job));
+    }
+
+    @Test
+    void whatTheTablesHaveLearntOutlivesTheirLeader() {
+        world.runS(LEARNT_S);
+        int dead = world.leader();
+        assertEquals(6, learnt(dead));
+        world.crash(dead);
+        int next = untilAnotherLeads(dead);
+        world.runS(4);
+        assertEquals(6, learnt(next), "all machines have reported, and none is new to it");
+    }
+
+    @Test
+    void aSuccessorTakesTheRecordsFromItsImage() {
+        JobSpec before = array(1, 10);
+        assertTrue(world.submit(0, before, LONG));
+        world.runS(10);
+        int dead = world.leader();
+        for (int node = 0; node < 3; node++) {
+            world.line(node).hide(Records.TASKS);
+        }
+        JobSpec lately = array(2, 4);
+        assertTrue(world.submit(other(dead), lately, SHORT));
+        world.runS(0.5);
+        world.crash(dead);
+        untilAnotherLeads(dead);
+        world.runS(25);
+        assertEquals(Phase.DONE, phase(lately), "no page of tasks could be read");
+        assertEquals(20, world.starts());
+    }
+
+    @Test
+    void aStandbyTooFarBehindReadsAllRecords() {
+        int dead = world.leader();
+        int heir = other(dead);
+        world.crash(3 - dead - heir);
+        world.line(heir).cut(true);
+        world.runS(1);
+        JobSpec job = array(1, 5);
+        assertTrue(world.submit(dead, job, SHORT));
+        for (int at = 0; at <= 10_000; at++) {
+            world.store().put("junk/" + at % 10, Map.of("at", (long) at));
+        }
+        world.crash(dead);
+        world.line(heir).cut(false);
+        assertEquals(heir, untilAnotherLeads(dead));
+        untilDone(job, 30);
+        assertEquals(11, world.starts());
+    }
+
+    @Test
+    void aStandbyWhoseViewStoodStillDecidesNothingFromIt() {
+        int dead = world.leader();
+        int heir = other(dead);
+        world.crash(3 - dead - heir);
+        world.line(heir).blindTo(Records.JOBS);
+        JobSpec job = array(1, 5);
+        assertTrue(world.submit(dead, job, Duration.ofSeconds(60)));
+        world.runS(10);
+        assertEquals(11, world.starts());
+        world.crash(dead);
+        world.runS(40);
+        assertEquals(heir, world.leader());
+        world.line(heir).blindTo(null);
+        untilDone(job, 40);
+        assertEquals(11, world.starts(), "from the old view they would have been stopped as nobody's");
+    }
+
+    @Test
+    void aRecordThatAStandbyHasWrongIsFoundByTheAudit() {
+        JobSpec job = array(1, 4);
+        int standby = other(world.leader());
+        world.line(standby).skip(Records.job(job.id()));
+        assertTrue(world.submit(world.leader(), job, LONG));
+        world.runS(130);
+        world.line(standby).skip(null);
+        wrongExpected = 1;
+        int dead = world.leader();
+        world.crash(dead);
+        world.crash(3 - dead - standby);
+        untilAnotherLeads(dead);
+        world.runS(20);
+        assertEquals(Phase.RUNNING, phase(job));
+        assertEquals(10, world.starts());
+    }
+
+    @Test
+    void aLeaderThatIsToldToEndHandsItsLeaseToAStandby() {
+        world.runS(LEARNT_S);
+        int ending = world.leader();
+        world.node(ending).handOver();
+        world.runS(0.6);
+        int next = world.leader();
+        assertNotEquals(ending, next);
+        assertTrue(next >= 0, "two are equally good, and one of them was named");
+        world.crash(ending);
+        long term = world.term();
+        world.runS(5);
+        assertEquals(6, learnt(next));
+        assertEquals(term, world.term());
+    }
+
+    @Test
+    void theNextStandbyStepsInWhereTheOneThatWasNamedIsGone() {
+        int ending = world.leader();
+        int named = ending == 0 ? 1 : 0;
+        world.crash(named);
+        world.node(ending).handOver();
+        world.runS(0.5);
+        world.crash(ending);
+        world.runS(2.5);
+        assertEquals(3 - ending - named, world.leader(), "long before a lease would have run out");
+    }
+
+    @Test
+    void tablesThatCannotBeReadAreAskedForAnewAndHoldUpNothing() {
+        world.tables(delta -> {
+            throw new Peers.Unreadable("damaged");
+        }, Duration.ofMillis(5));
+        world.runS(LEARNT_S);
+        JobSpec job = array(1, 4);
+        int dead = world.leader();
+        world.crash(dead);
+        int second = untilAnotherLeads(dead);
+        assertTrue(world.submit(second, job, SHORT));
+        untilDone(job, 30);
+        world.restart(dead);
+        world.tables(UnaryOperator.identity(), Duration.ofMillis(5));
+        world.runS(LEARNT_S);
+        world.crash(second);
+        int third = untilAnotherLeads(second);
+        world.runS(4);
+        assertEquals(6, learnt(third));
+    }
+
+    @Test
+    void tablesOutliveAllNodes() {
+        world.runS(2 * LEARNT_S);
+        world.crashAll();
+        world.runS(6);
+        world.restartAll();
+        world.runS(20);
+        assertEquals(6, learnt(world.leader()));
+    }
+
+    @Test
+    void aSnapshotThatIsNotWholeIsNotUsed() {
+        world.runS(2 * LEARNT_S);
+        long set = (long) world.store().value(Records.TABLES_HEAD).get("set");
+        world.crashAll();
+        world.store().put(Records.tableChunk((int) set, 0), Map.of("text", "AAAA"));
+        world.restartAll();
+        world.runS(20);
+        assertEquals(0, learnt(world.leader()));
+        assertFalse(world.leader() < 0);
+    }
+
+    @Test
+    void allNodesAreReplacedInTurnDuringAnOutage() {
+        JobSpec job = array(1, 12);
+        assertTrue(world.submit(0, job, Duration.ofSeconds(100)));
+        world.runS(10);
+        world.store().out(true);
+        for (int node = 0; node < 3; node++) {
+            world.crash(node);
+            world.runS(3);
+            world.restart(node);
+            world.runS(3);
+        }
+        world.store().out(false);
+        untilDone(job, 240);
+    }
+
+    @Test
+    void aLeaderThatStoodStillDecidesNothingFromWhatItKnew() {
+        int frozen = world.leader();
+        JobSpec job = array(1, 6);
+        assertTrue(world.submit(other(frozen), job, Duration.ofSeconds(40)));
+        world.runS(5);
+        world.freeze(frozen);
+        int next = untilAnotherLeads(frozen);
+        JobSpec later = array(2, 6);
+        assertTrue(world.submit(next, later, Duration.ofSeconds(40)));
+        world.runS(24);
+        world.thaw(frozen);
+        untilDone(later, 60);
+        assertEquals(Phase.DONE, phase(job));
+        assertEquals(next, world.leader());
+    }
+}
