Leadership becomes a step function

Need: who leads was decided in callbacks spread over 500 lines, which no model could run; the standby asks for an exploration of the same code that the daemon runs.

Change: LeadershipStep takes a state, an event and the clock, and gives the next state and the effects; states, events and effects are records. Leadership does what a step asks for, outside its lock, and turns the answers into events. Ruled out: a model written beside the code, which would be checked instead of it.

--- a/src/main/java/org/meadowhollow/cli/Controller.java
+++ b/src/main/java/org/meadowhollow/cli/Controller.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -56,6 +57,8 @@
      */
     private static final int IDLE_REPORTS = 6;
     private static final Duration LEAST_IDLE = Duration.ofSeconds(20);
+    /** While a lease is handed over. */
+    private static final Duration LOOK_AGAIN = Duration.ofMillis(20);
     /** Sockets and files that the process itself needs beside its connections. */
     private static final int OWN_SOCKETS = 64;
     /** The least share of its sockets that a process leaves to those who come to it. */
@@ -232,8 +235,14 @@
      * @param most how long to wait for that
      */
     public void handOver(Duration most) {
+        CompletableFuture<Void> over = new CompletableFuture<>();
+        loop.call(() -> {
+            node.handOver();
+            untilOver(over);
+            return over;
+        });
         try {
-            loop.call(node::handOver).get(most.toMillis(), TimeUnit.MILLISECONDS);
+            over.get(most.toMillis(), TimeUnit.MILLISECONDS);
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         } catch (ExecutionException | TimeoutException late) {
@@ -241,6 +250,14 @@
         }
     }
 
+    private void untilOver(CompletableFuture<Void> over) {
+        if (node.leads()) {
+            loop.after(LOOK_AGAIN, () -> untilOver(over));
+        } else {
+            over.complete(null);
+        }
+    }
+
     @Override
     public void close() {
         if (tes != null) {
--- a/src/main/java/org/meadowhollow/coordination/Node.java
+++ b/src/main/java/org/meadowhollow/coordination/Node.java
@@ -241,10 +241,16 @@
     }
 
     /** Gives the lease to the standby that could take over best, because this node is about to end. */
-    public CompletableFuture<Void> handOver() {
+    public void handOver() {
         Leader now = leader();
-        return now == null ? CompletableFuture.completedFuture(null)
-                : leadership.handOver(now.heir().orElse(null));
+        if (now != null) {
+            leadership.handOver(now.heir().orElse(null));
+        }
+    }
+
+    /** Whether this node leads. */
+    public boolean leads() {
+        return leader() != null;
     }
 
     /** Those of some machines whose reports have come to this node within a time. */
--- /dev/null
+++ b/src/main/java/org/meadowhollow/coordination/leadership/LeadershipState.java
@@ -0,0 +1,131 @@
+package org.meadowhollow.coordination.leadership;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import org.meadowhollow.bookkeeping.LeaseId;
+import org.meadowhollow.bookkeeping.MachineId;
+import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.Term;
+import org.meadowhollow.bookkeeping.Version;
+
+/**
+ * What a node knows of who leads; {@link LeadershipStep} makes the next one of it.
+ *
+ * @param epoch raised by the end of each leadership, so that what was begun before is not heeded after
+ * @param term of this node's last leadership
+ * @param holding null unless this node leads
+ * @param deaf whether this node gave its lease up for want of hearing, and has heard nobody since
+ * @param resignedAloneAt when it last did so without knowing of a node that hears, or null
+ */
+record LeadershipState(int epoch, Term term, Holding holding, Known known, Suspicion suspicion, boolean deaf,
+        Moment resignedAloneAt) {
+    /** Of a node that has just started. */
+    static final LeadershipState FIRST = new LeadershipState(0, Term.NONE, null, new Known(null, Term.NONE, null, null),
+            Suspicion.NONE, false, null);
+
+    /**
+     * The key and the lease of this node's leadership.
+     *
+     * @param leaseSentAt when the last answered renewal was sent, from when on the lease counts
+     * @param renewalSentAt when the last renewal was sent, or null if one is to be sent at once
+     * @param version the revision of the transaction that took the key
+     */
+    record Holding(LeaseId lease, Moment leaseSentAt, Moment renewalSentAt, boolean renewing, Version version,
+            boolean resigning) {
+        Holding renewing(Moment now) {
+            return new Holding(lease, leaseSentAt, now, true, version, resigning);
+        }
+
+        Holding renewed(Moment sentAt) {
+            return new Holding(lease, Moment.later(leaseSentAt, sentAt), renewalSentAt, false, version, resigning);
+        }
+
+        Holding notRenewed() {
+            return new Holding(lease, leaseSentAt, null, false, version, resigning);
+        }
+
+        Holding resigning(boolean now) {
+            return new Holding(lease, leaseSentAt, renewalSentAt, renewing, version, now);
+        }
+
+        boolean isDue(Moment now, Duration every) {
+            return !renewing && (renewalSentAt == null || now.since(renewalSentAt).compareTo(every) >= 0);
+        }
+    }
+
+    /**
+     * The leader last heard of.
+     *
+     * @param leader its name, or null
+     * @param term the highest term heard of
+     * @param lease of its key, or null
+     * @param freeSince since when the key is known to be free, or null
+     */
+    record Known(String leader, Term term, LeaseId lease, Moment freeSince) {
+        Known nobody(Moment now) {
+            return new Known(null, term, null, freeSince == null ? now : freeSince);
+        }
+
+        Known leader(String name) {
+            return new Known(name, term, lease, freeSince);
+        }
+    }
+
+    /**
+     * Of the leader, that its process has ended.
+     *
+     * @param deserters workers that have left it, as many as are needed to tell
+     * @param left how many have, in all
+     * @param asking whether it is being asked
+     * @param trustedAt when it last answered, or null
+     */
+    record Suspicion(Set<MachineId> deserters, int left, boolean asking, Moment trustedAt) {
+        static final Suspicion NONE = new Suspicion(Set.of(), 0, false, null);
+
+        Suspicion left(MachineId worker, int enough) {
+            if (deserters.size() >= enough || deserters.contains(worker)) {
+                return new Suspicion(deserters, left + 1, asking, trustedAt);
+            }
+            Set<MachineId> more = new HashSet<>(deserters);
+            more.add(worker);
+            return new Suspicion(more, left + 1, asking, trustedAt);
+        }
+
+        Suspicion asking(boolean now) {
+            return new Suspicion(deserters, left, now, trustedAt);
+        }
+
+        Suspicion ofNobody() {
+            return new Suspicion(Set.of(), 0, asking, trustedAt);
+        }
+    }
+
+    LeadershipState with(Holding now) {
+        return new LeadershipState(epoch, term, now, known, suspicion, deaf, resignedAloneAt);
+    }
+
+    LeadershipState with(Known now) {
+        return new LeadershipState(epoch, term, holding, now, suspicion, deaf, resignedAloneAt);
+    }
+
+    LeadershipState with(Suspicion now) {
+        return new LeadershipState(epoch, term, holding, known, now, deaf, resignedAloneAt);
+    }
+
+    LeadershipState deaf(boolean now, Moment aloneAt) {
+        return new LeadershipState(epoch, term, holding, known, suspicion, now, aloneAt);
+    }
+
+    /** The leadership is over. */
+    LeadershipState over(String member) {
+        return new LeadershipState(epoch + 1, term, null, member.equals(known.leader()) ? known.leader(null) : known,
+                suspicion, deaf, resignedAloneAt);
+    }
+
+    /** The key is this node's. */
+    LeadershipState elected(String member, Term now, Holding held) {
+        return new LeadershipState(epoch, now, held, new Known(member, now, known.lease(), null), suspicion, deaf,
+                resignedAloneAt);
+    }
+}
