--- a/src/main/java/org/meadowhollow/coordination/leadership/Leadership.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/Leadership.java
@@ -142,8 +142,8 @@
 
     /**
      * Gives the lease up because hardly any worker is heard here; the record of terms says so, and for whom. Its key is
-     * removed under a guard, so nothing is given up that another has taken. Until the answer comes this node leads on;
-     * with none, it tries again when asked to.
+     * removed under a guard, so nothing is given up that another has taken. Until the answer comes this node answers
+     * reports and decides nothing; refused, it leads on and tries again when asked to.
      *
      * @param heir a node that hears them, or null if none is known
      */
@@ -292,7 +292,8 @@
                 giveUp.heir() == null ? "" : " to " + giveUp.heir());
         store.commit(transaction(giveUp), Urgency.LEASE).whenComplete((commit, failure) ->
                 on(new LeadershipEvent.GivenUp(giveUp.epoch(), giveUp.lease(), giveUp.forWantOfHearing(), giveUp.heir(),
-                        failure == null ? commit : null)));
+                        failure == null ? commit : null,
+                        failure != null && StateException.of(failure) == Outcome.REFUSED)));
     }
 
     private Transaction transaction(LeadershipEffect.Claim claim) {
--- a/src/main/java/org/meadowhollow/coordination/leadership/LeadershipEvent.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/LeadershipEvent.java
@@ -90,10 +90,11 @@
     }
 
     /**
-     * @param commit null if that was not answered
+     * @param commit null if that was not answered, or refused
+     * @param refused whether it is certain that nothing was and will be executed
      */
-    record GivenUp(int epoch, LeaseId lease, boolean forWantOfHearing, String heir, StateStore.Commit commit)
-            implements LeadershipEvent {
+    record GivenUp(int epoch, LeaseId lease, boolean forWantOfHearing, String heir, StateStore.Commit commit,
+            boolean refused) implements LeadershipEvent {
     }
 
     /** A worker has come that has left the leader. */
--- a/src/main/java/org/meadowhollow/coordination/leadership/LeadershipStep.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/LeadershipStep.java
@@ -59,9 +59,9 @@
         this.member = member;
     }
 
-    /** Whether new starts may go out: the lease certainly holds. */
+    /** Whether new starts may go out: the lease certainly holds, and is not being given up, which may be done by now. */
     static boolean mayStart(LeadershipState state, Moment now) {
-        return mayFor(TTL, state, now);
+        return mayFor(TTL, state, now) && !state.holding().resigning();
     }
 
     /** Whether a leader's last answered renewal was sent less than a time ago, by any clock. */
@@ -241,12 +241,14 @@
         if (state.holding() == null) {
             return Step.of(state);
         }
-        if (event.commit() == null) {
+        if (event.refused()) {
             return Step.of(state.with(state.holding().resigning(false)));
         }
         LeadershipState given = event.forWantOfHearing()
                 ? state.deaf(true, event.heir() == null ? now : state.resignedAloneAt()) : state;
-        String why = !event.commit().applied() ? "the leader's record has changed"
+        // Unanswered, it may have been executed, or may be at any later time, so this node cannot lead on.
+        String why = event.commit() == null ? "whether it is given up is not known"
+                : !event.commit().applied() ? "the leader's record has changed"
                 : event.forWantOfHearing() ? "it hears hardly any worker" : "it was handed over";
         return stepDown(given, why).then(new LeadershipEffect.Revoke(event.lease()));
     }
