Noted tables are read as soon as the records are in, a few at a time

Change: they are read once the records are in, while the first round waits for reports, and made fifty at a time with a renewal in between. Ruled out: all in one turn (a starved leader lost its lease over it).

--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -100,8 +100,6 @@
      * waited at this node for a leader; for the rest it knows the tables and what may run there.
      */
     private static final double ENOUGH = 0.5;
-    /** When a leader that was handed no tables looks for noted ones: behind what a start brings. */
-    private static final Duration NOTED_AFTER = Duration.ofSeconds(3);
     /** How often a warm leader looks whether its first round can be. */
     private static final Duration EARLY = Duration.ofMillis(200);
     /** Failures of a job's tasks after which it has to wait before the next start. */
@@ -146,6 +144,7 @@
     private boolean begun;
     /** Whether all tables are here that there are: a snapshot of fewer would take the place of a better one. */
     private boolean tablesSettled;
+    private boolean tablesAsked;
     private boolean closed;
     private long byTable;
     private long byRoom;
@@ -530,23 +529,33 @@
     /** The first round of a warm leader, as soon as it may decide; its other rounds come every second from its begin. */
     private void early() {
         synchronized (this) {
-            if (closed || begun) {
+            if (closed) {
                 return;
             }
-            loop.after(EARLY, this::early);
             Moment now = loop.now();
-            if (loading.isDone() && mayDecide(now)) {
+            if (loading.isDone() && !begun && mayDecide(now)) {
                 place(now);
                 ledger.flush();
             }
+            if (!begun) {
+                loop.after(EARLY, this::early);
+            }
+            if (!loading.isDone() || tablesAsked) {
+                return;
+            }
+            tablesAsked = true;
+            tablesSettled = !inheritance.lacksTables();
+        }
+        if (!tablesSettled()) {
+            inheritance.readSnapshot(store, loop).thenRun(this::handOverNoted);
         }
     }
 
-    /** Brings tables from the state service after the first full round, which a starved node is busy enough with. */
-    private void readNotedTables() {
-        inheritance.readSnapshot(store, loop).thenRun(this::handOverNoted);
+    private synchronized boolean tablesSettled() {
+        return tablesSettled;
     }
 
+    /** Hands over what was noted in the state service, some tables at a time. */
     private void handOverNoted() {
         synchronized (this) {
             leadership.keepUp();
@@ -649,11 +658,8 @@
                 mostJobs());
         carryOut(outcome.decisions(), now);
         takeover.firstRound(heard(), needed(now), outcome.decisions().size(), now);
-        if (full && takeover.fullRound(inheritance.tables(), now)) {
-            tablesSettled = inheritance.isWarm() && !inheritance.lacksTables();
-            if (inheritance.lacksTables()) {
-                loop.after(NOTED_AFTER, this::readNotedTables);
-            }
+        if (full) {
+            takeover.fullRound(inheritance.tables(), now);
         }
         List<Fleet.Need> needs = new ArrayList<>();
         int preempting = 0;
--- a/src/main/java/org/meadowhollow/coordination/succession/Takeover.java
+++ b/src/main/java/org/meadowhollow/coordination/succession/Takeover.java
@@ -51,20 +51,14 @@
         }
     }
 
-    /**
-     * A round for which nearly all machines had reported; says it all with the first.
-     *
-     * @return whether it was the first
-     */
-    public boolean fullRound(int tables, Moment now) {
+    /** A round for which nearly all machines had reported; says it all with the first. */
+    public void fullRound(int tables, Moment now) {
         if (!told) {
             told = true;
             LOG.info("takeover in term {}: seen {} s before the key; after it, records in {} s ({}), first round in {} s"
                     + " ({}), full round in {} s; {} tables inherited", term, seconds(noticedAt, keyAt),
                     seconds(keyAt, recordsAt), records, seconds(keyAt, firstAt), first, seconds(keyAt, now), tables);
-            return true;
         }
-        return false;
     }
 
     private static String seconds(Moment from, Moment to) {
