A warm standby places within a second of its key among 900 machines, and reads no pages

A story at the large size: requests of a standby are counted under load, and the records of 900 machines' work are in hand at the takeover. It fails with a follower that does not pause, and with one that reads pages.

--- a/src/test/java/org/meadowhollow/story/FakeStore.java
+++ b/src/test/java/org/meadowhollow/story/FakeStore.java
@@ -12,6 +12,7 @@
 import org.meadowhollow.bookkeeping.EventLoop;
 import org.meadowhollow.bookkeeping.LeaseId;
 import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.Records;
 import org.meadowhollow.bookkeeping.StateException;
 import org.meadowhollow.bookkeeping.StateException.Outcome;
 import org.meadowhollow.bookkeeping.StateStore;
@@ -148,6 +149,8 @@
         private String skipped;
         private int mostWrites;
         private int reads;
+        private int pages;
+        private int watches;
         private final List<Runnable> held = new ArrayList<>();
         private boolean holding;
         private boolean holdsCommits;
@@ -202,6 +205,16 @@
             dead = true;
         }
 
+        /** Pages of records read so far, but for the leader's key. */
+        int pages() {
+            return pages;
+        }
+
+        /** Watches opened so far. */
+        int watches() {
+            return watches;
+        }
+
         /** Keys read one by one so far. */
         int reads() {
             return reads;
@@ -258,6 +271,7 @@
 
         @Override
         public CompletableFuture<Page> list(String prefix, String after, int most, Urgency urgency) {
+            pages += prefix.equals(Records.LEADER) ? 0 : 1;
             return call(() -> {
                 if (prefix.startsWith(hidden)) {
                     throw new StateException(Outcome.REFUSED, "hidden");
@@ -319,6 +333,7 @@
 
         @Override
         public CompletableFuture<Changes> watch(String prefix, Version after, Duration wait) {
+            watches++;
             CompletableFuture<Changes> answer = new CompletableFuture<>();
             look(answer, prefix, after, loop.now().plus(wait));
             return answer;
--- a/src/test/java/org/meadowhollow/story/ScaleTest.java
+++ b/src/test/java/org/meadowhollow/story/ScaleTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.meadowhollow.bookkeeping.JobSpec;
 import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.Records;
 import org.meadowhollow.coordination.admission.Admission.Phase;
 
 /** What a large deployment must bear; it counts messages and records, not seconds of a machine's time. */
@@ -55,6 +56,33 @@
         }
     }
 
+    @Test
+    void aWarmStandbyPlacesWithinASecondOfItsKeyAndReadsNoPages() {
+        world.standby();
+        world.runS(60);
+        int dead = world.leader();
+        int[] pages = new int[3];
+        int[] watches = new int[3];
+        for (int node = 0; node < 3; node++) {
+            pages[node] = world.line(node).pages();
+            watches[node] = world.line(node).watches();
+        }
+        world.runS(20);
+        int follower = (dead + 1) % 3;
+        int asked = world.line(follower).watches() - watches[follower];
+        assertTrue(asked <= 3 * 11, asked + " watches of three prefixes in 20 s, at most one each in 2 s");
+        JobSpec waiting = World.spec(JOBS, Kind.ARRAY, 1, 1);
+        world.crash(dead);
+        assertTrue(world.submit(follower, waiting, Duration.ofSeconds(20)));
+        for (int step = 0; step < 40 && (world.leader() < 0 || world.leader() == dead); step++) {
+            world.runS(0.25);
+        }
+        int next = world.leader();
+        world.runS(1);
+        assertEquals(1, world.store().size(Records.TASKS + waiting.id().value()), "placed within a second or so");
+        assertEquals(pages[next], world.line(next).pages(), "it has all records in hand");
+    }
+
     @Test
     void manySilentMachinesAreAskedAFewAtATime() {
         world.workers().stream().limit(MACHINES / 2).forEach(worker -> worker.hang(true));
