--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -100,6 +100,8 @@
      * waited at this node for a leader; for the rest it knows the tables and what may run there.
      */
     private static final double ENOUGH = 0.5;
+    /** After the state service did not say which tables are noted there; until it does, none is written over. */
+    private static final Duration READ_AGAIN = Duration.ofSeconds(2);
     /** How often a warm leader looks whether its first round can be. */
     private static final Duration EARLY = Duration.ofMillis(200);
     /** Failures of a job's tasks after which it has to wait before the next start. */
@@ -547,10 +549,20 @@
             tablesSettled = !inheritance.lacksTables();
         }
         if (!tablesSettled()) {
-            inheritance.readSnapshot(store, loop).thenRun(this::handOverNoted);
+            readNotedTables();
         }
     }
 
+    private void readNotedTables() {
+        inheritance.readSnapshot(store, loop).whenComplete((unused, failure) -> {
+            if (failure == null) {
+                handOverNoted();
+            } else if (!isClosed()) {
+                loop.after(READ_AGAIN, this::readNotedTables);
+            }
+        });
+    }
+
     private synchronized boolean tablesSettled() {
         return tablesSettled;
     }
--- a/src/main/java/org/meadowhollow/coordination/succession/Membership.java
+++ b/src/main/java/org/meadowhollow/coordination/succession/Membership.java
@@ -34,14 +34,14 @@
     }
 
     /**
-     * Who could take over best: of those heard of lately, with records in hand and of our schema, the one that stands
-     * at the latest revision; of equal ones the first by name, so that one of them is meant.
+     * Who could take over best: of those heard of lately that read records of our schema, the one that stands at the
+     * latest revision; of equal ones the first by name, so that one of them is meant.
      */
     public Optional<String> heir(int schema, Moment now) {
         return members.values().stream()
                 .filter(each -> now.since(each.at()).compareTo(FRESH) <= 0)
                 .map(Seen::status)
-                .filter(status -> status.schema() == schema && status.revision().value() > 0)
+                .filter(status -> status.schema() == schema)
                 .max(Comparator.<NodeStatus>comparingLong(status -> status.revision().value())
                         .thenComparing(NodeStatus::member, Comparator.reverseOrder()))
                 .map(NodeStatus::member);
--- a/src/main/java/org/meadowhollow/coordination/succession/RecordFollower.java
+++ b/src/main/java/org/meadowhollow/coordination/succession/RecordFollower.java
@@ -38,11 +38,10 @@
     private static final int MOST_FAILURES = 3;
 
     private final StateStore store;
-    private final EventLoop loop;
+    private final Lives lives;
     private final String prefix;
     private final long mostBytes;
     private RecordImage image;
-    private int life;
     private int failures;
 
     /**
@@ -50,7 +49,7 @@
      */
     RecordFollower(StateStore store, EventLoop loop, String prefix, long mostBytes) {
         this.store = store;
-        this.loop = loop;
+        this.lives = new Lives(loop);
         this.prefix = prefix;
         this.mostBytes = mostBytes;
     }
@@ -60,7 +59,7 @@
     }
 
     synchronized void stop() {
-        life++;
+        lives.next();
         image = null;
     }
 
@@ -72,19 +71,7 @@
     private synchronized int begin() {
         image = null;
         failures = 0;
-        return ++life;
-    }
-
-    private synchronized boolean isCurrent(int mine) {
-        return life == mine;
-    }
-
-    private void later(Duration pause, int mine, Runnable work) {
-        loop.after(pause, () -> {
-            if (isCurrent(mine)) {
-                work.run();
-            }
-        });
+        return lives.next();
     }
 
     private void read(int mine) {
@@ -93,11 +80,11 @@
 
     private void page(int mine, String after, RecordImage begun) {
         store.list(prefix, after, Urgency.BACKGROUND).whenComplete((page, failure) -> {
-            if (!isCurrent(mine)) {
+            if (!lives.isCurrent(mine)) {
                 return;
             }
             if (failure != null) {
-                later(RETRY, mine, () -> page(mine, after, begun));
+                lives.later(RETRY, mine, () -> page(mine, after, begun));
                 return;
             }
             RecordImage growing = begun == null ? new RecordImage(prefix, page.revision()) : begun;
@@ -113,7 +100,7 @@
                 image = growing;
                 failures = 0;
             }
-            later(PAUSE, mine, () -> follow(mine));
+            lives.later(PAUSE, mine, () -> follow(mine));
         });
     }
 
@@ -125,7 +112,7 @@
         synchronized (this) {
             image = null;
         }
-        later(TOO_LARGE_FOR, mine, () -> read(mine));
+        lives.later(TOO_LARGE_FOR, mine, () -> read(mine));
         return true;
     }
 
@@ -135,7 +122,7 @@
             followed = image;
         }
         store.watch(prefix, followed.revision(), WATCH).whenComplete((changes, failure) -> {
-            if (!isCurrent(mine)) {
+            if (!lives.isCurrent(mine)) {
                 return;
             }
             if (failure == null && !followed.revision().isAfter(changes.revision())) {
@@ -144,14 +131,14 @@
                     followed.apply(changes);
                 }
                 if (!isTooLarge(followed, mine)) {
-                    later(PAUSE, mine, () -> follow(mine));
+                    lives.later(PAUSE, mine, () -> follow(mine));
                 }
             } else if (failure == null || isLost(StateException.of(failure))) {
                 LOG.info("the records under {} are read anew: {}", prefix, failure == null
                         ? "the state service went back to " + changes.revision().value() : failure.getMessage());
-                later(PAUSE, begin(), this::start);
+                lives.later(PAUSE, begin(), this::start);
             } else {
-                later(RETRY, mine, () -> follow(mine));
+                lives.later(RETRY, mine, () -> follow(mine));
             }
         });
     }
@@ -204,13 +191,13 @@
                 return CompletableFuture.completedFuture(List.of());
             }
             // The following rests meanwhile, so that all changes since the image's revision come by here.
-            mine = ++life;
+            mine = lives.next();
             judged = image;
         }
         return store.list(part, null, Urgency.BACKGROUND).thenCombine(
                 store.watch(prefix, judged.revision(), Duration.ZERO), (page, changes) -> {
                     synchronized (this) {
-                        boolean comparable = isCurrent(mine) && !page.more()
+                        boolean comparable = lives.isCurrent(mine) && !page.more()
                                 && !judged.revision().isAfter(changes.revision());
                         List<String> wrong = comparable ? wrong(judged, page, changes, part) : List.<String>of();
                         if (!wrong.isEmpty()) {
@@ -222,7 +209,7 @@
                         return wrong;
                     }
                 }).handle((wrong, failure) -> {
-                    later(PAUSE, mine, () -> follow(mine));
+                    lives.later(PAUSE, mine, () -> follow(mine));
                     return failure == null ? wrong : List.of();
                 });
     }
--- a/src/main/java/org/meadowhollow/coordination/succession/Standby.java
+++ b/src/main/java/org/meadowhollow/coordination/succession/Standby.java
@@ -39,13 +39,13 @@
     private static final List<String> AUDITED = List.of(Records.JOBS, Records.TASKS);
 
     private final EventLoop loop;
+    private final Lives lives;
     private final Peers peers;
     private final NodeStatus self;
     private final Supplier<String> leader;
     private final Supplier<Term> highest;
     private final Map<String, RecordFollower> followers = new TreeMap<>();
     private TableCopies copies = new TableCopies();
-    private int life;
     private long wrongRecords;
 
     /**
@@ -56,6 +56,7 @@
     public Standby(EventLoop loop, StateStore store, Peers peers, NodeStatus self, Supplier<String> leader,
             Supplier<Term> highest) {
         this.loop = loop;
+        this.lives = new Lives(loop);
         this.peers = peers;
         this.self = self;
         this.leader = leader;
@@ -69,24 +70,24 @@
     public void start() {
         int mine;
         synchronized (this) {
-            mine = ++life;
+            mine = lives.next();
             copies = new TableCopies();
         }
-        later(FIRST, mine, () -> {
+        lives.later(FIRST, mine, () -> {
             followers.values().forEach(RecordFollower::start);
             pull(mine);
         });
-        later(AUDIT, mine, () -> audit(mine));
+        lives.later(AUDIT, mine, () -> audit(mine));
     }
 
     /** Ends the following; what was followed goes to the leadership that begins. */
     public synchronized Inheritance handOver() {
-        life++;
+        lives.next();
         return new Inheritance(followers, copies);
     }
 
     public synchronized void close() {
-        life++;
+        lives.next();
         followers.values().forEach(RecordFollower::stop);
     }
 
@@ -95,18 +96,6 @@
         return wrongRecords;
     }
 
-    private synchronized boolean isCurrent(int mine) {
-        return life == mine;
-    }
-
-    private void later(Duration pause, int mine, Runnable work) {
-        loop.after(pause, () -> {
-            if (isCurrent(mine)) {
-                work.run();
-            }
-        });
-    }
-
     private boolean isOther(String name) {
         return name != null && !name.equals(self.member());
     }
@@ -131,7 +120,7 @@
     private void pull(int mine) {
         String asked = leader.get();
         if (!isOther(asked)) {
-            later(PULL, mine, () -> pull(mine));
+            lives.later(PULL, mine, () -> pull(mine));
             return;
         }
         TableCopies filled;
@@ -139,7 +128,7 @@
             filled = copies;
         }
         peers.tables(asked, filled.question(status())).whenComplete((delta, failure) -> {
-            if (!isCurrent(mine)) {
+            if (!lives.isCurrent(mine)) {
                 return;
             }
             boolean more;
@@ -150,7 +139,7 @@
                 filled.askForWhole();
                 LOG.info("what {} says of its tables cannot be read and is asked for anew: {}", asked, reason(failure));
             }
-            later(more ? MORE : PULL, mine, () -> pull(mine));
+            lives.later(more ? MORE : PULL, mine, () -> pull(mine));
         });
     }
 
@@ -172,13 +161,13 @@
     // ---- the audit ----
 
     private void audit(int mine) {
-        later(AUDIT, mine, () -> audit(mine));
+        lives.later(AUDIT, mine, () -> audit(mine));
         String asked = leader.get();
         if (!isOther(asked)) {
             return;
         }
         peers.digests(asked).whenComplete((told, failure) -> {
-            if (isCurrent(mine) && failure == null) {
+            if (lives.isCurrent(mine) && failure == null) {
                 told.flatMap(this::firstDiffering).ifPresent(part -> readAgain(mine, part));
             }
         });
@@ -195,7 +184,7 @@
     private void readAgain(int mine, String part) {
         String prefix = part.substring(0, part.indexOf('/') + 1);
         followers.get(prefix).readAgain(part).thenAccept(wrong -> {
-            if (isCurrent(mine) && !wrong.isEmpty()) {
+            if (lives.isCurrent(mine) && !wrong.isEmpty()) {
                 synchronized (this) {
                     wrongRecords += wrong.size();
                 }
--- a/src/main/java/org/meadowhollow/coordination/succession/TableSnapshots.java
+++ b/src/main/java/org/meadowhollow/coordination/succession/TableSnapshots.java
@@ -199,7 +199,10 @@
     record Read(List<TableDelta.Part> parts, Duration age) {
     }
 
-    /** The newest whole set; empty if there is none, or none that can be used, which is said in a line. */
+    /**
+     * The newest whole set; empty if there is none, or none that can be used, which is said in a line. Fails if the state
+     * service does not answer, which says nothing of what there is.
+     */
     static CompletableFuture<Optional<Read>> read(StateStore store, EventLoop loop) {
         return store.get(Records.TABLES_HEAD, Urgency.PLACEMENT).thenCompose(found -> {
             if (found.isEmpty()) {
@@ -212,7 +215,7 @@
             }
             return store.list(Records.tableSet((int) number(head, "set")), null, Urgency.PLACEMENT)
                     .thenCompose(page -> read(head, page.entries(), age));
-        }).exceptionally(failure -> Optional.empty());
+        });
     }
 
     private static CompletableFuture<Optional<Read>> read(Map<String, Object> head, List<Entry> entries, Duration age) {
--- a/src/test/java/org/meadowhollow/coordination/succession/TablesTest.java
+++ b/src/test/java/org/meadowhollow/coordination/succession/TablesTest.java
@@ -160,10 +160,38 @@
         MachineId moved = new MachineId("vm-000002");
         assertTrue(copies.inherit(moved, TableFeed.incarnation("large", "b", false, null), new Session(1), seq + 1, now())
                 .isEmpty(), "a machine of this name in another zone");
+        machines.put(moved, new Machine(moved, TYPE, "b", false));
+        tables.put(moved, new RiskTable());
+        reports(1);
+        pull();
+        assertEquals(tables.get(moved), inherit(2, new Session(1), seq + 1).orElseThrow(), "it began a table of its own");
         second += TableCopies.MOST_AGE.toSeconds() + 1;
         assertTrue(inherit(3, new Session(1), seq + 1).isEmpty(), "what was true long ago");
     }
 
+    @Test
+    void copiesAreBounded() {
+        machines(2100);
+        reports(1);
+        for (int answers = 0; answers < 20 && copies.take(answer(), TERM, now()) == Taken.MORE; answers++) {
+            assertTrue(copies.size() > 0);
+        }
+        assertEquals(2000, copies.size());
+    }
+
+    @Test
+    void theHeirIsTheStandbyThatIsFurthestOfThoseHeardOfLately() {
+        Membership members = new Membership();
+        members.seen(new NodeStatus("n3", 1, "a", "test", 1, new Version(90)), now());
+        second += Membership.FRESH.toSeconds() + 1;
+        assertTrue(members.heir(1, now()).isEmpty(), "nothing is known of who is silent");
+        members.seen(new NodeStatus("n4", 1, "a", "test", 2, new Version(80)), now());
+        members.seen(new NodeStatus("n2", 1, "a", "test", 1, new Version(7)), now());
+        members.seen(new NodeStatus("n1", 1, "a", "test", 1, new Version(7)), now());
+        members.seen(new NodeStatus("n0", 1, "a", "test", 1, new Version(6)), now());
+        assertEquals(Optional.of("n1"), members.heir(1, now()), "of two equally good ones the first is meant");
+    }
+
     @Test
     void aRestoredTableGoesOnAsTheOneThatItWasMadeOf() {
         RiskTable table = new RiskTable();
--- a/src/test/java/org/meadowhollow/protocol/PeerLinkTest.java
+++ b/src/test/java/org/meadowhollow/protocol/PeerLinkTest.java
@@ -1,13 +1,28 @@
 package org.meadowhollow.protocol;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.Test;
+import org.meadowhollow.bookkeeping.Digests;
+import org.meadowhollow.bookkeeping.MachineId;
+import org.meadowhollow.bookkeeping.Session;
+import org.meadowhollow.bookkeeping.Term;
+import org.meadowhollow.bookkeeping.Version;
+import org.meadowhollow.coordination.platform.NodeStatus;
 import org.meadowhollow.coordination.platform.Peers.Sign;
+import org.meadowhollow.coordination.platform.TableDelta;
+import org.meadowhollow.coordination.platform.TableQuestion;
 import org.meadowhollow.protocol.peers.PeerLink;
 
 class PeerLinkTest {
@@ -30,6 +45,47 @@
         assertEquals(Sign.SILENT, link.signOf("n1").join(), "all refuse, so the line is at fault");
     }
 
+    /** Asks another node for its tables; the answer is changed on its way. */
+    private Optional<TableDelta> tables(UnaryOperator<byte[]> onItsWay) {
+        PeerLink leader = new PeerLink(http, Map.of());
+        TableDelta delta = new TableDelta(new Term(3), 8, false, false, List.of(new TableDelta.Part(
+                new MachineId("vm-1"), 5, new Session(1), 77, new int[0], new long[] {1, 77, 20, 3})));
+        leader.testator(new PeerLink.Testator() {
+            @Override
+            public Optional<TableDelta> tables(TableQuestion question) {
+                return Optional.of(delta);
+            }
+
+            @Override
+            public Optional<Digests> digests() {
+                return Optional.empty();
+            }
+        });
+        PeerLink standby = new PeerLink((address, method, path, body, timeout) -> leader.handle(method, path, body)
+                .thenApply(reply -> new Http.Reply(reply.status(), onItsWay.apply(reply.body()), 0)), Map.of("n1", "a:1"));
+        Optional<TableDelta> got = standby.tables("n1", new TableQuestion(
+                new NodeStatus("n2", 1, "a", "test", 1, new Version(4)), new Term(3), 7, "")).join();
+        got.ifPresent(each -> assertArrayEquals(delta.parts().get(0).samples(), each.parts().get(0).samples()));
+        return got;
+    }
+
+    private static UnaryOperator<byte[]> adding(int at, int more) {
+        return body -> {
+            body[at < 0 ? body.length + at : at] += (byte) more;
+            return body;
+        };
+    }
+
+    @Test
+    void tablesArriveAsTheyAreOrNotAtAll() {
+        assertTrue(tables(body -> body).isPresent());
+        String damaged = assertThrows(CompletionException.class, () -> tables(adding(-2, 1))).getCause().getMessage();
+        assertEquals("it is damaged", damaged);
+        // Fields go by their names: the form comes last, behind the checksum.
+        String form = assertThrows(CompletionException.class, () -> tables(adding(-1, 2))).getCause().getMessage();
+        assertEquals("its form 2 is not known", form);
+    }
+
     @Test
     void silenceIsNoRefusal() {
         silent.add("a:1");
--- a/src/test/java/org/meadowhollow/story/FakeStore.java
+++ b/src/test/java/org/meadowhollow/story/FakeStore.java
@@ -147,6 +147,7 @@
         private boolean dead;
         private String blindTo;
         private String skipped;
+        private boolean failsWatches;
         private int mostWrites;
         private int reads;
         private int pages;
@@ -175,6 +176,11 @@
             blindTo = prefix;
         }
 
+        /** Watches of records fail, all but those of the leader's key. */
+        void failWatches(boolean now) {
+            failsWatches = now;
+        }
+
         /** Watches leave the changes of a key out, as no store that is right would. */
         void skip(String key) {
             skipped = key;
@@ -335,7 +341,11 @@
         public CompletableFuture<Changes> watch(String prefix, Version after, Duration wait) {
             watches++;
             CompletableFuture<Changes> answer = new CompletableFuture<>();
-            look(answer, prefix, after, loop.now().plus(wait));
+            if (failsWatches && !prefix.equals(Records.LEADER)) {
+                loop.after(latency, () -> fail(answer, Outcome.UNKNOWN));
+            } else {
+                look(answer, prefix, after, loop.now().plus(wait));
+            }
             return answer;
         }
 
--- a/src/test/java/org/meadowhollow/story/RandomTroubleTest.java
+++ b/src/test/java/org/meadowhollow/story/RandomTroubleTest.java
@@ -1,5 +1,6 @@
 package org.meadowhollow.story;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
@@ -47,6 +48,9 @@
             }
         }
         world.runS(400);
+        for (int node = 0; node < 3; node++) {
+            assertEquals(0, world.node(node).wrongRecords());
+        }
         for (JobSpec job : jobs) {
             Phase phase = world.poll(0, job.id()).map(JobState::phase).orElse(null);
             assertTrue(phase == null || phase == Phase.CANCELLED || phase == Phase.DONE,
--- a/src/test/java/org/meadowhollow/story/StandbyStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/StandbyStoriesTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.UnaryOperator;
@@ -121,6 +122,82 @@
         assertEquals(11, world.starts());
     }
 
+    @Test
+    void aStandbyThatCannotCatchUpReadsAllRecords() {
+        int dead = world.leader();
+        int heir = other(dead);
+        world.crash(3 - dead - heir);
+        world.runS(5);
+        world.line(heir).failWatches(true);
+        JobSpec job = array(1, 5);
+        assertTrue(world.submit(dead, job, Duration.ofSeconds(20)));
+        world.runS(4);
+        assertEquals(11, world.starts());
+        world.crash(dead);
+        assertEquals(heir, untilAnotherLeads(dead));
+        world.line(heir).failWatches(false);
+        untilDone(job, 40);
+        assertEquals(11, world.starts());
+    }
+
+    @Test
+    void anOutageLosesNoImage() {
+        int standby = other(world.leader());
+        int pages = world.line(standby).pages();
+        world.store().out(true);
+        world.runS(40);
+        world.store().out(false);
+        world.runS(20);
+        assertEquals(pages, world.line(standby).pages());
+    }
+
+    /** Some machines hang while another node takes over, and a job waits that fits on all six, with one task each. */
+    private List<FakeWorker> takenOverWithout(int machines) {
+        int dead = world.leader();
+        List<FakeWorker> late = world.workers().subList(0, machines);
+        late.forEach(worker -> worker.hang(true));
+        world.crash(dead);
+        assertTrue(world.submit(other(dead), World.spec(1, Kind.ARRAY, 6, 4), LONG));
+        untilAnotherLeads(dead);
+        return late;
+    }
+
+    @Test
+    void aFirstRoundWaitsForHalfTheMachines() {
+        takenOverWithout(4);
+        world.runS(1.5);
+        assertEquals(0, world.store().size(Records.TASKS + "req-000001"), "two of six have reported");
+    }
+
+    @Test
+    void aFirstRoundWithHalfTheMachinesOnlyPlaces() {
+        int rentals = world.rentals();
+        List<FakeWorker> late = takenOverWithout(2);
+        for (int step = 0; step < 14 && world.starts() == 6; step++) {
+            world.runS(0.25);
+        }
+        assertEquals(10, world.starts(), "where machines have reported");
+        world.runS(1);
+        assertEquals(rentals, world.rentals(), "the others may have room, as is seen when they report");
+        late.forEach(worker -> worker.hang(false));
+        world.runS(8);
+        assertEquals(12, world.starts());
+    }
+
+    @Test
+    void aTermIsAboveAllThatWorkersHaveShown() {
+        world.crashAll();
+        world.store().put(Records.TERM, Map.of("term", 50L));
+        world.restartAll();
+        world.runS(10);
+        assertEquals(51, world.term());
+        world.crashAll();
+        world.store().put(Records.TERM, Map.of("term", 1L));
+        world.restartAll();
+        world.runS(6);
+        assertTrue(world.term() > 51, "answers of a lower one would be dropped");
+    }
+
     @Test
     void aStandbyWhoseViewStoodStillDecidesNothingFromIt() {
         int dead = world.leader();
@@ -187,6 +264,19 @@
 
     @Test
     void tablesThatCannotBeReadAreAskedForAnewAndHoldUpNothing() {
+        world.tables(delta -> {
+            if (!delta.whole()) {
+                throw new Peers.Unreadable("damaged");
+            }
+            return delta;
+        }, Duration.ofMillis(5));
+        world.runS(LEARNT_S);
+        int first = world.leader();
+        world.crash(first);
+        int after = untilAnotherLeads(first);
+        world.runS(4);
+        assertEquals(6, learnt(after), "whole tables came instead");
+        world.restart(first);
         world.tables(delta -> {
             throw new Peers.Unreadable("damaged");
         }, Duration.ofMillis(5));
@@ -212,19 +302,37 @@
         world.crashAll();
         world.runS(6);
         world.restartAll();
+        for (int node = 0; node < 3; node++) {
+            world.line(node).hide(Records.TABLES);
+        }
+        world.runS(10);
+        for (int node = 0; node < 3; node++) {
+            world.line(node).hide("/");
+        }
         world.runS(20);
         assertEquals(6, learnt(world.leader()));
     }
 
     @Test
     void aSnapshotThatIsNotWholeIsNotUsed() {
-        world.runS(2 * LEARNT_S);
-        long set = (long) world.store().value(Records.TABLES_HEAD).get("set");
+        world.runS(3 * LEARNT_S);
+        Map<String, Object> head = world.store().value(Records.TABLES_HEAD);
+        int set = (int) (long) head.get("set");
+        Map<String, Object> older = world.store().value(Records.tableChunk(1 - set, 0));
+        Map<String, Object> newest = world.store().value(Records.tableChunk(set, 0));
+        world.crashAll();
+        world.store().put(Records.tableChunk(set, 0), older);
+        world.restartAll();
+        world.runS(20);
+        assertEquals(0, learnt(world.leader()), "another chunk is there than the head says");
         world.crashAll();
-        world.store().put(Records.tableChunk((int) set, 0), Map.of("text", "AAAA"));
+        world.store().put(Records.tableChunk(set, 0), newest);
+        Map<String, Object> unknown = new HashMap<>(head);
+        unknown.put("form", 2L);
+        world.store().put(Records.TABLES_HEAD, unknown);
         world.restartAll();
         world.runS(20);
-        assertEquals(0, learnt(world.leader()));
+        assertEquals(0, learnt(world.leader()), "a form that is not known");
         assertFalse(world.leader() < 0);
     }
 
--- a/src/test/java/org/meadowhollow/story/World.java
+++ b/src/test/java/org/meadowhollow/story/World.java
@@ -442,6 +442,11 @@
         taken.add(worker.id());
     }
 
+    /** Rentals that were asked for so far. */
+    int rentals() {
+        return rentals.size();
+    }
+
     /** The machines that were returned to the cloud so far. */
     List<MachineId> returned() {
         return returned.stream().map(FakeWorker::id).toList();
