Samples are kept for standbys only where there are any

Cause: a leader kept its last 8,192 samples also with standbys off. A start's processor time is the same (0.351 and 0.353 s, medians of four).

--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -165,7 +165,7 @@
         this.inheritance = inheritance;
         this.begunAt = loop.now();
         this.takeover = new Takeover(term, noticedAt, begunAt);
-        this.feed = new TableFeed(term);
+        this.feed = new TableFeed(term, inheritance.isWarm());
         this.snapshots = new TableSnapshots(store, leaderVersion, platform.txnOps(), platform.valueBytes());
         this.cluster = new Cluster(platform, term);
         this.jobs = cluster.jobs();
@@ -861,7 +861,7 @@
 
     /** What the tables have come to know since a standby last asked; empty until the records are in. */
     synchronized Optional<TableDelta> tables(TableQuestion asked) {
-        if (closed || !loading.isDone()) {
+        if (closed || !loading.isDone() || !inheritance.isWarm()) {
             return Optional.empty();
         }
         members.seen(asked.from(), loop.now());
--- a/src/main/java/org/meadowhollow/coordination/succession/TableFeed.java
+++ b/src/main/java/org/meadowhollow/coordination/succession/TableFeed.java
@@ -30,16 +30,23 @@
     }
 
     private final Term term;
-    /** By number, round the end. */
-    private final Sample[] kept = new Sample[MOST_KEPT];
+    /** By number, round the end; null where there are no standbys to ask. */
+    private final Sample[] kept;
     private long next;
 
-    public TableFeed(Term term) {
+    /**
+     * @param asked whether there are standbys that may ask
+     */
+    public TableFeed(Term term, boolean asked) {
         this.term = term;
+        this.kept = asked ? new Sample[MOST_KEPT] : null;
     }
 
     /** A report has shown a machine's table something. */
     public void sampled(Machine machine, int sample, Moment now) {
+        if (kept == null) {
+            return;
+        }
         kept[(int) (next++ % MOST_KEPT)] = new Sample(machine.id(), machine.session(), machine.seq(), now, sample);
     }
 
--- a/src/test/java/org/meadowhollow/coordination/succession/TablesTest.java
+++ b/src/test/java/org/meadowhollow/coordination/succession/TablesTest.java
@@ -34,7 +34,7 @@
 
     private final TreeMap<MachineId, Machine> machines = new TreeMap<>();
     private final Map<MachineId, RiskTable> tables = new HashMap<>();
-    private final TableFeed feed = new TableFeed(TERM);
+    private final TableFeed feed = new TableFeed(TERM, true);
     private final TableCopies copies = new TableCopies();
     private final Random random = new Random(11);
     private long second;
@@ -123,7 +123,7 @@
         reports(3);
         pull();
         TableDelta late = answer();
-        TableFeed next = new TableFeed(TERM.next());
+        TableFeed next = new TableFeed(TERM.next(), true);
         Term higher = TERM.next();
         assertEquals(Taken.IN, copies.take(next.answer(copies.question(STANDBY), machines, tables, now()), higher, now()));
         assertEquals(Taken.DEPOSED, copies.take(late, higher, now()));
