--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -33,7 +33,6 @@
 import org.meadowhollow.bookkeeping.Records;
 import org.meadowhollow.bookkeeping.Report;
 import org.meadowhollow.bookkeeping.Session;
-import org.meadowhollow.bookkeeping.StateException;
 import org.meadowhollow.bookkeeping.StateException.Outcome;
 import org.meadowhollow.bookkeeping.StateStore;
 import org.meadowhollow.bookkeeping.StateStore.Urgency;
@@ -576,7 +575,10 @@
     private void handOverNoted() {
         synchronized (this) {
             leadership.keepUp();
-            if (!closed && inheritance.handOverNoted(machines, cluster.risks(), loop.now())) {
+            if (closed) {
+                return;
+            }
+            if (inheritance.handOverNoted(machines, cluster.risks(), loop.now())) {
                 loop.after(EARLY, this::handOverNoted);
             } else {
                 tablesSettled = true;
@@ -674,7 +676,9 @@
         PlacementRound.Outcome outcome = PlacementRound.run(snapshot.seats(), snapshot.shares(), snapshot.waiting(),
                 mostJobs());
         carryOut(outcome.decisions(), now);
-        takeover.firstRound(heard(), needed(now), outcome.decisions().size(), now);
+        if (!takeover.isTold()) {
+            takeover.firstRound(heard(), needed(now), outcome.decisions().size(), now);
+        }
         if (full) {
             takeover.fullRound(inheritance.tables(), now);
         }
--- a/src/main/java/org/meadowhollow/coordination/leadership/Leadership.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/Leadership.java
@@ -2,10 +2,8 @@
 
 import java.time.Duration;
 import java.util.Map;
-import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import org.meadowhollow.bookkeeping.EventLoop;
-import org.meadowhollow.bookkeeping.LeaseId;
 import org.meadowhollow.bookkeeping.MachineId;
 import org.meadowhollow.bookkeeping.Moment;
 import org.meadowhollow.bookkeeping.Records;
--- a/src/main/java/org/meadowhollow/coordination/placement/RiskTable.java
+++ b/src/main/java/org/meadowhollow/coordination/placement/RiskTable.java
@@ -2,7 +2,6 @@
 
 import it.unimi.dsi.fastutil.ints.IntArrayList;
 import java.time.Duration;
-import java.util.Arrays;
 import org.agrona.collections.Int2IntCounterMap;
 import org.meadowhollow.bookkeeping.Moment;
 
--- a/src/main/java/org/meadowhollow/coordination/succession/Takeover.java
+++ b/src/main/java/org/meadowhollow/coordination/succession/Takeover.java
@@ -51,6 +51,11 @@
         }
     }
 
+    /** Whether the line is out, so that nothing more is to be noted. */
+    public boolean isTold() {
+        return told;
+    }
+
     /** A round for which nearly all machines had reported; says it all with the first. */
     public void fullRound(int tables, Moment now) {
         if (!told) {
