--- a/src/test/java/org/meadowhollow/story/StandbyStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/StandbyStoriesTest.java
@@ -134,12 +134,13 @@
         world.line(heir).failWatches(true);
         world.crash(dead);
         assertEquals(heir, untilAnotherLeads(dead));
+        world.runS(1);
+        world.line(heir).failWatches(false);
         JobSpec later = array(2, 3);
         assertTrue(world.submit(heir, later, SHORT));
         untilDone(later, 30);
         assertEquals(Phase.DONE, phase(job));
         assertEquals(14, world.starts());
-        world.line(heir).failWatches(false);
     }
 
     @Test
