A first round from some of the machines ends after placing, in one place

Cause: two guards kept it from renting and from making room, and either could be taken out unnoticed.

Change: one return, before anything is done for want of room. With it taken out, aFirstRoundWithHalfTheMachinesOnlyPlaces is meant to fail by its rentals.

--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -678,9 +678,11 @@
         if (!takeover.isTold()) {
             takeover.firstRound(heard(), needed(now), outcome.decisions().size(), now);
         }
-        if (full) {
-            takeover.fullRound(inheritance.tables(), now);
+        if (!full) {
+            // From some of the machines it cannot be told what lacks room: nothing is rented, stopped or given up for it.
+            return;
         }
+        takeover.fullRound(inheritance.tables(), now);
         List<Fleet.Need> needs = new ArrayList<>();
         int preempting = 0;
         for (PlacementRound.Waiting waiting : snapshot.waiting()) {
@@ -689,9 +691,6 @@
                 continue;
             }
             Job job = jobs.get(waiting.spec().id());
-            if (!full) {
-                continue;
-            }
             needs.add(new Fleet.Need(job.spec(), count, onlyZone(waiting),
                     (loop.wallMillis() - job.acceptedAtMillis()) / 1000.0));
             giveUpIncomplete(job, now);
@@ -704,9 +703,6 @@
                 }
             }
         }
-        if (!full) {
-            return;
-        }
         calendar.carryOut(now);
         Set<MachineId> reserved = reserve(snapshot, needs, now);
         reserved.addAll(cluster.outlook().kept());
