One place asks for whole tables again, and one counts the machines heard of

Need: read over as a whole, the standby's change did a few things twice. A broken answer was answered by asking for whole tables in TableCopies and again in Standby, but for one of its two causes only in the latter; Leader counted the machines heard of in two loops; RecordFollower had a method that only called another.

Change: TableCopies asks for whole tables whenever it finds an answer broken, Standby only says so; Leader has one count; the method is gone. Ruled out for now: sharing more of the calendar's and the task execution API's routing, which is older.

--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -650,8 +650,7 @@
     }
 
     private boolean nearlyAllHeard() {
-        long heard = machines.values().stream().filter(machine -> machine.heardAt() != null).count();
-        return heard >= NEARLY_ALL * (machines.size() + cluster.unseen().size());
+        return heard() >= NEARLY_ALL * (machines.size() + cluster.unseen().size());
     }
 
     /** Stops a task so that it can save what it did. */
--- a/src/main/java/org/meadowhollow/coordination/succession/RecordFollower.java
+++ b/src/main/java/org/meadowhollow/coordination/succession/RecordFollower.java
@@ -55,7 +55,7 @@
     }
 
     void start() {
-        read(begin());
+        page(begin(), null, null);
     }
 
     synchronized void stop() {
@@ -74,10 +74,7 @@
         return lives.next();
     }
 
-    private void read(int mine) {
-        page(mine, null, null);
-    }
-
+    /** Reads a page of the records, and then the next; {@code after} and {@code begun} are null for the first. */
     private void page(int mine, String after, RecordImage begun) {
         store.list(prefix, after, Urgency.BACKGROUND).whenComplete((page, failure) -> {
             if (!lives.isCurrent(mine)) {
@@ -112,7 +109,7 @@
         synchronized (this) {
             image = null;
         }
-        lives.later(TOO_LARGE_FOR, mine, () -> read(mine));
+        lives.later(TOO_LARGE_FOR, mine, () -> page(mine, null, null));
         return true;
     }
 
--- a/src/main/java/org/meadowhollow/coordination/succession/Standby.java
+++ b/src/main/java/org/meadowhollow/coordination/succession/Standby.java
@@ -152,7 +152,6 @@
         if (taken == TableCopies.Taken.DEPOSED) {
             LOG.info("tables of term {} came from {}, which does not lead any more: dropped", delta.term(), asked);
         } else if (taken == TableCopies.Taken.BROKEN) {
-            filled.askForWhole();
             LOG.info("tables from {} do not follow those that are here and are asked for anew", asked);
         }
         return taken == TableCopies.Taken.MORE || taken == TableCopies.Taken.BROKEN;
--- a/src/main/java/org/meadowhollow/coordination/succession/TableCopies.java
+++ b/src/main/java/org/meadowhollow/coordination/succession/TableCopies.java
@@ -64,6 +64,7 @@
         // Samples that do not follow what is here are worth nothing; a late answer to an earlier question is one.
         boolean follows = delta.term().equals(term) && upTo >= 0;
         if (!delta.whole() && (!follows || delta.upTo() < upTo)) {
+            askForWhole();
             return Taken.BROKEN;
         }
         try {
@@ -142,5 +143,4 @@
         return isOlder && copy.incarnation() == incarnation && now.since(copy.at()).compareTo(MOST_AGE) <= 0
                 ? Optional.of(copy.table()) : Optional.empty();
     }
-
 }
