Users who ask again are answered by one look for all; users and leader take turns at the state service

Ruled out: answering from memory without a look, for another node may have told a newer state; sharing reads between those who ask, for the same reason. Change: a node follows the changes of live jobs by a look at most every 200 ms that serves all who asked before it; calls of users that waited for 1.5 s are not sent; users and leader take turns by cost; a refused budget is lowered and rises again; records of the lowest priority are written last, ends take half of a transaction, and transactions get smaller when refused.

--- a/src/main/java/org/meadowhollow/bookkeeping/Ledger.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Ledger.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.meadowhollow.bookkeeping.StateException.Outcome;
 import org.meadowhollow.bookkeeping.StateStore.Urgency;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -40,6 +41,8 @@
     /** Short enough not to be felt, long enough to let a hiccup pass. */
     private static final Duration RETRY = Duration.ofMillis(300);
     private static final int ENTRY_BYTES = 48;
+    /** Writes that go together however short the budget is; the end of a job takes as many. */
+    private static final int LEAST_WRITES = 4;
 
     private final StateStore store;
     private final EventLoop loop;
@@ -51,6 +54,8 @@
     private final Set<Job> ending = new LinkedHashSet<>();
     private final Set<JobId> endingInFlight = new LinkedHashSet<>();
     private final List<String> leftovers = new ArrayList<>();
+    /** Writes in one transaction: fewer after a refusal, for a large one finds no room in a budget that others use up. */
+    private int mostNow;
     private int inFlight;
     private boolean paused;
     private boolean closed;
@@ -61,6 +66,7 @@
         this.store = store;
         this.loop = loop;
         this.mostWrites = mostWrites;
+        this.mostNow = mostWrites;
         this.leaderVersion = leaderVersion;
         this.listener = listener;
     }
@@ -88,6 +94,19 @@
         return dirty.size();
     }
 
+    /** Those of jobs that are not of the lowest priority, which are written first. */
+    public int pressingBacklog() {
+        int count = 0;
+        for (Chunk chunk : dirty) {
+            count += isPressing(chunk.job()) ? 1 : 0;
+        }
+        return count;
+    }
+
+    private static boolean isPressing(Job job) {
+        return job.spec().priority() != Priority.LOW;
+    }
+
     public void close() {
         closed = true;
     }
@@ -124,9 +143,11 @@
             List<Ending> ends = new ArrayList<>();
             List<Saving> saves = new ArrayList<>();
             Map<String, Object> touched = new HashMap<>();
+            takeChunks(transaction, saves, touched, true, mostNow - roomForEnds());
             takeEnds(transaction, ends, touched);
-            takeChunks(transaction, saves, touched);
-            while (!leftovers.isEmpty() && transaction.writes().size() < mostWrites) {
+            takeChunks(transaction, saves, touched, true, mostNow);
+            takeChunks(transaction, saves, touched, false, mostNow);
+            while (!leftovers.isEmpty() && transaction.writes().size() < mostNow) {
                 transaction.delete(leftovers.remove(leftovers.size() - 1));
             }
             if (transaction.writes().isEmpty()) {
@@ -140,11 +161,20 @@
         }
     }
 
+    /**
+     * Ends take half of a transaction while starts wait: hundreds of small jobs that end together held up every start
+     * for a minute when they came first.
+     */
+    private int roomForEnds() {
+        return ending.isEmpty() ? 0 : mostNow / 2;
+    }
+
     private void takeEnds(Transaction transaction, List<Ending> ends, Map<String, Object> touched) {
         for (Iterator<Job> jobs = ending.iterator(); jobs.hasNext();) {
             Job job = jobs.next();
-            int writes = job.companion() == null ? 3 : 4;
-            if (transaction.writes().size() + writes > mostWrites && !transaction.writes().isEmpty()) {
+            boolean pressed = ending.size() * 3 > mostWrites;
+            int writes = (job.companion() == null ? 2 : 3) + (pressed ? 0 : 1);
+            if (transaction.writes().size() + writes > mostNow && !transaction.writes().isEmpty()) {
                 return;
             }
             if (chunkInFlight(job)) {
@@ -163,7 +193,8 @@
             for (int at = 0; at < job.chunkCount(); at++) {
                 if (job.hasChunk(at)) {
                     String key = Records.chunk(job.chunk(at));
-                    if (transaction.writes().size() < mostWrites) {
+                    // A job's end is what its user waits for; what is left of it can go when less is to be written.
+                    if (!pressed && transaction.writes().size() < mostNow) {
                         transaction.delete(key);
                     } else {
                         leftovers.add(key);
@@ -174,6 +205,10 @@
         }
     }
 
+    private static int bytesOf(Chunk chunk) {
+        return ENTRY_BYTES * (chunk.endTask() - chunk.firstTask() + 2);
+    }
+
     private static boolean chunkInFlight(Job job) {
         for (int at = 0; at < job.chunkCount(); at++) {
             if (job.chunk(at).inFlight()) {
@@ -183,8 +218,12 @@
         return false;
     }
 
-    private void takeChunks(Transaction transaction, List<Saving> saves, Map<String, Object> touched) {
+    private void takeChunks(Transaction transaction, List<Saving> saves, Map<String, Object> touched, boolean pressing,
+            int most) {
         int bytes = 0;
+        for (Saving saving : saves) {
+            bytes += bytesOf(saving.chunk());
+        }
         for (Iterator<Chunk> chunks = dirty.iterator(); chunks.hasNext();) {
             Chunk chunk = chunks.next();
             Job job = chunk.job();
@@ -192,12 +231,13 @@
                 chunks.remove();
                 continue;
             }
-            if (chunk.inFlight() || endingInFlight.contains(job.id()) || ending.contains(job)) {
+            if (isPressing(job) != pressing || chunk.inFlight() || endingInFlight.contains(job.id())
+                    || ending.contains(job)) {
                 continue;
             }
-            bytes += ENTRY_BYTES * (chunk.endTask() - chunk.firstTask() + 2);
+            bytes += bytesOf(chunk);
             int writes = job.companion() == null ? 1 : 2;
-            if (transaction.writes().size() + writes > mostWrites || bytes > MOST_BYTES && !saves.isEmpty()) {
+            if (transaction.writes().size() + writes > Math.max(most, writes) || bytes > MOST_BYTES && !saves.isEmpty()) {
                 return;
             }
             chunks.remove();
@@ -276,6 +316,9 @@
                 this.ending.add(job);
             }
         }
+        mostNow = applied ? Math.min(mostWrites, mostNow + 1)
+                : failure != null && StateException.of(failure) == Outcome.REFUSED ? Math.max(LEAST_WRITES, mostNow / 2)
+                : mostNow;
         if (applied) {
             ends.forEach(each -> listener.ended(each.job()));
             saves.forEach(saving -> listener.saved(saving.chunk().job()));
--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -30,6 +30,7 @@
 import org.meadowhollow.bookkeeping.Observers;
 import org.meadowhollow.bookkeeping.Order;
 import org.meadowhollow.bookkeeping.Placement;
+import org.meadowhollow.bookkeeping.Priority;
 import org.meadowhollow.bookkeeping.Records;
 import org.meadowhollow.bookkeeping.Report;
 import org.meadowhollow.bookkeeping.Session;
@@ -673,7 +674,7 @@
         Snapshot snapshot = new Snapshot(cluster, platform, aims, now);
         PlacementRound.Outcome outcome = PlacementRound.run(snapshot.seats(), snapshot.shares(), snapshot.waiting(),
                 mostJobs());
-        carryOut(outcome.decisions(), now);
+        carryOut(withinBudget(outcome.decisions()), now);
         if (!takeover.isTold()) {
             takeover.firstRound(heard(), needed(now), outcome.decisions().size(), now);
         }
@@ -762,7 +763,17 @@
 
     /** Jobs to place in a round: what a round decides should be written before the next one. */
     private int mostJobs() {
-        return Math.max(0, (int) (platform.stateWriteRps() * ROUND.toSeconds()) - ledger.backlog());
+        return Math.max(0, recordsInRound() - ledger.pressingBacklog());
+    }
+
+    private int recordsInRound() {
+        return (int) (platform.stateWriteRps() * ROUND.toSeconds());
+    }
+
+    /** Work of the lowest priority waits while the records of what was decided before wait; other work only for its like. */
+    private List<PlacementRound.Decision> withinBudget(List<PlacementRound.Decision> decisions) {
+        return ledger.backlog() < recordsInRound() ? decisions
+                : decisions.stream().filter(each -> each.spec().priority() != Priority.LOW).toList();
     }
 
     /** The zone that a job with tasks in place is bound to, or null. */
--- a/src/main/java/org/meadowhollow/coordination/admission/Admission.java
+++ b/src/main/java/org/meadowhollow/coordination/admission/Admission.java
@@ -79,6 +79,7 @@
     private final Platform platform;
     private final Observers observers;
     private final Counts counts;
+    private final LiveJobs live;
     private final Map<JobId, JobState> over = new LinkedHashMap<>() {
         @Override
         protected boolean removeEldestEntry(Map.Entry<JobId, JobState> eldest) {
@@ -94,6 +95,7 @@
         this.catalog = catalog;
         this.platform = platform;
         this.counts = counts;
+        this.live = new LiveJobs(store, loop);
     }
 
     public CompletableFuture<Accepted> submit(JobSpec spec) {
@@ -161,7 +163,16 @@
         if (known != null) {
             return CompletableFuture.completedFuture(Optional.of(known));
         }
-        return find(id).thenApply(found -> found.map(record -> state(id, record)));
+        if (live.sight(id) == null) {
+            return find(id).thenApply(found -> found.map(record -> state(id, record)));
+        }
+        return live.confirmed().thenCompose(now -> {
+            LiveJobs.Sight sight = live.sight(id);
+            return sight == LiveJobs.Sight.LIVE || sight == LiveJobs.Sight.CANCELLED
+                    ? CompletableFuture.completedFuture(Optional.of(alive(id, sight == LiveJobs.Sight.CANCELLED)))
+                    : (sight == LiveJobs.Sight.MOVED ? findEnded(id) : find(id))
+                            .thenApply(found -> found.map(record -> state(id, record)));
+        });
     }
 
     /** Empty when there is no such job. */
@@ -233,16 +244,23 @@
 
     /** A job moves only from its live record to its final one, so this order of reads misses nothing. */
     private CompletableFuture<Optional<Found>> find(JobId id) {
-        return store.get(Records.job(id), Urgency.USER).thenCompose(live -> {
-            if (live.isPresent()) {
+        LiveJobs.Mark sent = live.mark();
+        return store.get(Records.job(id), Urgency.USER).thenCompose(found -> {
+            if (found.isPresent()) {
+                StateStore.Entry entry = found.get();
+                live.read(id, entry.version(), Records.isCancelled(entry.value()), sent);
                 return CompletableFuture.completedFuture(
-                        live.map(entry -> new Found(entry.value(), entry.version(), false)));
+                        Optional.of(new Found(entry.value(), entry.version(), false)));
             }
-            return store.get(Records.ended(id), Urgency.USER).thenApply(
-                    ended -> ended.map(entry -> new Found(entry.value(), entry.version(), true)));
+            return findEnded(id);
         });
     }
 
+    private CompletableFuture<Optional<Found>> findEnded(JobId id) {
+        return store.get(Records.ended(id), Urgency.USER).thenApply(
+                ended -> ended.map(entry -> new Found(entry.value(), entry.version(), true)));
+    }
+
     private JobState state(JobId id, Found found) {
         boolean cancelled = Records.isCancelled(found.record());
         if (found.ended()) {
@@ -253,6 +271,10 @@
             }
             return state;
         }
+        return alive(id, cancelled);
+    }
+
+    private JobState alive(JobId id, boolean cancelled) {
         if (cancelled) {
             return new JobState(id, Phase.CANCELLED, 0, 0);
         }
--- /dev/null
+++ b/src/main/java/org/meadowhollow/coordination/admission/LiveJobs.java
@@ -0,0 +1,212 @@
+package org.meadowhollow.coordination.admission;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.meadowhollow.bookkeeping.EventLoop;
+import org.meadowhollow.bookkeeping.JobId;
+import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.Records;
+import org.meadowhollow.bookkeeping.StateException;
+import org.meadowhollow.bookkeeping.StateException.Outcome;
+import org.meadowhollow.bookkeeping.StateStore;
+import org.meadowhollow.bookkeeping.StateStore.Urgency;
+import org.meadowhollow.bookkeeping.Version;
+
+/**
+ * What this node has seen of live jobs, by which it answers users who ask again and again. What is kept may be old, so
+ * nothing is answered from it until a look at the changes, begun after the question came, has been taken in: then no
+ * other node can have told anybody anything newer before. One look serves all who ask meanwhile, so that users who ask
+ * many times as often cost the state service no more requests.
+ *
+ * <p>Guards against what was met: polls at a read or two each took the whole budget of the state service, and the
+ * leader neither learned of cancellations nor got its own records written.
+ */
+final class LiveJobs {
+    /** Between two looks of a node: unnoticed by a user, and a few requests a second of the state service's budget. */
+    private static final Duration PACE = Duration.ofMillis(200);
+    /** Users wait 2 s for an answer; one that comes later is of no use, and they ask again. */
+    private static final Duration PATIENCE = Duration.ofMillis(1500);
+    /** After so long without a question the changes since then may be many; it is cheaper to begin anew. */
+    private static final Duration IDLE = Duration.ofSeconds(20);
+    /** Jobs kept; a few times as many as live at once on the largest deployments seen. */
+    private static final int MOST_KEPT = 8000;
+    /** Questions that wait for a look; each holds a connection, of which a process has about as many. */
+    private static final int MOST_ASKING = 2000;
+
+    /** What is known of a job that was seen alive. */
+    enum Sight { LIVE, CANCELLED, MOVED }
+
+    private record Known(Sight sight, Version version) {
+    }
+
+    private record Asker(Moment since, CompletableFuture<Void> answer) {
+    }
+
+    /** What was kept when a read was sent, so that its answer is told from what changed meanwhile. */
+    record Mark(int epoch, long dropped) {
+    }
+
+    private final StateStore store;
+    private final EventLoop loop;
+    private final Map<JobId, Known> known = new LinkedHashMap<>();
+    private List<Asker> asking = new ArrayList<>();
+    private Version reached;
+    private Moment lookedAt;
+    private boolean looking;
+    private boolean lookSet;
+    private int epoch;
+    private long dropped;
+
+    LiveJobs(StateStore store, EventLoop loop) {
+        this.store = store;
+        this.loop = loop;
+    }
+
+    /** What was last seen of a job, or null; not to be told to anybody before {@link #confirmed}. */
+    synchronized Sight sight(JobId id) {
+        Known seen = known.get(id);
+        return seen == null ? null : seen.sight();
+    }
+
+    /** Completes once all changes up to now are taken in; fails if that cannot be known in time. */
+    CompletableFuture<Void> confirmed() {
+        Asker asker = new Asker(loop.now(), new CompletableFuture<>());
+        synchronized (this) {
+            if (asking.size() >= MOST_ASKING) {
+                return CompletableFuture.failedFuture(new Admission.TryLater("too many ask at once"));
+            }
+            asking.add(asker);
+        }
+        schedule();
+        return asker.answer();
+    }
+
+    /** To be taken when a read of a job's record is sent, and given with its answer. */
+    Mark mark() {
+        boolean begin;
+        Mark mark;
+        synchronized (this) {
+            if (reached != null && !looking && loop.now().since(lookedAt).compareTo(IDLE) > 0) {
+                forget();
+            }
+            begin = reached == null;
+            mark = new Mark(epoch, dropped);
+        }
+        if (begin) {
+            schedule();
+        }
+        return mark;
+    }
+
+    /** Keeps what a read found, unless changes that were taken in since may have been forgotten again. */
+    synchronized void read(JobId id, Version version, boolean cancelled, Mark sent) {
+        if (reached != null && sent.epoch() == epoch && sent.dropped() == dropped) {
+            keep(id, new Known(cancelled ? Sight.CANCELLED : Sight.LIVE, version));
+        }
+    }
+
+    private void keep(JobId id, Known now) {
+        Known before = known.get(id);
+        if (before != null && !now.version().isAfter(before.version())) {
+            return;
+        }
+        known.put(id, now);
+        if (known.size() > MOST_KEPT) {
+            Iterator<JobId> eldest = known.keySet().iterator();
+            eldest.next();
+            eldest.remove();
+            dropped++;
+        }
+    }
+
+    private void forget() {
+        known.clear();
+        reached = null;
+        epoch++;
+    }
+
+    private void schedule() {
+        Duration pause;
+        synchronized (this) {
+            if (looking || lookSet) {
+                return;
+            }
+            Duration since = lookedAt == null ? PACE : loop.now().since(lookedAt);
+            pause = since.compareTo(PACE) >= 0 ? Duration.ZERO : PACE.minus(since);
+            lookSet = !pause.isZero();
+        }
+        if (pause.isZero()) {
+            look();
+        } else {
+            loop.after(pause, () -> {
+                synchronized (this) {
+                    lookSet = false;
+                }
+                look();
+            });
+        }
+    }
+
+    private void look() {
+        List<Asker> served;
+        Version from;
+        int begun;
+        synchronized (this) {
+            if (looking) {
+                return;
+            }
+            looking = true;
+            lookedAt = loop.now();
+            served = asking;
+            asking = new ArrayList<>();
+            from = reached;
+            begun = epoch;
+        }
+        if (from == null) {
+            // Where to follow from; whoever asks is served by reads until then.
+            store.list(Records.LEADER, null, 1, Urgency.USER).whenComplete((page, failure) ->
+                    looked(served, begun, failure == null ? new StateStore.Changes(page.revision(), List.of()) : null,
+                            failure));
+        } else {
+            store.watch(Records.JOBS, from, Duration.ZERO).whenComplete((changes, failure) ->
+                    looked(served, begun, changes, failure));
+        }
+    }
+
+    private void looked(List<Asker> served, int begun, StateStore.Changes changes, Throwable failure) {
+        List<Asker> late = new ArrayList<>();
+        boolean more;
+        synchronized (this) {
+            looking = false;
+            if (failure == null && begun == epoch) {
+                for (StateStore.Change change : changes.changes()) {
+                    keep(Records.jobOfKey(change.key()), new Known(change.value() == null ? Sight.MOVED
+                            : Records.isCancelled(change.value()) ? Sight.CANCELLED : Sight.LIVE, change.version()));
+                }
+                reached = changes.revision();
+            } else {
+                if (failure != null && StateException.of(failure) == Outcome.TOO_OLD) {
+                    forget();
+                }
+                for (Asker asker : served) {
+                    (store.seemsOut() || loop.now().since(asker.since()).compareTo(PATIENCE) > 0 ? late : asking)
+                            .add(asker);
+                }
+            }
+            more = !asking.isEmpty();
+        }
+        if (failure == null && begun == epoch) {
+            served.forEach(asker -> asker.answer().complete(null));
+        }
+        late.forEach(asker -> asker.answer().completeExceptionally(
+                new Admission.TryLater("the state service gave no answer")));
+        if (more) {
+            schedule();
+        }
+    }
+}
--- a/src/main/java/org/meadowhollow/protocol/state/StateClient.java
+++ b/src/main/java/org/meadowhollow/protocol/state/StateClient.java
@@ -41,10 +41,28 @@
     /** How long after a failure, with no success since, the store counts as out. */
     private static final Duration OUT_FOR = Duration.ofSeconds(3);
 
-    private record Call(String method, String path, byte[] body, int changes,
+    /**
+     * A user's call that has waited for so long is not sent any more: most users have given up by then and ask again,
+     * and a queue in which every call comes too late serves nobody.
+     */
+    private static final Duration MOST_WAIT = Duration.ofMillis(1500);
+    /** How far the calls of users and those of the leader may run ahead of each other's fair half. */
+    private static final double MOST_AHEAD = 24;
+    /** The share of its rate that a node keeps when it is refused; the leader, whose records others wait for, keeps more. */
+    private static final double KEEP = 0.7;
+    private static final double LEADER_KEEPS = 0.9;
+    /** A node whose records were written so lately leads. */
+    private static final Duration LEADS_FOR = Duration.ofSeconds(5);
+
+    private record Call(String method, String path, byte[] body, int changes, Urgency urgency, Moment since,
             CompletableFuture<Http.Reply> answer) {
     }
 
+    private static final List<Urgency> USERS_FIRST = List.of(Urgency.LEASE, Urgency.USER, Urgency.PLACEMENT,
+            Urgency.BACKGROUND);
+    private static final List<Urgency> LEADER_FIRST = List.of(Urgency.LEASE, Urgency.PLACEMENT, Urgency.USER,
+            Urgency.BACKGROUND);
+
     private final Http.Client http;
     private final String address;
     private final EventLoop loop;
@@ -55,6 +73,9 @@
     private int inFlight;
     private boolean wakeSet;
     private Moment failedAt;
+    /** What users' calls took of the budgets beyond the leader's, while both were waiting. */
+    private double usersAhead;
+    private Moment recordsAt;
 
     public StateClient(Http.Client http, String address, EventLoop loop, RateBudget requests, RateBudget changes) {
         this.http = http;
@@ -171,7 +192,7 @@
 
     private CompletableFuture<Http.Reply> call(String method, String path, byte[] body, int changeCount,
             Urgency urgency) {
-        Call call = new Call(method, path, body, changeCount, new CompletableFuture<>());
+        Call call = new Call(method, path, body, changeCount, urgency, loop.now(), new CompletableFuture<>());
         synchronized (this) {
             if (waitingCount >= MOST_WAITING && urgency != Urgency.LEASE) {
                 return CompletableFuture.failedFuture(
@@ -188,32 +209,36 @@
     private void pump() {
         while (true) {
             Call next = null;
+            List<Call> late = new ArrayList<>();
             synchronized (this) {
                 Moment now = loop.now();
+                dropLate(now, late);
                 Duration pause = Duration.ZERO;
-                for (ArrayDeque<Call> queue : waiting) {
-                    Call first = queue.peek();
-                    if (first == null) {
+                boolean changesHeld = false;
+                for (Urgency urgency : order()) {
+                    Call first = waiting.get(urgency.ordinal()).peek();
+                    if (first == null || inFlight >= MOST_IN_FLIGHT && urgency != Urgency.LEASE) {
                         continue;
                     }
-                    if (inFlight >= MOST_IN_FLIGHT && queue != waiting.get(Urgency.LEASE.ordinal())) {
-                        return;
+                    Duration free = requests.untilFree(1, now);
+                    if (!free.isZero()) {
+                        pause = free;
+                        break;
                     }
-                    pause = requests.untilFree(1, now);
                     if (first.changes() > 0) {
-                        Duration more = changes.untilFree(first.changes(), now);
-                        pause = pause.compareTo(more) > 0 ? pause : more;
-                    }
-                    if (pause.isZero()) {
-                        next = queue.poll();
-                        waitingCount--;
-                        inFlight++;
-                        requests.take(1, now);
-                        changes.take(first.changes(), now);
+                        // Once a call waits for changes no later one may take them, or a large one would never go.
+                        free = changesHeld ? pause : changes.untilFree(first.changes(), now);
+                        if (!free.isZero()) {
+                            pause = free;
+                            changesHeld = true;
+                            continue;
+                        }
                     }
+                    next = waiting.get(urgency.ordinal()).poll();
+                    took(next, now);
                     break;
                 }
-                if (next == null) {
+                if (next == null && late.isEmpty()) {
                     if (!pause.isZero() && !wakeSet) {
                         wakeSet = true;
                         loop.after(pause, () -> {
@@ -226,7 +251,45 @@
                     return;
                 }
             }
-            send(next);
+            late.forEach(call -> call.answer().completeExceptionally(
+                    new StateException(Outcome.REFUSED, "waited too long for its turn")));
+            if (next != null) {
+                send(next);
+            }
+        }
+    }
+
+    private void dropLate(Moment now, List<Call> late) {
+        ArrayDeque<Call> users = waiting.get(Urgency.USER.ordinal());
+        while (!users.isEmpty() && now.since(users.peek().since()).compareTo(MOST_WAIT) > 0) {
+            late.add(users.poll());
+            waitingCount--;
+        }
+    }
+
+    /**
+     * Who may go first. Users and the leader take turns by what they cost: with users always first, a node that many of
+     * them asked at once neither loaded nor wrote its records as the leader, and cancelled tasks ran on past their limit.
+     */
+    private List<Urgency> order() {
+        return usersAhead > 0 ? LEADER_FIRST : USERS_FIRST;
+    }
+
+    private void took(Call call, Moment now) {
+        waitingCount--;
+        inFlight++;
+        requests.take(1, now);
+        changes.take(call.changes(), now);
+        boolean leader = call.urgency() == Urgency.PLACEMENT;
+        if (leader && call.changes() > 0) {
+            recordsAt = now;
+        }
+        if (leader || call.urgency() == Urgency.USER) {
+            double cost = 1 + call.changes();
+            usersAhead = Math.max(-MOST_AHEAD, Math.min(MOST_AHEAD, usersAhead + (leader ? -cost : cost)));
+        }
+        if (waiting.get(Urgency.USER.ordinal()).isEmpty() || waiting.get(Urgency.PLACEMENT.ordinal()).isEmpty()) {
+            usersAhead = 0;
         }
     }
 
@@ -254,6 +317,8 @@
         } catch (StateException refused) {
             if (reply.status() == 503) {
                 noteFailure(refused.getMessage());
+            } else if (reply.status() == 429) {
+                slowDown(call.changes() > 0);
             }
             call.answer().completeExceptionally(refused);
         }
@@ -266,6 +331,16 @@
         failedAt = loop.now();
     }
 
+    /**
+     * Which of the two limits refused is not said; a call with changes is mostly refused for these, of which there are
+     * fewer. All nodes share the limits, and each alone would keep to them.
+     */
+    private synchronized void slowDown(boolean withChanges) {
+        Moment now = loop.now();
+        boolean leads = recordsAt != null && now.since(recordsAt).compareTo(LEADS_FOR) < 0;
+        (withChanges ? changes : requests).refused(leads ? LEADER_KEEPS : KEEP, now);
+    }
+
     private synchronized void noteSuccess() {
         if (failedAt != null) {
             LOG.info("the state service serves us again");
