Idle work gives way to all tasks of a job, gangs included; its records go behind users' calls

In a swarm of single jobs their records stood before users' submissions. Change: for a job that finds no room, idle work is stopped at once for all its tasks, in one zone for a gang, least loss first; a pure decision beside the one that stops single tasks. The ledger writes records of the lowest priority in transactions of their own, behind users' calls; those of cancelled jobs press.

--- a/src/main/java/org/meadowhollow/bookkeeping/Ledger.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Ledger.java
@@ -104,7 +104,7 @@
     }
 
     private static boolean isPressing(Job job) {
-        return job.spec().priority() != Priority.LOW;
+        return job.spec().priority() != Priority.LOW || job.cancelled();
     }
 
     public void close() {
@@ -143,10 +143,11 @@
             List<Ending> ends = new ArrayList<>();
             List<Saving> saves = new ArrayList<>();
             Map<String, Object> touched = new HashMap<>();
-            takeChunks(transaction, saves, touched, true, mostNow - roomForEnds());
-            takeEnds(transaction, ends, touched);
-            takeChunks(transaction, saves, touched, true, mostNow);
-            takeChunks(transaction, saves, touched, false, mostNow);
+            take(transaction, ends, saves, touched, true);
+            boolean pressing = !transaction.writes().isEmpty();
+            if (!pressing) {
+                take(transaction, ends, saves, touched, false);
+            }
             while (!leftovers.isEmpty() && transaction.writes().size() < mostNow) {
                 transaction.delete(leftovers.remove(leftovers.size() - 1));
             }
@@ -154,24 +155,35 @@
                 return;
             }
             inFlight++;
-            store.commit(transaction, Urgency.PLACEMENT).whenComplete((commit, failure) -> {
+            // What is of the lowest priority, or only cleared away, goes behind what users ask for.
+            store.commit(transaction, pressing ? Urgency.PLACEMENT : Urgency.BACKGROUND).whenComplete((commit, failure) -> {
                 inFlight--;
                 settle(ends, saves, touched, commit, failure);
             });
         }
     }
 
+    private void take(Transaction transaction, List<Ending> ends, List<Saving> saves, Map<String, Object> touched,
+            boolean pressing) {
+        takeChunks(transaction, saves, touched, pressing, mostNow - roomForEnds(pressing));
+        takeEnds(transaction, ends, touched, pressing);
+        takeChunks(transaction, saves, touched, pressing, mostNow);
+    }
+
     /**
      * Ends take half of a transaction while starts wait: hundreds of small jobs that end together held up every start
      * for a minute when they came first.
      */
-    private int roomForEnds() {
-        return ending.isEmpty() ? 0 : mostNow / 2;
+    private int roomForEnds(boolean pressing) {
+        return ending.stream().anyMatch(job -> isPressing(job) == pressing) ? mostNow / 2 : 0;
     }
 
-    private void takeEnds(Transaction transaction, List<Ending> ends, Map<String, Object> touched) {
+    private void takeEnds(Transaction transaction, List<Ending> ends, Map<String, Object> touched, boolean pressing) {
         for (Iterator<Job> jobs = ending.iterator(); jobs.hasNext();) {
             Job job = jobs.next();
+            if (isPressing(job) != pressing) {
+                continue;
+            }
             boolean pressed = ending.size() * 3 > mostWrites;
             int writes = (job.companion() == null ? 2 : 3) + (pressed ? 0 : 1);
             if (transaction.writes().size() + writes > mostNow && !transaction.writes().isEmpty()) {
--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -79,6 +79,8 @@
     private static final Duration ROUND = Duration.ofSeconds(1);
     /** Jobs in a round for which others are stopped: what is stopped must be seen to help first. */
     private static final int MOST_PREEMPTING = 4;
+    /** Jobs in a round for which idle work is stopped; each is a look at all machines, and what is stopped saves first. */
+    private static final int MOST_MAKING_ROOM = 8;
     /**
      * How long a report of a machine with room is held: less than the three quarters of a report's interval after
      * which the next goes out, and well below the 4 s that a worker waits for its answer.
@@ -685,12 +687,23 @@
         takeover.fullRound(inheritance.tables(), now);
         List<Fleet.Need> needs = new ArrayList<>();
         int preempting = 0;
+        int makingRoom = 0;
+        long idle = idleTasks();
         for (PlacementRound.Waiting waiting : snapshot.waiting()) {
             Integer count = outcome.unplaced().get(waiting.spec().id());
             if (count == null) {
                 continue;
             }
             Job job = jobs.get(waiting.spec().id());
+            if (idle > 0 && makingRoom < MOST_MAKING_ROOM) {
+                List<Placement> victims = rooms.idleVictims(job, waiting.zones(), count, now);
+                if (!victims.isEmpty()) {
+                    victims.forEach(victim -> stopSaving(victim, "idle work gives way to " + job.id()));
+                    job.roomMadeAt(now);
+                    idle -= victims.size();
+                    makingRoom++;
+                }
+            }
             needs.add(new Fleet.Need(job.spec(), count, onlyZone(waiting),
                     (loop.wallMillis() - job.acceptedAtMillis()) / 1000.0));
             giveUpIncomplete(job, now);
@@ -766,6 +779,12 @@
         return Math.max(0, recordsInRound() - ledger.pressingBacklog());
     }
 
+    /** Tasks of the lowest priority that may be running, and could make room. */
+    private long idleTasks() {
+        return jobs.values().stream().filter(job -> job.spec().priority() == Priority.LOW)
+                .mapToLong(job -> job.placements().size()).sum();
+    }
+
     private int recordsInRound() {
         return (int) (platform.stateWriteRps() * ROUND.toSeconds());
     }
--- a/src/main/java/org/meadowhollow/coordination/placement/Preemption.java
+++ b/src/main/java/org/meadowhollow/coordination/placement/Preemption.java
@@ -59,6 +59,56 @@
         return best;
     }
 
+    /**
+     * What to stop so that several tasks find room: only work of the lowest priority, which waits for what others leave.
+     * Least loss for each task goes first, and room that is free already costs nothing.
+     *
+     * @param most tasks that want room
+     * @param whole whether room for fewer is of no use, as for a gang
+     */
+    static <T> List<T> idleVictims(JobSpec spec, int most, boolean whole, List<Place<T>> places) {
+        if (!spec.priority().above(Priority.LOW)) {
+            return List.of();
+        }
+        record Gain<T>(List<T> stopped, double loss) {
+        }
+        List<Gain<T>> gains = new ArrayList<>();
+        for (Place<T> place : places) {
+            List<Running<T>> idle = new ArrayList<>();
+            for (Running<T> running : place.running()) {
+                if (running.priority() == Priority.LOW) {
+                    idle.add(running);
+                }
+            }
+            idle.sort(Comparator.comparingDouble(Running::lostS));
+            Resources free = place.free();
+            List<T> stopped = new ArrayList<>();
+            double loss = place.cached() ? 0 : spec.imageGb();
+            int next = 0;
+            for (int count = 0; count < most; count++) {
+                while (!spec.perTask().fitsIn(free) && next < idle.size()) {
+                    free = free.plus(idle.get(next).takes());
+                    stopped.add(idle.get(next).task());
+                    loss += idle.get(next++).lostS();
+                }
+                if (!spec.perTask().fitsIn(free)) {
+                    break;
+                }
+                free = free.minus(spec.perTask());
+                gains.add(new Gain<>(stopped, loss));
+                stopped = new ArrayList<>();
+                loss = 0;
+            }
+        }
+        if (whole && gains.size() < most) {
+            return List.of();
+        }
+        gains.sort(Comparator.comparingDouble(Gain::loss));
+        List<T> victims = new ArrayList<>();
+        gains.subList(0, Math.min(most, gains.size())).forEach(gain -> victims.addAll(gain.stopped()));
+        return victims;
+    }
+
     private static boolean mayStop(JobSpec spec, boolean guaranteed, Running<?> running) {
         return spec.priority().above(running.priority())
                 || guaranteed && running.borrowed() && !running.team().equals(spec.team());
--- a/src/main/java/org/meadowhollow/coordination/placement/RoomMaker.java
+++ b/src/main/java/org/meadowhollow/coordination/placement/RoomMaker.java
@@ -5,12 +5,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import org.meadowhollow.bookkeeping.Job;
 import org.meadowhollow.bookkeeping.JobSpec;
 import org.meadowhollow.bookkeeping.Kind;
 import org.meadowhollow.bookkeeping.Machine;
 import org.meadowhollow.bookkeeping.Moment;
 import org.meadowhollow.bookkeeping.Placement;
+import org.meadowhollow.bookkeeping.Priority;
 import org.meadowhollow.bookkeeping.Resources;
 import org.meadowhollow.coordination.calendar.SeatLimit;
 import org.meadowhollow.coordination.platform.Platform;
@@ -54,6 +56,44 @@
         return Preemption.victims(spec, guaranteed, places);
     }
 
+    /**
+     * The tasks of the lowest priority to stop for all of a job's that found no room, gangs included: at once, since such
+     * work is there only for as long as nobody else needs its place, and a fetch on an empty machine takes the time that
+     * there is.
+     *
+     * @param count how many tasks found no room
+     */
+    public List<Placement> idleVictims(Job job, Object2IntMap<String> zones, int count, Moment now) {
+        JobSpec spec = job.spec();
+        if (!spec.priority().above(Priority.LOW)
+                || job.roomMadeAt() != null && now.since(job.roomMadeAt()).compareTo(AGAIN) < 0) {
+            return List.of();
+        }
+        Map<String, Resources> used = cluster.used();
+        Map<String, List<Preemption.Place<Placement>>> byZone = new TreeMap<>();
+        for (Machine machine : cluster.machines().values()) {
+            SeatLimit limit = cluster.outlook().limit(machine.id());
+            if (limit != null && !limit.allows(spec, 0, machine.type().room())
+                    || !cluster.mayTake(machine, spec, now) || zones.getInt(machine.zone()) >= spec.mostPerZone()) {
+                continue;
+            }
+            byZone.computeIfAbsent(machine.zone(), unused -> new ArrayList<>()).add(new Preemption.Place<>(
+                    machine.free(), machine.images().has(spec.image()), running(machine, used, now)));
+        }
+        boolean gang = spec.kind() == Kind.GANG;
+        if (!spec.oneZone()) {
+            return Preemption.idleVictims(spec, count, gang, byZone.values().stream().flatMap(List::stream).toList());
+        }
+        List<Placement> fewest = List.of();
+        for (List<Preemption.Place<Placement>> places : byZone.values()) {
+            List<Placement> victims = Preemption.idleVictims(spec, count, gang, places);
+            if (!victims.isEmpty() && (fewest.isEmpty() || victims.size() < fewest.size())) {
+                fewest = victims;
+            }
+        }
+        return fewest;
+    }
+
     private List<Preemption.Running<Placement>> running(Machine machine, Map<String, Resources> used, Moment now) {
         List<Preemption.Running<Placement>> running = new ArrayList<>();
         for (Placement placement : machine.placements()) {
