--- a/src/main/java/org/meadowhollow/bookkeeping/Machine.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Machine.java
@@ -16,6 +16,8 @@
         }
     }
 
+    private JobId heldFor;
+    private Moment heldUntil;
     private final MachineId id;
     private final MachineType type;
     private final String zone;
@@ -209,4 +211,15 @@
     public Resources free() {
         return type.room().minus(booked());
     }
+
+    /** Keeps what is free here for a gang for which it was cleared. */
+    public void holdFor(JobId job, Moment until) {
+        heldFor = job;
+        heldUntil = until;
+    }
+
+    /** The gang that what is free here is kept for, or null. */
+    public JobId heldFor(Moment now) {
+        return heldFor != null && now.isBefore(heldUntil) ? heldFor : null;
+    }
 }
--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
 import org.meadowhollow.bookkeeping.Attempt;
 import org.meadowhollow.bookkeeping.Catalog;
 import org.meadowhollow.bookkeeping.Cause;
@@ -674,11 +675,19 @@
         boolean full = hasGathered(now);
         calendar.look(now);
         Snapshot snapshot = new Snapshot(cluster, platform, aims, now);
-        PlacementRound.Outcome outcome = PlacementRound.run(snapshot.seats(), snapshot.shares(), snapshot.waiting(),
+        Map<Boolean, List<PlacementRound.Waiting>> byIdle = snapshot.waiting().stream()
+                .collect(Collectors.partitioningBy(waiting -> waiting.spec().priority() == Priority.LOW));
+        PlacementRound.Outcome outcome = PlacementRound.run(snapshot.seats(), snapshot.shares(), byIdle.get(false),
                 mostJobs());
-        carryOut(withinBudget(outcome.decisions()), now);
+        carryOut(outcome.decisions(), now);
+        List<Fleet.Need> likelyNeeds = new ArrayList<>();
+        Set<MachineId> reserved = full ? reserve(snapshot, likelyNeeds, now) : Set.of();
+        // Idle work takes what neither others nor those that are likely to come need: it would soon be stopped again.
+        PlacementRound.Outcome idleOutcome = PlacementRound.run(snapshot.seats(), snapshot.shares(), byIdle.get(true),
+                Math.max(0, recordsInRound() - ledger.backlog()));
+        carryOut(idleOutcome.decisions(), now);
         if (!takeover.isTold()) {
-            takeover.firstRound(heard(), needed(now), outcome.decisions().size(), now);
+            takeover.firstRound(heard(), needed(now), outcome.decisions().size() + idleOutcome.decisions().size(), now);
         }
         if (!full) {
             // From some of the machines it cannot be told what lacks room: nothing is rented, stopped or given up for it.
@@ -690,7 +699,8 @@
         int makingRoom = 0;
         long idle = idleTasks();
         for (PlacementRound.Waiting waiting : snapshot.waiting()) {
-            Integer count = outcome.unplaced().get(waiting.spec().id());
+            Integer count = (waiting.spec().priority() == Priority.LOW ? idleOutcome : outcome).unplaced()
+                    .get(waiting.spec().id());
             if (count == null) {
                 continue;
             }
@@ -717,7 +727,7 @@
             }
         }
         calendar.carryOut(now);
-        Set<MachineId> reserved = reserve(snapshot, needs, now);
+        needs.addAll(likelyNeeds);
         reserved.addAll(cluster.outlook().kept());
         needs.addAll(calendar.needs());
         fleet.needs(needs, reserved);
@@ -753,7 +763,7 @@
     }
 
     /**
-     * Looks for room for the jobs that are likely to come, after all that wait; what finds none is rented for.
+     * Looks for room for the jobs that are likely to come, after all that wait but idle work; what finds none is rented for.
      * Returns the machines that it would take, which are not to be returned.
      */
     private Set<MachineId> reserve(Snapshot left, List<Fleet.Need> needs, Moment now) {
@@ -789,12 +799,6 @@
         return (int) (platform.stateWriteRps() * ROUND.toSeconds());
     }
 
-    /** Work of the lowest priority waits while the records of what was decided before wait; other work only for its like. */
-    private List<PlacementRound.Decision> withinBudget(List<PlacementRound.Decision> decisions) {
-        return ledger.backlog() < recordsInRound() ? decisions
-                : decisions.stream().filter(each -> each.spec().priority() != Priority.LOW).toList();
-    }
-
     /** The zone that a job with tasks in place is bound to, or null. */
     private static String onlyZone(PlacementRound.Waiting job) {
         return job.spec().oneZone() && !job.zones().isEmpty() ? job.zones().keySet().iterator().next()
--- a/src/main/java/org/meadowhollow/coordination/placement/PlacementRound.java
+++ b/src/main/java/org/meadowhollow/coordination/placement/PlacementRound.java
@@ -42,6 +42,7 @@
         private final double fetchGbPerS;
         private final int order;
         private SeatLimit limit;
+        private JobId heldFor;
         private Resources free;
         private int tasks;
         private int replicas;
@@ -88,6 +89,14 @@
             return this;
         }
 
+        /**
+         * @param gang the only job that may take what is free here, or null
+         */
+        Seat heldFor(JobId gang) {
+            heldFor = gang;
+            return this;
+        }
+
         MachineId id() {
             return id;
         }
@@ -409,6 +418,9 @@
                 || seat.spot && !spec.spot()) {
             return false;
         }
+        if (seat.heldFor != null && !seat.heldFor.equals(spec.id())) {
+            return false;
+        }
         if (seat.limit != null && !seat.limit.allows(spec, seat.cached.has(spec.image()) ? 0
                 : spec.imageGb() / seat.fetchGbPerS, seat.free)) {
             return false;
--- a/src/main/java/org/meadowhollow/coordination/placement/Preemption.java
+++ b/src/main/java/org/meadowhollow/coordination/placement/Preemption.java
@@ -59,6 +59,10 @@
         return best;
     }
 
+    /** Room for one more task at a place: what has to be stopped for it, and how much that loses. */
+    record Gain<T>(Place<T> place, List<T> stopped, double lostS) {
+    }
+
     /**
      * What to stop so that several tasks find room: only work of the lowest priority, which waits for what others leave.
      * Least loss for each task goes first, and room that is free already costs nothing.
@@ -66,12 +70,10 @@
      * @param most tasks that want room
      * @param whole whether room for fewer is of no use, as for a gang
      */
-    static <T> List<T> idleVictims(JobSpec spec, int most, boolean whole, List<Place<T>> places) {
+    static <T> List<Gain<T>> idleVictims(JobSpec spec, int most, boolean whole, List<Place<T>> places) {
         if (!spec.priority().above(Priority.LOW)) {
             return List.of();
         }
-        record Gain<T>(List<T> stopped, double loss) {
-        }
         List<Gain<T>> gains = new ArrayList<>();
         for (Place<T> place : places) {
             List<Running<T>> idle = new ArrayList<>();
@@ -95,7 +97,7 @@
                     break;
                 }
                 free = free.minus(spec.perTask());
-                gains.add(new Gain<>(stopped, loss));
+                gains.add(new Gain<>(place, stopped, loss));
                 stopped = new ArrayList<>();
                 loss = 0;
             }
@@ -103,10 +105,8 @@
         if (whole && gains.size() < most) {
             return List.of();
         }
-        gains.sort(Comparator.comparingDouble(Gain::loss));
-        List<T> victims = new ArrayList<>();
-        gains.subList(0, Math.min(most, gains.size())).forEach(gain -> victims.addAll(gain.stopped()));
-        return victims;
+        gains.sort(Comparator.comparingDouble(Gain::lostS));
+        return gains.subList(0, Math.min(most, gains.size()));
     }
 
     private static boolean mayStop(JobSpec spec, boolean guaranteed, Running<?> running) {
--- a/src/main/java/org/meadowhollow/coordination/placement/RoomMaker.java
+++ b/src/main/java/org/meadowhollow/coordination/placement/RoomMaker.java
@@ -3,6 +3,7 @@
 import it.unimi.dsi.fastutil.objects.Object2IntMap;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -48,7 +49,7 @@
             if (limit != null && !limit.allows(spec, 0, machine.type().room())) {
                 continue;
             }
-            if (cluster.mayTake(machine, spec, now) && zones.getInt(machine.zone()) < spec.mostPerZone()) {
+            if (cluster.mayTake(machine, spec, now) && machine.heldFor(now) == null && zones.getInt(machine.zone()) < spec.mostPerZone()) {
                 places.add(new Preemption.Place<>(machine.free(), machine.images().has(spec.image()),
                         running(machine, used, now)));
             }
@@ -71,27 +72,40 @@
         }
         Map<String, Resources> used = cluster.used();
         Map<String, List<Preemption.Place<Placement>>> byZone = new TreeMap<>();
+        Map<Preemption.Place<Placement>, Machine> machines = new IdentityHashMap<>();
         for (Machine machine : cluster.machines().values()) {
             SeatLimit limit = cluster.outlook().limit(machine.id());
             if (limit != null && !limit.allows(spec, 0, machine.type().room())
                     || !cluster.mayTake(machine, spec, now) || zones.getInt(machine.zone()) >= spec.mostPerZone()) {
                 continue;
             }
-            byZone.computeIfAbsent(machine.zone(), unused -> new ArrayList<>()).add(new Preemption.Place<>(
-                    machine.free(), machine.images().has(spec.image()), running(machine, used, now)));
+            Preemption.Place<Placement> place = new Preemption.Place<>(machine.free(),
+                    machine.images().has(spec.image()), running(machine, used, now));
+            byZone.computeIfAbsent(machine.zone(), unused -> new ArrayList<>()).add(place);
+            machines.put(place, machine);
         }
         boolean gang = spec.kind() == Kind.GANG;
-        if (!spec.oneZone()) {
-            return Preemption.idleVictims(spec, count, gang, byZone.values().stream().flatMap(List::stream).toList());
-        }
-        List<Placement> fewest = List.of();
-        for (List<Preemption.Place<Placement>> places : byZone.values()) {
-            List<Placement> victims = Preemption.idleVictims(spec, count, gang, places);
-            if (!victims.isEmpty() && (fewest.isEmpty() || victims.size() < fewest.size())) {
-                fewest = victims;
+        List<Preemption.Gain<Placement>> best = List.of();
+        if (spec.oneZone()) {
+            double least = Double.MAX_VALUE;
+            for (List<Preemption.Place<Placement>> places : byZone.values()) {
+                List<Preemption.Gain<Placement>> gains = Preemption.idleVictims(spec, count, gang, places);
+                double lostS = gains.stream().mapToDouble(Preemption.Gain::lostS).sum();
+                if (!gains.isEmpty() && lostS < least) {
+                    best = gains;
+                    least = lostS;
+                }
             }
+        } else {
+            best = Preemption.idleVictims(spec, count, gang,
+                    byZone.values().stream().flatMap(List::stream).toList());
+        }
+        List<Placement> victims = best.stream().flatMap(gain -> gain.stopped().stream()).toList();
+        if (gang && !victims.isEmpty()) {
+            // Small tasks that come first took a little of each machine that was cleared, and the gang found none whole.
+            best.forEach(gain -> machines.get(gain.place()).holdFor(job.id(), now.plus(AGAIN)));
         }
-        return fewest;
+        return victims;
     }
 
     private List<Preemption.Running<Placement>> running(Machine machine, Map<String, Resources> used, Moment now) {
--- a/src/main/java/org/meadowhollow/coordination/placement/Snapshot.java
+++ b/src/main/java/org/meadowhollow/coordination/placement/Snapshot.java
@@ -69,7 +69,7 @@
                         machine.spot(), machine.type().room(), machine.free(), machine.placements().size(),
                         replicas(machine), machine.images(), fetches(machine), machine.type().fetchGbPerS(),
                         cluster.risks().get(machine.id()), aims.isForLarge(machine.type()))
-                        .limited(cluster.outlook().limit(machine.id())));
+                        .limited(cluster.outlook().limit(machine.id())).heldFor(machine.heldFor(now)));
             }
         }
     }
