Late boots are replaced a bounded number of times; a job that fails everywhere is tried with one task

Change: a machine is counted on for as long as boots usually take, or have taken of late; then another is rented, twice at most, and what was replaced is returned after two and a half boot times. A job whose tasks fail on several machines and none of which is done tries one task at a time; success resets its pauses; machines on which a job's tasks failed come behind others for it.

--- a/src/main/java/org/meadowhollow/bookkeeping/Job.java
+++ b/src/main/java/org/meadowhollow/bookkeeping/Job.java
@@ -3,6 +3,8 @@
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
 import java.util.BitSet;
 import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.Set;
 
 /** A live job as the leader keeps it. */
 public final class Job {
@@ -19,7 +21,11 @@
     private Moment waitingSince;
     private Moment holdUntil;
     private Moment roomMadeAt;
+    /** Failures of different tasks, or of one again and again, after which a job is tried with one task. */
+    private static final int SUSPECT_AFTER = 3;
+    private static final int MOST_AVOIDED = 8;
     private int failures;
+    private final Set<MachineId> failedOn = new LinkedHashSet<>();
     private final Companion companion;
 
     public Job(JobSpec spec, long acceptedAtMillis, int chunkSize, Version version) {
@@ -251,8 +257,31 @@
         roomMadeAt = at;
     }
 
-    /** Counts a task's own failure and says how many there were. */
-    public int failed() {
+    /** Counts a task's own failure and says how many there were since one was done. */
+    public int failed(MachineId machine) {
+        failedOn.add(machine);
+        if (failedOn.size() > MOST_AVOIDED) {
+            failedOn.remove(failedOn.iterator().next());
+        }
         return ++failures;
     }
+
+    /** A task was done, so what failed before was not the job's fault. */
+    public void worked() {
+        failures = 0;
+        holdUntil = null;
+    }
+
+    /**
+     * Whether the job itself seems to be the mistake: its tasks failed on several machines, and none was done. Then one
+     * task alone tries, for all would fail alike, each on a place and with a fetch that others could have.
+     */
+    public boolean isSuspect() {
+        return failures >= SUSPECT_AFTER && failedOn.size() > 1 && done.isEmpty();
+    }
+
+    /** Machines on which its tasks failed, the latest few. */
+    public Set<MachineId> failedOn() {
+        return failedOn;
+    }
 }
--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -347,6 +347,7 @@
         Job job = placement.job();
         int task = placement.task().index();
         if (cause == Cause.DONE) {
+            job.worked();
             if (placement.runningSince() != null) {
                 calendar.ran(job.spec(), now.secondsSince(placement.runningSince()));
             }
@@ -375,7 +376,7 @@
     }
 
     private void failed(Machine machine, Job job, Cause cause, Moment now) {
-        int failures = job.failed();
+        int failures = job.failed(machine.id());
         if (failures >= FAILURES_BEFORE_HOLD) {
             int hold = Math.min(MOST_HOLD_S, 1 << Math.min(10, failures - FAILURES_BEFORE_HOLD));
             job.holdUntil(now.plus(Duration.ofSeconds(hold)));
--- /dev/null
+++ b/src/main/java/org/meadowhollow/coordination/fleet/Awaited.java
@@ -0,0 +1,139 @@
+package org.meadowhollow.coordination.fleet;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.meadowhollow.bookkeeping.MachineId;
+import org.meadowhollow.bookkeeping.MachineType;
+import org.meadowhollow.bookkeeping.Moment;
+
+/**
+ * Machines that are rented and not up yet. New machines may come up late or never, so one is counted on only for as long
+ * as boots have taken of late; after that another is rented for what waits for it, a bounded number of times, and the
+ * late one is returned when it has been replaced and has taken much longer still. Guarded by the fleet's lock.
+ */
+final class Awaited {
+    /** The protocol: a boot takes usually up to this many times its type's boot time. */
+    private static final double USUALLY = 1.5;
+    /** Boots vary, so they are awaited for a little longer than nearly all of the last ones took. */
+    private static final double SLACK = 1.25;
+    private static final double NEARLY_ALL = 0.9;
+    /** A machine that takes this many times its type's boot time is taken for one that never comes up. */
+    static final double PATIENCE = 4;
+    /** One that has been replaced is paid for in vain, and holds capacity that another could have. */
+    private static final double REPLACED_PATIENCE = 2.5;
+    /** Boots remembered of a type, and those without which nothing is learned from them. */
+    private static final int MOST_BOOTS = 32;
+    private static final int LEAST_BOOTS = 4;
+    /** A machine, one for it, and one for that; if boots fail as often as this, money does not help. */
+    private static final int MOST_TRIES = 3;
+
+    /** One machine that is to come. */
+    static final class Rental {
+        private final MachineType type;
+        private final String zone;
+        private final boolean spot;
+        private final Moment sentAt;
+        private final int tries;
+        private boolean replaced;
+
+        private Rental(MachineType type, String zone, boolean spot, Moment sentAt, int tries) {
+            this.type = type;
+            this.zone = zone;
+            this.spot = spot;
+            this.sentAt = sentAt;
+            this.tries = tries;
+        }
+
+        MachineType type() {
+            return type;
+        }
+
+        String zone() {
+            return zone;
+        }
+
+        boolean spot() {
+            return spot;
+        }
+
+        /** Seconds until it should be up; 0 if it should be by now. */
+        double readyInS(Moment now) {
+            return Math.max(0, type.bootS() - now.secondsSince(sentAt));
+        }
+    }
+
+    private final Map<MachineId, Rental> rentals = new LinkedHashMap<>();
+    private final Map<String, ArrayDeque<Double>> boots = new HashMap<>();
+
+    /** Notes what a request has rented; as many that are overdue count as replaced by them. */
+    void rented(List<MachineId> ids, MachineType type, String zone, boolean spot, Moment sentAt, Moment now) {
+        List<Rental> overdue = rentals.values().stream().filter(each -> each.type.name().equals(type.name())
+                && !each.replaced && isOverdue(each, now)).toList();
+        int at = 0;
+        for (MachineId id : ids) {
+            int tries = 1;
+            if (at < overdue.size()) {
+                overdue.get(at).replaced = true;
+                tries = overdue.get(at++).tries + 1;
+            }
+            rentals.put(id, new Rental(type, zone, spot, sentAt, tries));
+        }
+    }
+
+    /** Notes a machine that the cloud lists as booting. */
+    void listed(MachineId id, MachineType type, String zone, boolean spot, Moment sentAt) {
+        rentals.computeIfAbsent(id, unused -> new Rental(type, zone, spot, sentAt, 1));
+    }
+
+    /** Notes that a machine has come up. */
+    void cameUp(MachineId id, Moment now) {
+        Rental rental = rentals.remove(id);
+        if (rental != null) {
+            ArrayDeque<Double> seen = boots.computeIfAbsent(rental.type.name(), unused -> new ArrayDeque<>());
+            seen.add(now.secondsSince(rental.sentAt));
+            if (seen.size() > MOST_BOOTS) {
+                seen.poll();
+            }
+        }
+    }
+
+    void forget(MachineId id) {
+        rentals.remove(id);
+    }
+
+    /** Those that tasks may wait for. */
+    List<Rental> counted(Moment now) {
+        return rentals.values().stream().filter(each -> !isOverdue(each, now) || each.tries >= MOST_TRIES).toList();
+    }
+
+    /** Those that are given up. */
+    List<MachineId> givenUp(Moment now) {
+        List<MachineId> ids = new ArrayList<>();
+        rentals.forEach((id, each) -> {
+            double patience = each.replaced ? REPLACED_PATIENCE : PATIENCE;
+            if (now.secondsSince(each.sentAt) > Math.max(usualS(each.type), each.type.bootS() * patience)) {
+                ids.add(id);
+            }
+        });
+        return ids;
+    }
+
+    private boolean isOverdue(Rental rental, Moment now) {
+        return now.secondsSince(rental.sentAt) > usualS(rental.type);
+    }
+
+    /** How long a boot of a type is awaited. */
+    private double usualS(MachineType type) {
+        double usualS = type.bootS() * USUALLY;
+        ArrayDeque<Double> seen = boots.get(type.name());
+        if (seen == null || seen.size() < LEAST_BOOTS) {
+            return usualS;
+        }
+        double slowS = seen.stream().sorted().skip((long) (seen.size() * NEARLY_ALL)).findFirst().orElse(usualS);
+        return Math.max(usualS, Math.min(slowS * SLACK, type.bootS() * PATIENCE));
+    }
+}
--- a/src/main/java/org/meadowhollow/coordination/fleet/Fleet.java
+++ b/src/main/java/org/meadowhollow/coordination/fleet/Fleet.java
@@ -38,8 +38,6 @@
     private static final boolean[] SPOT_FIRST = {true, false};
     /** Makes any difference in price count for more than a zone with fewer machines. */
     private static final double ZONE_WEIGHT = 1000;
-    /** A machine that takes this many times its type's boot time is taken for one that never comes up. */
-    static final double BOOT_PATIENCE = 4;
     /** After a refusal the same kind is left alone for this long at first, and for twice that each time. */
     private static final Duration FIRST_PAUSE = Duration.ofSeconds(4);
     private static final Duration LONGEST_PAUSE = Duration.ofSeconds(30);
@@ -63,9 +61,6 @@
     private record Source(String type, String zone, boolean spot) {
     }
 
-    private record Rental(MachineType type, String zone, boolean spot, Moment sentAt) {
-    }
-
     private static final class Pause {
         private Moment until;
         private Duration length = FIRST_PAUSE;
@@ -78,7 +73,7 @@
     private final EventLoop loop;
     private final Term term;
     private final GivingUp givingUp;
-    private final Map<MachineId, Rental> booting = new LinkedHashMap<>();
+    private final Awaited awaited = new Awaited();
     private final Map<Source, Pause> pauses = new HashMap<>();
     /** Returned machines, for as long as a late list or report may still name them. */
     private final Map<MachineId, Moment> released = new LinkedHashMap<>();
@@ -146,10 +141,10 @@
                     continue;
                 }
                 if (item.phase() == Cloud.Phase.BOOTING) {
-                    booting.computeIfAbsent(item.id(), unused -> new Rental(type, item.zone(), item.spot(),
-                            new Moment(loop.now().nanos() - (long) (item.ageS() * 1e9))));
+                    awaited.listed(item.id(), type, item.zone(), item.spot(),
+                            new Moment(loop.now().nanos() - (long) (item.ageS() * 1e9)));
                 } else if (item.phase() == Cloud.Phase.FAILED) {
-                    booting.remove(item.id());
+                    awaited.forget(item.id());
                 }
             }
         }
@@ -186,14 +181,12 @@
             }
             for (Machine machine : machines) {
                 if (machine.heardAt() != null) {
-                    booting.remove(machine.id());
+                    awaited.cameUp(machine.id(), machine.heardAt());
                 }
             }
-            booting.forEach((id, rental) -> {
-                if (leader.hearsWell() && now.secondsSince(rental.sentAt()) > rental.type().bootS() * BOOT_PATIENCE) {
-                    unwanted.add(id);
-                }
-            });
+            if (leader.hearsWell()) {
+                unwanted.addAll(awaited.givenUp(now));
+            }
             wanted = renting > 0 ? Map.of() : wanted(machines, now);
         }
         List<MachineId> silent = givingUp.choose(machines, now);
@@ -241,10 +234,9 @@
         record Bin(Source source, Resources[] free, double readyInS) {
         }
         List<Bin> bins = new ArrayList<>();
-        booting.values().forEach(rental -> bins.add(new Bin(
+        awaited.counted(now).forEach(rental -> bins.add(new Bin(
                 new Source(rental.type().name(), rental.zone(), rental.spot()),
-                new Resources[] {rental.type().room()},
-                Math.max(0, rental.type().bootS() - now.secondsSince(rental.sentAt())))));
+                new Resources[] {rental.type().room()}, rental.readyInS(now))));
         Turnover turnover = new Turnover(machines, now);
         Map<String, Integer> perZone = new HashMap<>();
         for (Machine machine : machines) {
@@ -366,8 +358,7 @@
                 }
                 if (failure == null && rented.isPresent()) {
                     MachineType type = catalog.type(source.type());
-                    rented.get().forEach(id -> booting.put(id,
-                            new Rental(type, source.zone(), source.spot(), sentAt)));
+                    awaited.rented(rented.get(), type, source.zone(), source.spot(), sentAt, loop.now());
                 }
             }
         });
@@ -402,7 +393,7 @@
                     Moment now = loop.now();
                     released.values().removeIf(at -> now.since(at).compareTo(FORGET_RETURNED) > 0);
                     batch.forEach(id -> released.put(id, now));
-                    batch.forEach(booting::remove);
+                    batch.forEach(awaited::forget);
                 }
             }
             if (failure == null) {
--- a/src/main/java/org/meadowhollow/coordination/fleet/GivingUp.java
+++ b/src/main/java/org/meadowhollow/coordination/fleet/GivingUp.java
@@ -148,7 +148,7 @@
     private double limitS(Machine machine) {
         if (machine.heardAt() == null) {
             // Not one word since this leader began or the cloud listed it as running: as for one that never comes up.
-            return Math.max(machine.type().bootS() * Fleet.BOOT_PATIENCE, seconds(platform.lease()) * GIVE_UP_LEASES);
+            return Math.max(machine.type().bootS() * Awaited.PATIENCE, seconds(platform.lease()) * GIVE_UP_LEASES);
         }
         return isWaitedFor(machine) ? givenUpS() : seconds(platform.lease()) * GIVE_UP_LEASES;
     }
--- a/src/main/java/org/meadowhollow/coordination/placement/PlacementRound.java
+++ b/src/main/java/org/meadowhollow/coordination/placement/PlacementRound.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import org.meadowhollow.bookkeeping.ImageCache;
 import org.meadowhollow.bookkeeping.JobId;
 import org.meadowhollow.bookkeeping.JobSpec;
@@ -52,6 +53,7 @@
         private boolean preferredSpot;
         private boolean coming;
         private boolean kept;
+        private boolean failed;
         private double roomShare;
 
         /**
@@ -106,7 +108,8 @@
         }
 
         /** Works out all that the order of the seats depends on, for one more task of this kind. */
-        private void rate(JobSpec spec) {
+        private void rate(JobSpec spec, Set<MachineId> failedOn) {
+            failed = failedOn.contains(id);
             chance = risk.chanceOfNone(tasks + 1, whole.minus(free).plus(spec.perTask()).shareOf(whole));
             steps = fetchSteps(spec);
             // Somebody waits for every replica, so its fetch comes before the price.
@@ -167,8 +170,13 @@
      * @param tasks the waiting tasks that may be placed now; all of them for a gang
      * @param zones how many tasks of the job may be in each zone already
      * @param desperate whether it has waited so long that the risk does not count any more
+     * @param failedOn machines on which its tasks failed, which come behind others of equal risk
      */
-    public record Waiting(JobSpec spec, int[] tasks, Object2IntMap<String> zones, boolean desperate) {
+    public record Waiting(JobSpec spec, int[] tasks, Object2IntMap<String> zones, boolean desperate,
+            Set<MachineId> failedOn) {
+        public Waiting(JobSpec spec, int[] tasks, Object2IntMap<String> zones, boolean desperate) {
+            this(spec, tasks, zones, desperate, Set.of());
+        }
     }
 
     /** A team's use and its limit; a limit of 0 means none. */
@@ -317,6 +325,7 @@
         private final JobSpec spec;
         private final boolean anyRisk;
         private final boolean tableOnly;
+        private final Set<MachineId> failedOn;
         private final Object2IntOpenHashMap<String> zones;
         /** Seats whose risk the policy allows. */
         private final PriorityQueue<Seat> passing = new PriorityQueue<>(PlacementRound::leastRisk);
@@ -327,6 +336,7 @@
             this.spec = job.spec();
             this.anyRisk = anyRisk;
             this.tableOnly = tableOnly;
+            this.failedOn = job.failedOn();
             this.zones = new Object2IntOpenHashMap<>(job.zones());
             for (Seat seat : seats) {
                 if (onlyZone == null || onlyZone.equals(seat.zone)) {
@@ -339,7 +349,7 @@
             if (!allowed(spec, zones, seat)) {
                 return;
             }
-            seat.rate(spec);
+            seat.rate(spec, failedOn);
             if (seat.chance >= LEAST_CHANCE) {
                 passing.add(seat);
             } else if (!tableOnly && (Double.isNaN(seat.chance) || anyRisk)) {
@@ -378,12 +388,15 @@
     }
 
     /**
-     * At equal risk: where the image is; a spot machine for a task that may use one; where the image comes
+     * At equal risk: where no task of the job failed, so that a faulty machine is told from a faulty job; where the image is; a spot machine for a task that may use one; where the image comes
      * soonest; for a replica, one more machine that will have its image; no machine that a large task could
      * take whole; then most room.
      */
     private static int better(Seat one, Seat other) {
-        int order = Boolean.compare(one.steps > 0, other.steps > 0);
+        int order = Boolean.compare(one.failed, other.failed);
+        if (order == 0) {
+            order = Boolean.compare(one.steps > 0, other.steps > 0);
+        }
         if (order == 0) {
             order = Boolean.compare(other.preferredSpot, one.preferredSpot);
         }
--- a/src/main/java/org/meadowhollow/coordination/placement/Snapshot.java
+++ b/src/main/java/org/meadowhollow/coordination/placement/Snapshot.java
@@ -91,7 +91,7 @@
             int[] tasks = waitingTasks(job);
             if (tasks.length > 0) {
                 waiting.add(new PlacementRound.Waiting(job.spec(), tasks, cluster.zonesOf(job),
-                        now.since(job.waitingSince()).compareTo(Aims.DESPERATE) > 0));
+                        now.since(job.waitingSince()).compareTo(Aims.DESPERATE) > 0, job.failedOn()));
             }
         }
     }
@@ -121,7 +121,8 @@
         if (job.spec().kind() == Kind.GANG && (job.hasBegun() || job.doneCount() > 0)) {
             return new int[0];
         }
-        int most = job.spec().kind() == Kind.GANG ? Integer.MAX_VALUE : MOST_TASKS;
+        int most = job.spec().kind() == Kind.GANG ? Integer.MAX_VALUE
+                : job.isSuspect() ? Math.max(0, 1 - job.placements().size()) : MOST_TASKS;
         int[] tasks = new int[Math.min(most, job.waitingCount())];
         int count = 0;
         for (int task = job.nextWaiting(0); task >= 0 && count < tasks.length; task = job.nextWaiting(task + 1)) {
