Stories of crowds: many who ask, idle work before a gang, jobs with a mistake, machines that never come

Found by one: a budget that nobody used kept its lowered rate for its first second; the rate now rises before the bucket is filled.

--- a/src/main/java/org/meadowhollow/protocol/RateBudget.java
+++ b/src/main/java/org/meadowhollow/protocol/RateBudget.java
@@ -58,8 +58,8 @@
     private void fill(Moment now) {
         if (filledAt != null) {
             double sinceS = now.secondsSince(filledAt);
-            left = Math.min(Math.max(1, burst * factor), left + sinceS * perSecond * factor);
             factor = Math.min(1, factor + sinceS * RISE);
+            left = Math.min(Math.max(1, burst * factor), left + sinceS * perSecond * factor);
         }
         filledAt = now;
     }
--- a/src/test/java/org/meadowhollow/coordination/placement/PreemptionTest.java
+++ b/src/test/java/org/meadowhollow/coordination/placement/PreemptionTest.java
@@ -50,4 +50,19 @@
                 Preemption.victims(spec(Priority.HIGH, 2), false, List.of(dear, cheap)));
         assertEquals(List.of(), Preemption.victims(spec(Priority.HIGH, 3), false, List.of(dear, cheap)));
     }
+
+    @Test
+    void idleWorkGivesWayToAllOfAGangOrNone() {
+        var first = full(List.of(running("a", Priority.LOW, 3, true), running("home", Priority.NORMAL, 0, true)));
+        var second = full(List.of(running("b", Priority.LOW, 2, true), running("c", Priority.LOW, 1, true)));
+        assertEquals(List.of("c", "b"), stopped(Priority.NORMAL, 2, List.of(first, second)));
+        assertEquals(3, stopped(Priority.NORMAL, 3, List.of(first, second)).size());
+        assertEquals(List.of(), stopped(Priority.NORMAL, 4, List.of(first, second)));
+        assertEquals(List.of(), stopped(Priority.LOW, 1, List.of(first, second)));
+    }
+
+    private static List<String> stopped(Priority priority, int tasks, List<Preemption.Place<String>> places) {
+        return Preemption.idleVictims(spec(priority, 1), tasks, true, places).stream()
+                .flatMap(gain -> gain.stopped().stream()).toList();
+    }
 }
--- a/src/test/java/org/meadowhollow/protocol/StateClientTest.java
+++ b/src/test/java/org/meadowhollow/protocol/StateClientTest.java
@@ -82,4 +82,57 @@
         status = 500;
         assertEquals(Outcome.UNKNOWN, outcomeOf(client.get("key", Urgency.USER)));
     }
+
+    /** With users always first, a leader that many asked neither loaded nor wrote its records. */
+    @Test
+    void usersAndTheLeaderTakeTurns() {
+        for (int at = 0; at < 40; at++) {
+            client.get("user/" + at, Urgency.USER);
+        }
+        client.get("record/1", Urgency.PLACEMENT);
+        client.get("record/2", Urgency.PLACEMENT);
+        loop.run(Duration.ofMillis(601));
+        assertTrue(sent.containsAll(List.of("/kv/record/1", "/kv/record/2")), "sent: " + sent);
+        assertTrue(sent.stream().filter(path -> path.startsWith("/kv/user")).count() >= 4, "sent: " + sent);
+    }
+
+    /** A queue in which every call comes too late serves nobody. */
+    @Test
+    void aUsersCallThatHasWaitedTooLongIsRefusedAndNotSent() {
+        List<CompletableFuture<?>> calls = new ArrayList<>();
+        for (int at = 0; at < 40; at++) {
+            calls.add(client.get("user/" + at, Urgency.USER));
+        }
+        loop.run(Duration.ofSeconds(10));
+        assertTrue(sent.size() < 25, "sent: " + sent.size());
+        assertEquals(Outcome.REFUSED, outcomeOf(calls.get(39)));
+        client.get("late", Urgency.USER);
+        assertEquals("/kv/late", sent.get(sent.size() - 1), "the next one goes at once");
+    }
+
+    /** All nodes share the limits, and each alone would keep to them. */
+    @Test
+    void aRefusalForTooManyRequestsSlowsDownAndTimeWithoutOneSpeedsUp() {
+        StateClient fast = new StateClient(http, "state:1", loop, new RateBudget(20, 20), new RateBudget(20, 20));
+        status = 429;
+        for (int second = 0; second < 5; second++) {
+            for (int at = 0; at < 20; at++) {
+                fast.get("key", Urgency.USER);
+            }
+            loop.run(Duration.ofSeconds(1));
+        }
+        sent.clear();
+        for (int at = 0; at < 20; at++) {
+            fast.get("key", Urgency.USER);
+        }
+        loop.run(Duration.ofSeconds(1));
+        assertTrue(sent.size() < 12, "sent in a second after refusals: " + sent.size());
+        status = 404;
+        loop.run(Duration.ofSeconds(12));
+        sent.clear();
+        for (int at = 0; at < 20; at++) {
+            fast.get("key", Urgency.USER);
+        }
+        assertEquals(20, sent.size());
+    }
 }
--- /dev/null
+++ b/src/test/java/org/meadowhollow/story/CrowdStoriesTest.java
@@ -0,0 +1,113 @@
+package org.meadowhollow.story;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.Priority;
+import org.meadowhollow.bookkeeping.Resources;
+import org.meadowhollow.bookkeeping.TaskId;
+import org.meadowhollow.coordination.admission.Admission.Phase;
+
+/** Many who ask, guests who fill everything, jobs with a mistake, and machines that never come. */
+class CrowdStoriesTest extends Story {
+    private static JobSpec withPriority(JobSpec spec, Priority priority, Resources each) {
+        return new JobSpec(spec.id(), spec.jobClass(), spec.team(), spec.kind(), priority, spec.tasks(), each,
+                spec.types(), spec.zone(), spec.oneZone(), spec.spread(), spec.spot(), spec.image(), spec.imageGb(),
+                spec.estimateS(), spec.checkpointS(), spec.saveS(), spec.deadlineS());
+    }
+
+    @Test
+    void askingManyTimesAsOftenCostsTheStateServiceNoMore() {
+        JobSpec job = World.spec(1, Kind.SERVICE, 2, 1);
+        assertTrue(world.submit(0, job, null));
+        world.poll(1, job.id());
+        world.runS(1);
+        int reads = world.line(1).reads();
+        int watches = world.line(1).watches();
+        for (int second = 0; second < 4; second++) {
+            for (int at = 0; at < 100; at++) {
+                world.asks(1, job.id());
+            }
+            world.runS(1);
+        }
+        assertEquals(400, world.answered());
+        assertTrue(world.line(1).reads() - reads < 5, "read " + (world.line(1).reads() - reads) + " times");
+        assertTrue(world.line(1).watches() - watches < 30, "looked " + (world.line(1).watches() - watches) + " times");
+    }
+
+    /** The rules are checked by {@link World}: no node may tell an older state than another has told. */
+    @Test
+    void whatIsKeptInMemoryIsNeverToldOlderThanWhatAnotherNodeTold() {
+        List<JobSpec> jobs = new ArrayList<>();
+        for (int number = 0; number < 12; number++) {
+            JobSpec job = World.spec(number, number % 2 == 0 ? Kind.SERVICE : Kind.ARRAY, 1, 1);
+            jobs.add(job);
+            assertTrue(world.submit(number % 3, job, SHORT));
+            for (int node = 0; node < 3; node++) {
+                assertTrue(world.poll(node, job.id()).isPresent());
+            }
+        }
+        for (JobSpec job : jobs) {
+            world.line(0).failWatches(job.id().hashCode() % 3 == 0);
+            assertTrue(world.cancel(2, job.id()));
+            world.poll(2, job.id());
+            world.poll(0, job.id());
+            world.poll(1, job.id());
+        }
+    }
+
+    @Test
+    void idleWorkGivesWayToAGangThoughSmallTasksComeFirst() {
+        JobSpec idle = withPriority(array(1, 48), Priority.LOW, Resources.of(4, 1, 16));
+        assertTrue(world.submit(0, idle, Duration.ofMinutes(20)));
+        world.mostMachines(6);
+        world.runS(10);
+        assertEquals(48, world.starts(), "all machines are full of it");
+        JobSpec gang = withPriority(World.spec(2, Kind.GANG, 3, 8), Priority.NORMAL, Resources.of(30, 8, 120));
+        assertTrue(world.submit(1, gang, LONG));
+        for (int number = 3; number < 9; number++) {
+            assertTrue(world.submit(2, array(number, 1), LONG));
+            world.runS(1);
+        }
+        world.runS(15);
+        for (int task = 0; task < 3; task++) {
+            assertEquals(1, world.on(new TaskId(gang.id(), task)).size(), "task " + task + " of the gang");
+        }
+        assertTrue(placeOf(array(3, 1), 0) != null, "the small ones run as well");
+    }
+
+    @Test
+    void aJobWithAMistakeIsTriedWithOneTaskAndNoMachineIsBlamed() {
+        JobSpec broken = array(1, 30);
+        assertTrue(world.submit(0, broken, LONG));
+        for (int second = 0; second < 40; second++) {
+            world.runS(1);
+            world.workers().forEach(worker -> worker.running().forEach(worker::fail));
+        }
+        assertTrue(world.starts() < 30 + 12, "started " + world.starts() + " times");
+        JobSpec sound = array(2, 40);
+        assertTrue(world.submit(1, sound, SHORT));
+        world.runS(40);
+        assertEquals(Phase.DONE, phase(sound), "all machines take part");
+        assertEquals(0, world.returned().stream().filter(id -> id.value().compareTo("vm-000006") <= 0).count());
+        assertTrue(world.cancel(2, broken.id()));
+        world.runS(10);
+        assertEquals(Phase.CANCELLED, phase(broken));
+    }
+
+    @Test
+    void machinesThatNeverComeUpAreReplacedWithoutRentingWithoutEnd() {
+        world.neverUp(4);
+        JobSpec job = array(1, 48 + 16);
+        assertTrue(world.submit(0, job, LONG));
+        world.runS(45);
+        assertEquals(48 + 16, world.starts(), "nobody waits for four boot times");
+        assertTrue(world.machinesRented() <= 16, "rented " + world.machinesRented());
+    }
+}
--- a/src/test/java/org/meadowhollow/story/World.java
+++ b/src/test/java/org/meadowhollow/story/World.java
@@ -91,6 +91,8 @@
     private final List<FakeWorker> returned = new ArrayList<>();
     private final Set<MachineId> taken = new HashSet<>();
     private int mostMachines = 40;
+    private int neverUp;
+    private int answered;
     private CalendarSettings calendar = CalendarSettings.OFF;
     private StandbySettings standby = StandbySettings.OFF;
     private UnaryOperator<TableDelta> tablesChange = UnaryOperator.identity();
@@ -277,6 +279,16 @@
         return members.get(node).node;
     }
 
+    /** The next machines that are rented never come up. */
+    void neverUp(int machines) {
+        neverUp = machines;
+    }
+
+    /** Machines that were rented so far. */
+    int machinesRented() {
+        return rentals.values().stream().mapToInt(List::size).sum();
+    }
+
     /** No more machines than these are rented out. */
     void mostMachines(int most) {
         mostMachines = most;
@@ -531,6 +543,19 @@
         return answer.flatMap(state -> state);
     }
 
+    /** Asks about a job without waiting for the answer. */
+    void asks(int node, JobId id) {
+        members.get(node).admission.poll(id).thenAccept(state -> {
+            state.ifPresent(this::tell);
+            answered++;
+        });
+    }
+
+    /** Answers to those who did not wait. */
+    int answered() {
+        return answered;
+    }
+
     boolean cancel(int node, JobId id) {
         Optional<Optional<JobState>> answer = await(node, admission -> admission.cancel(id));
         answer.flatMap(state -> state).ifPresent(this::tell);
@@ -810,6 +835,10 @@
                 for (int at = 0; at < count && workers.size() + ids.size() < mostMachines; at++) {
                     MachineId id = new MachineId("vm-%06d".formatted(++nextMachine));
                     ids.add(id);
+                    if (neverUp > 0) {
+                        neverUp--;
+                        continue;
+                    }
                     loop.after(Duration.ofSeconds(10),
                             () -> workers.put(id, new FakeWorker(World.this, id.value(), type, zone)));
                 }
