A look that hangs or fails holds up nobody who asks later; users get their 503 in time

Change: up to four looks are on their way, whoever asks is told to come back after 1.5 s by a timer, and until then a failed look is tried again.

--- a/src/main/java/org/meadowhollow/coordination/admission/LiveJobs.java
+++ b/src/main/java/org/meadowhollow/coordination/admission/LiveJobs.java
@@ -29,6 +29,8 @@
 final class LiveJobs {
     /** Between two looks of a node: unnoticed by a user, and a few requests a second of the state service's budget. */
     private static final Duration PACE = Duration.ofMillis(200);
+    /** Looks on their way at a time: one that hangs must not hold up those who ask later. */
+    private static final int MOST_LOOKS = 4;
     /** Users wait 2 s for an answer; one that comes later is of no use, and they ask again. */
     private static final Duration PATIENCE = Duration.ofMillis(1500);
     /** After so long without a question the changes since then may be many; it is cheaper to begin anew. */
@@ -44,7 +46,7 @@
     private record Known(Sight sight, Version version) {
     }
 
-    private record Asker(Moment since, CompletableFuture<Void> answer) {
+    private record Asker(CompletableFuture<Void> answer) {
     }
 
     /** What was kept when a read was sent, so that its answer is told from what changed meanwhile. */
@@ -57,7 +59,7 @@
     private List<Asker> asking = new ArrayList<>();
     private Version reached;
     private Moment lookedAt;
-    private boolean looking;
+    private int looks;
     private boolean lookSet;
     private int epoch;
     private long dropped;
@@ -73,15 +75,17 @@
         return seen == null ? null : seen.sight();
     }
 
-    /** Completes once all changes up to now are taken in; fails if that cannot be known in time. */
+    /** Completes once all changes up to now are taken in; fails if that is not known within {@link #PATIENCE}. */
     CompletableFuture<Void> confirmed() {
-        Asker asker = new Asker(loop.now(), new CompletableFuture<>());
+        Asker asker = new Asker(new CompletableFuture<>());
         synchronized (this) {
             if (asking.size() >= MOST_ASKING) {
                 return CompletableFuture.failedFuture(new Admission.TryLater("too many ask at once"));
             }
             asking.add(asker);
         }
+        loop.after(PATIENCE, () -> asker.answer().completeExceptionally(
+                new Admission.TryLater("the state service gave no answer")));
         schedule();
         return asker.answer();
     }
@@ -91,7 +95,7 @@
         boolean begin;
         Mark mark;
         synchronized (this) {
-            if (reached != null && !looking && loop.now().since(lookedAt).compareTo(IDLE) > 0) {
+            if (reached != null && looks == 0 && loop.now().since(lookedAt).compareTo(IDLE) > 0) {
                 forget();
             }
             begin = reached == null;
@@ -133,7 +137,7 @@
     private void schedule() {
         Duration pause;
         synchronized (this) {
-            if (looking || lookSet) {
+            if (looks >= MOST_LOOKS || lookSet || reached == null && looks > 0) {
                 return;
             }
             Duration since = lookedAt == null ? PACE : loop.now().since(lookedAt);
@@ -157,10 +161,7 @@
         Version from;
         int begun;
         synchronized (this) {
-            if (looking) {
-                return;
-            }
-            looking = true;
+            looks++;
             lookedAt = loop.now();
             served = asking;
             asking = new ArrayList<>();
@@ -179,32 +180,29 @@
     }
 
     private void looked(List<Asker> served, int begun, StateStore.Changes changes, Throwable failure) {
-        List<Asker> late = new ArrayList<>();
         boolean more;
+        boolean current;
         synchronized (this) {
-            looking = false;
-            if (failure == null && begun == epoch) {
+            looks--;
+            current = begun == epoch;
+            if (failure == null && current) {
                 for (StateStore.Change change : changes.changes()) {
                     keep(Records.jobOfKey(change.key()), new Known(change.value() == null ? Sight.MOVED
                             : Records.isCancelled(change.value()) ? Sight.CANCELLED : Sight.LIVE, change.version()));
                 }
-                reached = changes.revision();
+                // A look that was sent before may be answered after it.
+                reached = reached == null || changes.revision().isAfter(reached) ? changes.revision() : reached;
             } else {
-                if (failure != null && StateException.of(failure) == Outcome.TOO_OLD) {
+                if (failure != null && current && StateException.of(failure) == Outcome.TOO_OLD) {
                     forget();
                 }
-                for (Asker asker : served) {
-                    (store.seemsOut() || loop.now().since(asker.since()).compareTo(PATIENCE) > 0 ? late : asking)
-                            .add(asker);
-                }
+                served.stream().filter(asker -> !asker.answer().isDone()).forEach(asking::add);
             }
             more = !asking.isEmpty();
         }
-        if (failure == null && begun == epoch) {
+        if (failure == null && current) {
             served.forEach(asker -> asker.answer().complete(null));
         }
-        late.forEach(asker -> asker.answer().completeExceptionally(
-                new Admission.TryLater("the state service gave no answer")));
         if (more) {
             schedule();
         }
--- a/src/test/java/org/meadowhollow/story/FakeWorker.java
+++ b/src/test/java/org/meadowhollow/story/FakeWorker.java
@@ -213,7 +213,8 @@
                 world.started(this, id);
             }
             Duration runs = world.runTime(id.job());
-            if (task.state == TaskState.RUNNING && runs != null && now.since(task.runsAt).compareTo(runs) > 0) {
+            if (task.state == TaskState.RUNNING && runs != null && now.since(task.runsAt).compareTo(runs) > 0
+                    && world.mayComplete(id.job())) {
                 exit(task, Cause.DONE);
                 world.completed(id);
             }
--- a/src/test/java/org/meadowhollow/story/World.java
+++ b/src/test/java/org/meadowhollow/story/World.java
@@ -693,6 +693,18 @@
         assertTrue(!spec.spread() || inZone <= spec.mostPerZone(), "wrong_place: too many in a zone: " + task);
     }
 
+    /** A gang runs, and so completes, only while each of its tasks is on a machine. */
+    boolean mayComplete(JobId id) {
+        JobSpec spec = spec(id);
+        for (int task = 0; spec.kind() == Kind.GANG && task < spec.tasks(); task++) {
+            TaskId each = new TaskId(id, task);
+            if (!completed.contains(each) && on(each).isEmpty()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     void completed(TaskId task) {
         completed.add(task);
         JobSpec spec = spec(task.job());
