A leader that is short of time sends users to the other nodes

Ruled out: the network and the state service, which served it. Change: a leader that comes late to its own half-second timer three times in a row is not ready for ten seconds, if another node is known to be served; the balancer takes users there.

--- a/src/main/java/org/meadowhollow/coordination/Node.java
+++ b/src/main/java/org/meadowhollow/coordination/Node.java
@@ -54,6 +54,15 @@
     private static final int MOST_ASKED = 3;
     private static final Duration LISTEN_AGAIN = Duration.ofSeconds(4);
 
+    /** How often a node looks how late it comes to its own work. */
+    private static final Duration LOAD_CHECK = Duration.ofMillis(500);
+    /** Later than this a node is short of time; a pause of the collector is shorter. */
+    private static final Duration LATE = Duration.ofMillis(300);
+    /** Looks in a row that were late before a leader sends users elsewhere, about what the balancer's probes need. */
+    private static final int LATE_LOOKS = 3;
+    /** For how long it does; the balancer lets no node back sooner than after a few seconds. */
+    private static final Duration SHED_FOR = Duration.ofSeconds(10);
+
     private final EventLoop loop;
     private final StateStore store;
     private final Workers workers;
@@ -73,6 +82,8 @@
     private Moment othersServedAt;
     private boolean closed;
     private boolean cloudSilent;
+    private int lateLooks;
+    private Moment shedUntil;
 
     public Node(EventLoop loop, StateStore store, Workers workers, Cloud cloud, Peers peers, Platform platform,
             Catalog catalog, Observers observers,
@@ -99,6 +110,42 @@
         }
         readTypes();
         watchState();
+        watchLoad(loop.now());
+    }
+
+    /**
+     * Whether this node comes to its work in time. A leader that users ask many times as often, beside the reports of
+     * hundreds of workers, answered these too late: their leases ran out with all their tasks.
+     */
+    private void watchLoad(Moment last) {
+        if (isClosed()) {
+            return;
+        }
+        Moment now = loop.now();
+        boolean late = now.since(last).compareTo(LOAD_CHECK.plus(LATE)) > 0;
+        boolean ask = false;
+        synchronized (this) {
+            lateLooks = late ? lateLooks + 1 : 0;
+            if (lateLooks >= LATE_LOOKS && leader != null) {
+                if (shedUntil == null || shedUntil.isBefore(now)) {
+                    LOG.info("this node leads and is short of time: users are sent to others for {} s", SHED_FOR.toSeconds());
+                }
+                shedUntil = now.plus(SHED_FOR);
+            }
+            ask = shedUntil != null && now.isBefore(shedUntil);
+        }
+        if (ask) {
+            askOthers();
+        }
+        loop.after(LOAD_CHECK, () -> watchLoad(now));
+    }
+
+    private void askOthers() {
+        peers.anyServed().thenAccept(served -> {
+            if (served) {
+                othersServed();
+            }
+        });
     }
 
     /** While the state service does not serve this node: whether it is back, and whether it serves others. */
@@ -109,11 +156,7 @@
         loop.after(RETRY, this::watchState);
         if (store.seemsOut()) {
             store.get(Records.TERM, Urgency.BACKGROUND);
-            peers.anyServed().thenAccept(served -> {
-                if (served) {
-                    othersServed();
-                }
-            });
+            askOthers();
         }
     }
 
@@ -123,10 +166,12 @@
 
     /**
      * Whether users should come here. A node that the state service alone refuses sends them to the others; in an
-     * outage for all it stays, for a node that leaves is let back late.
+     * outage for all it stays, for a node that leaves is let back late. A leader that is short of time sends them to the
+     * others as well, for reports and its lease come first.
      */
     public synchronized boolean isReady() {
-        return !catalog.isEmpty() && !(store.seemsOut() && othersServedAt != null
+        boolean shedding = leader != null && shedUntil != null && loop.now().isBefore(shedUntil);
+        return !catalog.isEmpty() && !((store.seemsOut() || shedding) && othersServedAt != null
                 && loop.now().since(othersServedAt).compareTo(SERVED_FOR) < 0);
     }
 
--- a/src/test/java/org/meadowhollow/story/LeaderStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/LeaderStoriesTest.java
@@ -31,6 +31,24 @@
         assertTrue(world.isReady(1));
     }
 
+    /** A leader that came late to its work answered workers too late, while users asked it as often as any other node. */
+    @Test
+    void aLeaderThatIsShortOfTimeSendsUsersElsewhere() {
+        int leader = world.leader();
+        world.busy(leader, Duration.ofMillis(700));
+        world.runS(8);
+        assertEquals(leader, world.leader());
+        assertFalse(world.isReady(leader));
+        assertTrue(world.isReady((leader + 1) % 3) && world.isReady((leader + 2) % 3));
+        world.busy(leader, Duration.ZERO);
+        world.runS(13);
+        assertTrue(world.isReady(leader));
+        world.peersCut(true);
+        world.busy(leader, Duration.ofMillis(700));
+        world.runS(8);
+        assertTrue(world.isReady(leader), "nobody else is known to serve");
+    }
+
     @Test
     void inAnOutageForAllEveryNodeStaysReady() {
         world.store().out(true);
--- a/src/test/java/org/meadowhollow/story/World.java
+++ b/src/test/java/org/meadowhollow/story/World.java
@@ -123,7 +123,7 @@
         private boolean mute;
         /** What it should have done since it stands still; null while it runs. */
         private List<Runnable> frozen;
-        private boolean busy;
+        private Duration busy = Duration.ZERO;
         private boolean refusesPeers;
         /** Its machine gives no answer, rather than that nobody listens there. */
         private boolean silent;
@@ -189,7 +189,7 @@
 
         @Override
         public void after(Duration pause, Runnable work) {
-            loop.after(member.busy ? pause.plus(BUSY) : pause, () -> member.whenAwake(work));
+            loop.after(pause.plus(member.busy), () -> member.whenAwake(work));
         }
     }
 
@@ -508,7 +508,12 @@
     }
 
     void busy(int node, boolean now) {
-        members.get(node).busy = now;
+        busy(node, now ? BUSY : Duration.ZERO);
+    }
+
+    /** A node comes to each of its timers so much later. */
+    void busy(int node, Duration late) {
+        members.get(node).busy = late;
     }
 
     /** A node refuses connections from the others. */
