One check of which machines room may be made on; a gang with tasks in place makes room in its zone

A gang bound to the zone of its tasks in place looked in other zones too; there its room would have been of no use.

--- a/src/main/java/org/meadowhollow/coordination/Node.java
+++ b/src/main/java/org/meadowhollow/coordination/Node.java
@@ -128,7 +128,8 @@
             lateLooks = late ? lateLooks + 1 : 0;
             if (lateLooks >= LATE_LOOKS && leader != null) {
                 if (shedUntil == null || shedUntil.isBefore(now)) {
-                    LOG.info("this node leads and is short of time: users are sent to others for {} s", SHED_FOR.toSeconds());
+                    LOG.info("this node leads and is short of time: users are sent to others for {} s",
+                            SHED_FOR.toSeconds());
                 }
                 shedUntil = now.plus(SHED_FOR);
             }
--- a/src/main/java/org/meadowhollow/coordination/placement/Cluster.java
+++ b/src/main/java/org/meadowhollow/coordination/placement/Cluster.java
@@ -94,7 +94,8 @@
     /** Whether a machine can take tasks of a job now, if it has room. */
     boolean mayTake(Machine machine, JobSpec spec, Moment now) {
         JobId heldFor = machine.heldFor(now);
-        return usable(machine, now) && (heldFor == null || heldFor.equals(spec.id())) && spec.allowsType(machine.type().name()) && spec.allowsZone(machine.zone())
+        return usable(machine, now) && (heldFor == null || heldFor.equals(spec.id()))
+                && spec.allowsType(machine.type().name()) && spec.allowsZone(machine.zone())
                 && (spec.spot() || !machine.spot());
     }
 
--- a/src/main/java/org/meadowhollow/coordination/placement/PlacementRound.java
+++ b/src/main/java/org/meadowhollow/coordination/placement/PlacementRound.java
@@ -388,9 +388,9 @@
     }
 
     /**
-     * At equal risk: where no task of the job failed, so that a faulty machine is told from a faulty job; where the image is; a spot machine for a task that may use one; where the image comes
-     * soonest; for a replica, one more machine that will have its image; no machine that a large task could
-     * take whole; then most room.
+     * At equal risk: where no task of the job failed, so that a faulty machine is told from a faulty job; where the
+     * image is; a spot machine for a task that may use one; where the image comes soonest; for a replica, one more
+     * machine that will have its image; no machine that a large task could take whole; then most room.
      */
     private static int better(Seat one, Seat other) {
         int order = Boolean.compare(one.failed, other.failed);
--- a/src/main/java/org/meadowhollow/coordination/placement/RoomMaker.java
+++ b/src/main/java/org/meadowhollow/coordination/placement/RoomMaker.java
@@ -44,12 +44,7 @@
         Map<String, Resources> used = cluster.used();
         List<Preemption.Place<Placement>> places = new ArrayList<>();
         for (Machine machine : cluster.machines().values()) {
-            SeatLimit limit = cluster.outlook().limit(machine.id());
-            // What the calendar keeps a job from needs no room made for it.
-            if (limit != null && !limit.allows(spec, 0, machine.type().room())) {
-                continue;
-            }
-            if (cluster.mayTake(machine, spec, now) && machine.heldFor(now) == null && zones.getInt(machine.zone()) < spec.mostPerZone()) {
+            if (mayMakeRoom(machine, spec, zones, now) && machine.heldFor(now) == null) {
                 places.add(new Preemption.Place<>(machine.free(), machine.images().has(spec.image()),
                         running(machine, used, now)));
             }
@@ -74,9 +69,8 @@
         Map<String, List<Preemption.Place<Placement>>> byZone = new TreeMap<>();
         Map<Preemption.Place<Placement>, Machine> machines = new IdentityHashMap<>();
         for (Machine machine : cluster.machines().values()) {
-            SeatLimit limit = cluster.outlook().limit(machine.id());
-            if (limit != null && !limit.allows(spec, 0, machine.type().room())
-                    || !cluster.mayTake(machine, spec, now) || zones.getInt(machine.zone()) >= spec.mostPerZone()) {
+            if (!mayMakeRoom(machine, spec, zones, now)
+                    || spec.oneZone() && !zones.isEmpty() && zones.getInt(machine.zone()) == 0) {
                 continue;
             }
             Preemption.Place<Placement> place = new Preemption.Place<>(machine.free(),
@@ -108,6 +102,13 @@
         return victims;
     }
 
+    /** Whether the job could use room on a machine; what the calendar keeps it from needs no room made for it. */
+    private boolean mayMakeRoom(Machine machine, JobSpec spec, Object2IntMap<String> zones, Moment now) {
+        SeatLimit limit = cluster.outlook().limit(machine.id());
+        return (limit == null || limit.allows(spec, 0, machine.type().room()))
+                && cluster.mayTake(machine, spec, now) && zones.getInt(machine.zone()) < spec.mostPerZone();
+    }
+
     private List<Preemption.Running<Placement>> running(Machine machine, Map<String, Resources> used, Moment now) {
         List<Preemption.Running<Placement>> running = new ArrayList<>();
         for (Placement placement : machine.placements()) {
