A leader renews workers' leases only for as long as it knows which jobs are cancelled

Cause: an answer was allowed for 27 s after the last answered renewal. A renewal shows that the lease holds, not that anything was read. A leader that was served for an instant, or whose watches failed, or that had not loaded yet, renewed leases without stops: cancellations that another node had confirmed outlived cancel_s.

Change: a leadership knows up to which moment it knows all changes of jobs: when the look was sent whose answer was taken in (watches of 1 s, the first at once), or when the reading of all jobs began. Reports are answered until cancel_s less a worker's lease after that moment, or after the last renewal, if that is earlier; the margin is 1 s instead of 3, since a lease counts from when its report was sent. Reports that come while a leader loads wait for up to 3 s and are then sent on. Watches that fail for 6 s while other calls are answered are replaced by reading all jobs; an answer with a revision lower than shown is not taken in. A report of a machine without a known type renews nothing. A job taken in and cancelled between two looks is ended.

A task that runs while others of its gang wait now ends the attempt.

The story of a task below its guarantee asked for room after 30 s and was told by a machine that came up just then; it now waits until all machines are up and full, and sees that another task is stopped for it.

--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -89,6 +89,10 @@
      */
     private static final double HOLD_REPORTS = 0.6;
     private static final Duration MOST_HOLD = Duration.ofMillis(2500);
+    /**
+     * How long a report waits for what is loaded, below the 4 s that a worker waits: until then no lease may be renewed.
+     */
+    private static final Duration MOST_EARLY = Duration.ofSeconds(3);
     /** Direct answers that can overtake a report on its way: one for each task that is stopped meanwhile. */
     private static final int MOST_OVERTAKEN = 16;
     private static final Duration HOLD_SWEEP = Duration.ofMillis(250);
@@ -125,6 +129,8 @@
     private final Ledger ledger;
     private final ImageNotes images;
     private final HeldReports held = new HeldReports();
+    /** Those that came before this leader knew which jobs are cancelled. */
+    private final HeldReports early = new HeldReports();
     private final Term term;
     private final Moment begunAt;
     private final Cluster cluster;
@@ -208,7 +214,8 @@
             closed = true;
             ledger.close();
             fleet.close();
-            unanswered = held.takeAll();
+            unanswered = new ArrayList<>(held.takeAll());
+            unanswered.addAll(early.takeAll());
         }
         // Whoever leads now may renew their leases; this leader must not.
         HeldReports.sendOn(unanswered, null);
@@ -263,7 +270,11 @@
 
     // ---- reports ----
 
-    /** Answers a worker's report, so that its lease is kept: at once, or a little later if it has room. */
+    /**
+     * Answers a worker's report, so that its lease is kept: at once, or a little later if it has room. While this leader
+     * cannot know of all cancellations, nothing is answered that would renew a lease; one that is loading lets reports
+     * wait for a moment.
+     */
     public synchronized CompletableFuture<Answer> report(Report report) {
         Moment now = loop.now();
         leadership.keepUp();
@@ -271,9 +282,14 @@
             leadership.heardOf(report.token(), null);
             return CompletableFuture.completedFuture(new Answer.Elsewhere(leadership.leader()));
         }
+        if (!leadership.mayAnswer()) {
+            return leadership.isLoading() ? early.hold(report, now.plus(MOST_EARLY))
+                    : CompletableFuture.completedFuture(new Answer.Elsewhere(null));
+        }
         Machine machine = machine(report);
         if (machine == null) {
-            return CompletableFuture.completedFuture(new Answer.Orders(term, List.of()));
+            // What is not known as a machine gets no orders, so its lease is not renewed either.
+            return CompletableFuture.completedFuture(new Answer.Elsewhere(null));
         }
         if (!reconciliation.take(machine, report, now)) {
             return CompletableFuture.completedFuture(stale(machine, report, now));
@@ -281,9 +297,9 @@
         held.drop(report.machine());
         givingUp.reported(machine, now);
         machine.answered(now);
-        List<Order> orders = loading.isDone() ? reconciliation.orders(machine, report, now) : List.of();
+        List<Order> orders = reconciliation.orders(machine, report, now);
         ledger.flush();
-        if (orders.isEmpty() && loading.isDone() && leadership.mayStart() && machine.hasRoom()
+        if (orders.isEmpty() && leadership.mayStart() && machine.hasRoom()
                 && cluster.usable(machine, now)) {
             return held.hold(report, now.plus(holdFor()));
         }
@@ -311,14 +327,37 @@
 
     private void sweepHeld() {
         List<HeldReports.Held> due;
+        List<HeldReports.Held> tooEarly;
         synchronized (this) {
             if (closed) {
                 return;
             }
             due = held.due(loop.now());
+            tooEarly = early.due(loop.now());
         }
         loop.after(HOLD_SWEEP, this::sweepHeld);
         due.forEach(this::answer);
+        HeldReports.sendOn(tooEarly, null);
+    }
+
+    /**
+     * All cancellations up to a moment are known. With the first such moment those are answered whose reports waited.
+     *
+     * @param upTo when the request was sent whose answer showed the last of them
+     */
+    synchronized void knows(Moment upTo) {
+        leadership.knows(term, upTo);
+        if (!early.isEmpty()) {
+            loop.after(Duration.ZERO, this::answerEarly);
+        }
+    }
+
+    private void answerEarly() {
+        List<HeldReports.Held> waiting;
+        synchronized (this) {
+            waiting = early.takeAll();
+        }
+        waiting.forEach(each -> report(each.report()).thenAccept(each.answer()::complete));
     }
 
     /** Answers a report that was held, with the orders that there are by now. */
@@ -444,6 +483,12 @@
             chunk.touch();
             ledger.changed(chunk);
         }
+        Job job = placement.job();
+        if (job.spec().kind() == Kind.GANG && !placement.stopping() && job.waitingCount() > 0) {
+            // Its other tasks were lost before this leader heard that the gang had begun, so the attempt cannot be completed;
+            // it would keep its machine, and the gang would wait, for ever.
+            stopOthers(job, new TaskId(job.id(), job.nextWaiting(0)));
+        }
     }
 
     /**
--- a/src/main/java/org/meadowhollow/coordination/Loading.java
+++ b/src/main/java/org/meadowhollow/coordination/Loading.java
@@ -35,7 +35,13 @@
 final class Loading {
     private static final Logger LOG = LoggerFactory.getLogger(Loading.class);
     private static final Duration RETRY = Duration.ofMillis(500);
-    private static final Duration WATCH = Duration.ofSeconds(20);
+    /**
+     * A watch's answer shows that all was known up to when the watch was sent. Its length is therefore how old that is
+     * at most, which is taken off the time for which workers are answered in an outage.
+     */
+    private static final Duration WATCH = Duration.ofSeconds(1);
+    /** How long watches may fail, while other calls may be answered, before all jobs are read instead. */
+    private static final Duration BLIND = Duration.ofSeconds(6);
 
     private final Leader leader;
     private final StateStore store;
@@ -52,6 +58,8 @@
     private int records;
     private Version revision;
     private boolean loaded;
+    /** When the last look that was answered was begun. */
+    private Moment lookedAt;
 
     Loading(Leader leader, StateStore store, EventLoop loop, Cluster cluster, Aims aims, Expected expected,
             Ledger ledger, ImageNotes images, Term term, Version keyTakenAt, Inheritance inheritance, Takeover takeover) {
@@ -187,31 +195,56 @@
         revision = reached;
         takeover.recordsIn(from, records, loop.now());
         LOG.info("term {} has loaded {} jobs with {} tasks that may be running", term, cluster.jobs().size(), placed);
-        watch(watchFrom);
+        look(watchFrom);
     }
 
-    private void watch(Version after) {
-        store.watch(Records.JOBS, after, WATCH).whenComplete((changes, failure) -> {
+    /** Asks for what has changed by now, which is answered at once, and goes on to watch. */
+    private void look(Version after) {
+        watch(after, Duration.ZERO);
+    }
+
+    private void watch(Version after, Duration wait) {
+        Moment sentAt = loop.now();
+        if (lookedAt == null) {
+            lookedAt = sentAt;
+        }
+        store.watch(Records.JOBS, after, wait).whenComplete((changes, failure) -> {
             synchronized (leader) {
                 if (leader.isClosed()) {
                     return;
                 }
-                if (failure == null) {
+                if (failure == null && after.isAfter(changes.revision())) {
+                    LOG.info("the state service shows changes up to {}, and has shown {}: not taken in",
+                            changes.revision(), after);
+                    loop.after(RETRY, () -> look(after));
+                } else if (failure == null) {
                     for (StateStore.Change change : changes.changes()) {
                         if (change.value() != null) {
                             takeJob(change.key(), change.value(), change.version());
                         }
                     }
-                    watch(changes.revision());
-                } else if (StateException.of(failure) == Outcome.TOO_OLD) {
-                    loadJobs(this::watch);
+                    lookedAt = sentAt;
+                    leader.knows(sentAt);
+                    watch(changes.revision(), WATCH);
+                } else if (StateException.of(failure) == Outcome.TOO_OLD || isBlind(sentAt)) {
+                    Moment begun = loop.now();
+                    lookedAt = begun;
+                    loadJobs(from -> {
+                        leader.knows(begun);
+                        look(from);
+                    });
                 } else {
-                    loop.after(RETRY, () -> watch(after));
+                    loop.after(RETRY, () -> look(after));
                 }
             }
         });
     }
 
+    /** Whether other calls are answered, but watches have not been for long: their answer may be too large to take. */
+    private boolean isBlind(Moment now) {
+        return !store.seemsOut() && now.since(lookedAt).compareTo(BLIND) > 0;
+    }
+
     void takeJob(String key, Map<String, Object> record, Version version) {
         JobId id = Records.jobOfKey(key);
         Job job = cluster.jobs().get(id);
@@ -230,6 +263,11 @@
                 expected.came(job.spec(), new Moment(now.nanos() - ageMillis * 1_000_000),
                         Duration.ofMillis((long) (aims.readyS(job.spec()) * 1000)));
             }
+            if (job.cancelled() && loaded) {
+                // Taken in and cancelled between two looks: there is nothing to stop, but its end is still to be written.
+                ledger.ending(job);
+                ledger.flush();
+            }
             return;
         }
         if (!version.isAfter(job.version())) {
--- a/src/main/java/org/meadowhollow/coordination/Node.java
+++ b/src/main/java/org/meadowhollow/coordination/Node.java
@@ -315,7 +315,7 @@
             leadership.hearsAgain();
         }
         Leader now = leader();
-        if (now != null && leadership.mayAnswer()) {
+        if (now != null && (leadership.mayAnswer() || leadership.isLoading())) {
             return now.report(report);
         }
         leadership.heardOf(report.token(), null);
--- a/src/main/java/org/meadowhollow/coordination/leadership/Leadership.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/Leadership.java
@@ -31,8 +31,11 @@
     private static final Duration RETRY = Duration.ofMillis(400);
     /** A watch of the leader's key; it returns at once when the key goes. */
     private static final Duration WATCH = Duration.ofSeconds(20);
-    /** Time for an answer that is under way when a leader falls silent. */
-    private static final Duration MARGIN = Duration.ofSeconds(3);
+    /**
+     * For what a worker takes to notice that its lease is over. An answer that is held back or late needs none: a lease
+     * counts from when its report was sent, which is before it was taken in here.
+     */
+    private static final Duration MARGIN = Duration.ofSeconds(1);
     /**
      * Workers that must have come here within some seconds for this node to count as one that hears them. Those of a
      * silent leader go round all nodes, one every 5 s and more.
@@ -91,11 +94,25 @@
     }
 
     /**
-     * Whether reports may still be answered. A leader that cannot renew keeps the tasks running, but only
-     * so long that all leases it renewed are over before a cancellation it never heard of is due.
+     * Whether reports may be answered. A leader that cannot renew keeps the tasks running, but only so long that all
+     * leases it renewed are over before a cancellation it never heard of is due. Before it has loaded it may not.
      */
     public synchronized boolean mayAnswer() {
-        return LeadershipStep.mayFor(answerFor, state, loop.now());
+        return LeadershipStep.mayAnswer(answerFor, state, loop.now());
+    }
+
+    /** Whether this node leads, and does not know yet which jobs are cancelled. */
+    public synchronized boolean isLoading() {
+        return LeadershipStep.mayStart(state, loop.now()) && state.holding().knownAt() == null;
+    }
+
+    /**
+     * The leader of a term knows all cancellations up to a moment.
+     *
+     * @param upTo when the request was sent whose answer showed the last of them
+     */
+    public void knows(Term term, Moment upTo) {
+        on(new LeadershipEvent.TookIn(term, upTo));
     }
 
     /** The term of this node's last leadership. */
--- a/src/main/java/org/meadowhollow/coordination/leadership/LeadershipEvent.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/LeadershipEvent.java
@@ -72,6 +72,15 @@
     record Renewed(int epoch, Moment sentAt, Renewal renewal) implements LeadershipEvent {
     }
 
+    /**
+     * All changes of jobs up to a moment are known here.
+     *
+     * @param term of the leadership that knows them
+     * @param upTo when the request was sent whose answer showed the last of them
+     */
+    record TookIn(Term term, Moment upTo) implements LeadershipEvent {
+    }
+
     /** A peer or a worker told of a term. */
     record Heard(Term term, String leader) implements LeadershipEvent {
     }
--- a/src/main/java/org/meadowhollow/coordination/leadership/LeadershipState.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/LeadershipState.java
@@ -30,23 +30,30 @@
      * @param leaseSentAt when the last answered renewal was sent, from when on the lease counts
      * @param renewalSentAt when the last renewal was sent, or null if one is to be sent at once
      * @param version the revision of the transaction that took the key
+     * @param knownAt the moment up to which all changes of jobs are known here, or null while they are not loaded
      */
     record Holding(LeaseId lease, Moment leaseSentAt, Moment renewalSentAt, boolean renewing, Version version,
-            boolean resigning) {
+            boolean resigning, Moment knownAt) {
         Holding renewing(Moment now) {
-            return new Holding(lease, leaseSentAt, now, true, version, resigning);
+            return new Holding(lease, leaseSentAt, now, true, version, resigning, knownAt);
         }
 
         Holding renewed(Moment sentAt) {
-            return new Holding(lease, Moment.later(leaseSentAt, sentAt), renewalSentAt, false, version, resigning);
+            return new Holding(lease, Moment.later(leaseSentAt, sentAt), renewalSentAt, false, version, resigning,
+                    knownAt);
         }
 
         Holding notRenewed() {
-            return new Holding(lease, leaseSentAt, null, false, version, resigning);
+            return new Holding(lease, leaseSentAt, null, false, version, resigning, knownAt);
         }
 
         Holding resigning(boolean now) {
-            return new Holding(lease, leaseSentAt, renewalSentAt, renewing, version, now);
+            return new Holding(lease, leaseSentAt, renewalSentAt, renewing, version, now, knownAt);
+        }
+
+        Holding knowing(Moment upTo) {
+            return new Holding(lease, leaseSentAt, renewalSentAt, renewing, version, resigning,
+                    knownAt == null ? upTo : Moment.later(knownAt, upTo));
         }
 
         boolean isDue(Moment now, Duration every) {
--- a/src/main/java/org/meadowhollow/coordination/leadership/LeadershipStep.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/LeadershipStep.java
@@ -61,13 +61,26 @@
 
     /** Whether new starts may go out: the lease certainly holds, and is not being given up, which may be done by now. */
     static boolean mayStart(LeadershipState state, Moment now) {
-        return mayFor(TTL, state, now) && !state.holding().resigning();
+        return state.holding() != null && within(TTL, state.holding().leaseSentAt(), now)
+                && !state.holding().resigning();
     }
 
-    /** Whether a leader's last answered renewal was sent less than a time ago, by any clock. */
-    static boolean mayFor(Duration span, LeadershipState state, Moment now) {
-        return state.holding() != null && now.isBefore(state.holding().leaseSentAt()
-                .plus(Duration.ofNanos((long) (span.toNanos() * (1 - DRIFT)))));
+    /**
+     * Whether reports may be answered, which renews the leases of workers. It counts from when the last answered renewal
+     * was sent, or from when this node last knew all cancellations, whichever was earlier: a renewal shows that the lease
+     * holds, not that anything was read, and a leader that has not loaded yet knows of none.
+     *
+     * @param span the time for a cancellation less a worker's lease
+     */
+    static boolean mayAnswer(Duration span, LeadershipState state, Moment now) {
+        LeadershipState.Holding held = state.holding();
+        return held != null && held.knownAt() != null && within(span, held.leaseSentAt(), now)
+                && within(span, held.knownAt(), now);
+    }
+
+    /** Whether a moment is less than a time ago, by any clock. */
+    private static boolean within(Duration span, Moment since, Moment now) {
+        return now.isBefore(since.plus(Duration.ofNanos((long) (span.toNanos() * (1 - DRIFT)))));
     }
 
     Step on(LeadershipState state, LeadershipEvent event, Moment now) {
@@ -92,6 +105,9 @@
             return claimed.epoch() != state.epoch() ? Step.of(state) : claimed(state, claimed);
         } else if (event instanceof LeadershipEvent.Renewed renewed) {
             return renewed.epoch() != state.epoch() ? Step.of(state) : renewed(state, renewed);
+        } else if (event instanceof LeadershipEvent.TookIn took) {
+            return state.holding() == null || !took.term().equals(state.term()) ? Step.of(state)
+                    : Step.of(state.with(state.holding().knowing(took.upTo())));
         } else if (event instanceof LeadershipEvent.GivingUp givingUp) {
             return givingUp(state, givingUp);
         } else if (event instanceof LeadershipEvent.GivenUp givenUp) {
@@ -183,7 +199,7 @@
             return lookAgain(state);
         }
         Version version = claimed.commit().revision();
-        Holding held = new Holding(claimed.lease(), claimed.sentAt(), claimed.sentAt(), false, version, false);
+        Holding held = new Holding(claimed.lease(), claimed.sentAt(), claimed.sentAt(), false, version, false, null);
         return Step.of(state.elected(member, claimed.term(), held),
                 new LeadershipEffect.Elected(claimed.term(), version, state.known().freeSince()),
                 new LeadershipEffect.TickLater(state.epoch()));
--- /dev/null
+++ b/src/test/java/org/meadowhollow/story/MeetingStoriesTest.java
@@ -0,0 +1,173 @@
+package org.meadowhollow.story;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.Records;
+
+/**
+ * Cancellations that the one who answers the workers has not heard of: the state service refuses the leader alone, another
+ * node confirms them, and then it is down for all. docs/meetings.md has what each party believes at each step.
+ */
+class MeetingStoriesTest extends Story {
+    private static final Duration HOURS = Duration.ofHours(2);
+
+    private List<JobSpec> longJobs() {
+        List<JobSpec> jobs = List.of(array(1, 12), World.spec(2, Kind.GANG, 4, 2), World.spec(3, Kind.SERVICE, 3, 1));
+        for (JobSpec job : jobs) {
+            assertTrue(world.submit(0, job, job.kind() == Kind.SERVICE ? null : HOURS));
+        }
+        world.runS(15);
+        jobs.forEach(job -> assertTrue(allRun(job), job.id() + " should run"));
+        return jobs;
+    }
+
+    private boolean allRun(JobSpec job) {
+        for (int task = 0; task < job.tasks(); task++) {
+            if (placeOf(job, task) == null) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void cancelAll(int node, List<JobSpec> jobs) {
+        jobs.forEach(job -> assertTrue(world.cancel(node, job.id())));
+        jobs.forEach(job -> assertTrue(allRun(job), job.id() + " should still run when its cancellation is confirmed"));
+    }
+
+    private int other(int than, int by) {
+        return (than + by) % 3;
+    }
+
+    /** What the judge of {@link World} watches over at each step, and that it had something to watch. */
+    private void goneInTime(List<JobSpec> jobs) {
+        for (JobSpec job : jobs) {
+            for (int task = 0; task < job.tasks(); task++) {
+                assertEquals(null, placeOf(job, task), "task " + task + " of " + job.id());
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 3, 6, 12, 30})
+    void refusedAloneForSecondsThenOutForAll(int refusedS) {
+        List<JobSpec> jobs = longJobs();
+        int leader = world.leader();
+        world.peersCut(true);
+        world.line(leader).cut(true);
+        cancelAll(other(leader, 1), jobs);
+        world.runS(refusedS);
+        world.store().out(true);
+        world.line(leader).cut(false);
+        world.runS(90);
+        goneInTime(jobs);
+    }
+
+    @Test
+    void aLeaderThatIsServedForAnInstantRenewsAndKnowsNoMore() {
+        List<JobSpec> jobs = longJobs();
+        int leader = world.leader();
+        world.peersCut(true);
+        world.line(leader).failWatches(true);
+        world.line(leader).cut(true);
+        cancelAll(other(leader, 1), jobs);
+        for (int instant = 0; instant < 4; instant++) {
+            world.runS(2);
+            world.line(leader).cut(false);
+            world.runS(0.75);
+            world.line(leader).cut(true);
+        }
+        assertEquals(leader, world.leader(), "its renewals were answered");
+        world.store().out(true);
+        world.line(leader).cut(false);
+        world.runS(90);
+        goneInTime(jobs);
+    }
+
+    @Test
+    void aLeaderWhoseWatchesFailReadsWhatItMissed() {
+        List<JobSpec> jobs = longJobs();
+        int leader = world.leader();
+        world.line(leader).failWatches(true);
+        cancelAll(other(leader, 1), jobs);
+        JobSpec another = array(4, 6);
+        world.submit(other(leader, 2), another, HOURS);
+        world.runS(40);
+        goneInTime(jobs);
+        assertEquals(leader, world.leader());
+        assertTrue(allRun(another), "what was submitted meanwhile begins");
+    }
+
+    @Test
+    void aNewLeaderThatHasNotLoadedRenewsNothing() {
+        List<JobSpec> jobs = longJobs();
+        int leader = world.leader();
+        world.peersCut(true);
+        for (int node = 0; node < 3; node++) {
+            world.line(node).hide(Records.TASKS);
+        }
+        world.line(leader).cut(true);
+        cancelAll(other(leader, 1), jobs);
+        world.runS(10);
+        assertFalse(leader == world.leader(), "another node leads, and is loading");
+        world.store().out(true);
+        world.line(leader).cut(false);
+        world.runS(90);
+        goneInTime(jobs);
+    }
+
+    @Test
+    void leadersThatFollowOneAnotherWithoutTheRecords() {
+        List<JobSpec> jobs = longJobs();
+        world.peersCut(true);
+        for (int node = 0; node < 3; node++) {
+            world.line(node).hide(Records.TASKS);
+        }
+        int leader = world.leader();
+        world.line(leader).cut(true);
+        cancelAll(other(leader, 1), jobs);
+        for (int takeover = 0; takeover < 2; takeover++) {
+            world.runS(9);
+            int next = world.leader();
+            assertTrue(next >= 0);
+            world.line(next).cut(true);
+            world.line(leader).cut(false);
+            leader = next;
+        }
+        world.store().out(true);
+        world.runS(90);
+        goneInTime(jobs);
+    }
+
+    @Test
+    void aPlainOutageLetsNoTaskGoSoonerThanTheRulesNeed() {
+        List<JobSpec> jobs = longJobs();
+        world.store().out(true);
+        // cancel_s less a look's age and a second: what was not cancelled goes on for so long, and through an outage shorter than it.
+        world.runS(24);
+        world.store().out(false);
+        world.runS(20);
+        jobs.forEach(job -> assertTrue(allRun(job)));
+        assertEquals(19, world.starts());
+    }
+
+    @Test
+    void anOutageThatLastsEndsAllLeasesAndAfterItAllRunAgain() {
+        List<JobSpec> jobs = longJobs();
+        world.store().out(true);
+        world.runS(80);
+        goneInTime(jobs);
+        world.store().out(false);
+        world.runS(90);
+        jobs.forEach(job -> assertTrue(allRun(job)));
+    }
+}
--- a/src/test/java/org/meadowhollow/story/TesStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/TesStoriesTest.java
@@ -604,13 +604,14 @@
             assertTrue(world.submit(0, World.spec(at, Kind.ARRAY, 2, 1), LONG));
         }
         world.cloudOut(true);
-        world.runS(10);
-        int before = world.starts();
+        // All machines that were rented are up, and full.
+        world.runS(20);
+        long before = world.workers().stream().mapToLong(worker -> worker.running().size()).sum();
         String id = (String) body(world.tes(0, "other secret", "POST", "/tasks", Map.of(), Map.of(),
                 TASK.formatted("first", "1", ", \"save_s\": \"1\""))).get("id");
         world.runs(new JobId(id), LONG);
-        world.runS(30);
-        assertTrue(before > 0);
+        world.runS(40);
+        assertTrue(before > 0 && before == world.workers().stream().mapToLong(worker -> worker.running().size()).sum());
         Http.Reply reply = world.tes(1, "other secret", "GET", "/tasks/" + id, Map.of(), Map.of(), "");
         assertEquals("RUNNING", body(reply).get("state"), "others make room, as for a native job of that team");
     }
