--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -630,7 +630,7 @@
             if (mayDecide(now)) {
                 place(now);
             }
-            served.account(jobs.values(), now, loop.wallMillis()).forEach(LOG::info);
+            served.account(jobs.values(), now, loop.wallMillis(), job -> cluster.waitsFor(job, now)).forEach(LOG::info);
             ledger.flush();
             images.write(machines.values(), now);
             if (tablesSettled && leadership.mayStart()) {
--- a/src/main/java/org/meadowhollow/coordination/placement/Cluster.java
+++ b/src/main/java/org/meadowhollow/coordination/placement/Cluster.java
@@ -10,6 +10,7 @@
 import org.meadowhollow.bookkeeping.Job;
 import org.meadowhollow.bookkeeping.JobId;
 import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
 import org.meadowhollow.bookkeeping.Machine;
 import org.meadowhollow.bookkeeping.MachineId;
 import org.meadowhollow.bookkeeping.Moment;
@@ -99,6 +100,31 @@
                 && (spec.spot() || !machine.spot());
     }
 
+    /** What keeps a job that waits from being placed, for those who read the log. */
+    public String waitsFor(Job job, Moment now) {
+        JobSpec spec = job.spec();
+        Resources most = platform.teams().get(spec.team()).most();
+        Resources then = used().getOrDefault(spec.team(), Resources.NONE).plus(spec.kind() == Kind.ARRAY ? spec.perTask()
+                : spec.perTask().times(job.waitingCount()));
+        long stopping = job.placements().stream().filter(Placement::stopping).count();
+        if (job.holdUntil() != null && now.isBefore(job.holdUntil())) {
+            return "a pause, since its tasks fail";
+        } else if (stopping > 0) {
+            return stopping + " tasks of its last attempt that may still be running";
+        } else if (most.cpu() > 0 && then.cpu() > most.cpu() || most.gpu() > 0 && then.gpu() > most.gpu()) {
+            return "its team's limit";
+        }
+        Object2IntOpenHashMap<String> room = new Object2IntOpenHashMap<>();
+        for (Machine machine : machines.values()) {
+            if (mayTake(machine, spec, now) && spec.perTask().fitsIn(machine.free())) {
+                room.addTo(spec.oneZone() ? machine.zone() : "any zone", 1);
+            }
+        }
+        return job.placements().isEmpty() ? "room: machines with room for a task are " + room
+                : job.placements().size() + " tasks are placed, " + job.waitingCount() + " have none; machines with room: "
+                + room;
+    }
+
     /** How many of a job's tasks may be in each zone. */
     Object2IntOpenHashMap<String> zonesOf(Job job) {
         Object2IntOpenHashMap<String> zones = new Object2IntOpenHashMap<>();
--- a/src/main/java/org/meadowhollow/coordination/serving/Served.java
+++ b/src/main/java/org/meadowhollow/coordination/serving/Served.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Function;
 import org.meadowhollow.bookkeeping.Job;
 import org.meadowhollow.bookkeeping.JobId;
 import org.meadowhollow.bookkeeping.JobSpec;
@@ -27,6 +28,10 @@
     /** Below this share of started jobs, of as many as this at least, a class or team is falling behind. */
     private static final double BEHIND = 0.7;
     private static final int LEAST = 4;
+    /** A job with so much of the most tasks that a job of its class had is one of the class's largest. */
+    private static final double LARGE = 0.75;
+    /** Lines about large jobs that wait, the oldest first. */
+    private static final int MOST_TOLD = 8;
     /** Classes and teams counted; the settings name the teams, but users choose the classes. */
     private static final int MOST = 256;
 
@@ -34,6 +39,7 @@
     }
 
     private static final class Counts {
+        private int mostTasks;
         private int came;
         private int started;
         private int done;
@@ -42,6 +48,7 @@
         private int waiting;
         private int leftBehind;
         private double oldestS;
+        private int largeWaiting;
     }
 
     private final Map<Group, Counts> groups = new TreeMap<>(Comparator.comparing(Group::jobClass)
@@ -51,7 +58,9 @@
 
     /** A job was taken in. */
     public void came(JobSpec spec) {
-        counts(spec).came++;
+        Counts counts = counts(spec);
+        counts.came++;
+        counts.mostTasks = Math.max(counts.mostTasks, spec.tasks());
     }
 
     /** A task of the job runs. */
@@ -75,11 +84,13 @@
     }
 
     /**
-     * What there is to log now: nothing, or a line for each class and team.
+     * What there is to log now: nothing, or a line for each class and team, and one for each of the largest jobs of a class
+     * that has waited for long, up to eight.
      *
      * @param jobs all that live
+     * @param waitsFor says what a job that waits is waiting for
      */
-    public List<String> account(Collection<Job> jobs, Moment now, long wallMillis) {
+    public List<String> account(Collection<Job> jobs, Moment now, long wallMillis, Function<Job, String> waitsFor) {
         if (toldAt == null) {
             toldAt = now;
         }
@@ -91,25 +102,41 @@
             counts.waiting = 0;
             counts.leftBehind = 0;
             counts.oldestS = 0;
+            counts.largeWaiting = 0;
         });
+        List<Job> large = new ArrayList<>();
         for (Job job : jobs) {
             if (job.waitingCount() > 0) {
                 Counts counts = counts(job.spec());
                 double ageS = (wallMillis - job.acceptedAtMillis()) / 1000.0;
                 counts.waiting += job.waitingCount();
                 counts.oldestS = Math.max(counts.oldestS, ageS);
-                counts.leftBehind += ageS > LONG.toSeconds() && !started.contains(job.id()) ? 1 : 0;
+                boolean left = ageS > LONG.toSeconds() && !started.contains(job.id());
+                counts.leftBehind += left ? 1 : 0;
+                if (left && isLarge(job.spec(), counts)) {
+                    counts.largeWaiting++;
+                    large.add(job);
+                }
             }
         }
         List<String> lines = new ArrayList<>();
         groups.forEach((group, counts) -> lines.add("served: class " + group.jobClass() + " of " + group.team() + ": "
                 + counts.came + " jobs came, " + counts.started + " started, " + counts.done + " done, " + counts.late
                 + " late, " + counts.cancelled + " cancelled; " + counts.waiting + " tasks wait, the oldest for "
-                + (long) counts.oldestS + " s" + (isBehind(counts) ? "; FALLS BEHIND: " + counts.leftBehind
+                + (long) counts.oldestS + " s" + (counts.largeWaiting > 0 ? "; " + counts.largeWaiting
+                + " of its largest jobs wait" : "") + (isBehind(counts) ? "; FALLS BEHIND: " + counts.leftBehind
                 + " jobs wait for over " + LONG.toSeconds() + " s" : "")));
+        large.stream().sorted(Comparator.comparingLong(Job::acceptedAtMillis).thenComparing(Job::id)).limit(MOST_TOLD)
+                .forEach(job -> lines.add("large job " + job.id() + " of class " + job.spec().jobClass() + ", "
+                        + job.spec().tasks() + " tasks, waits for " + (wallMillis - job.acceptedAtMillis()) / 1000
+                        + " s: " + waitsFor.apply(job)));
         return lines;
     }
 
+    private static boolean isLarge(JobSpec spec, Counts counts) {
+        return spec.tasks() > 1 && spec.tasks() >= LARGE * counts.mostTasks;
+    }
+
     private static boolean isBehind(Counts counts) {
         int judged = counts.started + counts.leftBehind;
         return judged >= LEAST && counts.started < BEHIND * judged;
