--- a/src/test/java/org/meadowhollow/story/FakeStore.java
+++ b/src/test/java/org/meadowhollow/story/FakeStore.java
@@ -151,6 +151,7 @@
         private String blindTo;
         private String skipped;
         private boolean failsWatches;
+        private boolean goesBack;
         private int mostWrites;
         private int reads;
         private int pages;
@@ -200,6 +201,11 @@
             failsWatches = now;
         }
 
+        /** Watches of records answer with a revision below the one asked from, and no changes, as no store that is right would. */
+        void goBack(boolean now) {
+            goesBack = now;
+        }
+
         /** Watches leave the changes of a key out, as no store that is right would. */
         void skip(String key) {
             skipped = key;
@@ -406,6 +412,10 @@
                 loop.after(latency, () -> fail(answer, Outcome.UNKNOWN));
                 return;
             }
+            if (goesBack && !prefix.equals(Records.LEADER)) {
+                loop.after(latency, () -> complete(answer, new Changes(new Version(after.value() - 1), List.of())));
+                return;
+            }
             List<Change> found = new ArrayList<>();
             boolean blind = blindTo != null && prefix.startsWith(blindTo);
             if (!cut && !out && !blind && !log.isEmpty() && log.size() > MOST_LOG
--- a/src/test/java/org/meadowhollow/story/MeetingStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/MeetingStoriesTest.java
@@ -171,6 +171,28 @@
         jobs.forEach(job -> assertTrue(allRun(job)));
     }
 
+    @Test
+    void anAnswerBelowWhatWasShownIsNoNews() {
+        List<JobSpec> jobs = longJobs();
+        int leader = world.leader();
+        world.line(leader).goBack(true);
+        cancelAll(other(leader, 1), jobs);
+        world.runS(70);
+        goneInTime(jobs);
+    }
+
+    @Test
+    void aJobTakenInAndCancelledBetweenTwoLooksComesToItsEnd() {
+        int leader = world.leader();
+        world.line(leader).failWatches(true);
+        JobSpec job = array(1, 2);
+        assertTrue(world.submit(other(leader, 1), job, HOURS));
+        assertTrue(world.cancel(other(leader, 1), job.id()));
+        // All jobs are read instead, which shows it cancelled at once.
+        world.runS(20);
+        assertEquals(0, world.store().size(Records.JOBS), "its end is written");
+    }
+
     @Test
     void machinesThatAreBackAtOnceAreReturnedAndNobodyWaitsForThem() {
         List<JobSpec> jobs = longJobs();
