--- a/src/test/java/org/meadowhollow/story/MeetingStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/MeetingStoriesTest.java
@@ -12,6 +12,7 @@
 import org.meadowhollow.bookkeeping.JobSpec;
 import org.meadowhollow.bookkeeping.Kind;
 import org.meadowhollow.bookkeeping.Records;
+import org.meadowhollow.coordination.admission.Admission.Phase;
 
 /**
  * Cancellations that the one who answers the workers has not heard of: the state service refuses the leader alone, another
@@ -227,4 +228,36 @@
         world.runS(15);
         assertEquals(0, world.store().size(Records.TASKS), "what it left is cleared away");
     }
+
+    /** Two tasks whose ends lie some ten seconds apart, and between them, at any moment around the first, the leader ends. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2, 3, 4, 6, 9, 12})
+    void jobsWhoseTasksEndFarApartAcrossAChangeOfLeaderAreDoneOnceAndWhole(int quartersOfASecond) {
+        JobSpec job = World.spec(1, Kind.ARRAY, 2, 8);
+        assertTrue(world.submit(0, job, SHORT));
+        for (int step = 0; step < 80 && placeOf(job, 1) == null; step++) {
+            world.runS(0.25);
+        }
+        world.runS(7);
+        FakeWorker second = placeOf(job, 1);
+        second.hang(true);
+        if (quartersOfASecond % 2 == 1) {
+            // The end is not committed, so the worker may not be told to forget it.
+            world.line(world.leader()).holdCommits();
+        }
+        for (int step = 0; step < 80 && placeOf(job, 0) != null; step++) {
+            world.runS(0.25);
+        }
+        world.runS(quartersOfASecond * 0.25);
+        int leader = world.leader();
+        world.crash(leader);
+        world.runS(5);
+        assertFalse(phase(job) == Phase.DONE, "its second task has not ended");
+        second.hang(false);
+        world.restart(leader);
+        world.runS(30);
+        assertEquals(Phase.DONE, phase(job));
+        assertEquals(2, world.starts(), "no finished task runs again");
+        assertEquals(0, world.store().size(Records.JOBS) + world.store().size(Records.TASKS));
+    }
 }
