--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -345,11 +345,7 @@
         synchronized (this) {
             Moment now = loop.now();
             Machine machine = closed ? null : machine(waited.report());
-            if (machine != null && reconciliation.take(machine, waited.report(), now)) {
-                givingUp.reported(machine, now);
-                machine.heard(now);
-                ledger.flush();
-            }
+            takeNews(machine, waited.report(), now);
         }
         waited.answer().complete(new Answer.Elsewhere(null));
     }
@@ -591,7 +587,14 @@
         Machine machine = machine(report);
         if (machine == asked && knownSession != null && !report.isNewerThan(knownSession, knownSeq)) {
             begunAnew(machine, now);
-        } else if (machine != null && reconciliation.take(machine, report, now)) {
+        } else {
+            takeNews(machine, report, now);
+        }
+    }
+
+    /** Takes in a report that renews no lease, unless it is of no machine known here or older than what is known. */
+    private void takeNews(Machine machine, Report report, Moment now) {
+        if (machine != null && reconciliation.take(machine, report, now)) {
             givingUp.reported(machine, now);
             machine.heard(now);
             ledger.flush();
--- a/src/test/java/org/meadowhollow/story/MeetingStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/MeetingStoriesTest.java
@@ -58,29 +58,42 @@
         }
     }
 
-    @ParameterizedTest
-    @ValueSource(ints = {1, 3, 6, 12, 30})
-    void refusedAloneForSecondsThenOutForAll(int refusedS) {
-        List<JobSpec> jobs = longJobs();
-        int leader = world.leader();
+    private void hideRecords() {
+        for (int node = 0; node < 3; node++) {
+            world.line(node).hide(Records.TASKS);
+        }
+    }
+
+    /** The state service refuses the leader, no other node tells it anything, and another one confirms the cancellations. */
+    private void refusedAloneWhileCancelled(int leader, List<JobSpec> jobs) {
         world.peersCut(true);
         world.line(leader).cut(true);
         cancelAll(other(leader, 1), jobs);
-        world.runS(refusedS);
+    }
+
+    private void outForAllAfter(int refused, List<JobSpec> jobs) {
         world.store().out(true);
-        world.line(leader).cut(false);
+        world.line(refused).cut(false);
         world.runS(90);
         goneInTime(jobs);
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {1, 3, 6, 12, 30})
+    void refusedAloneForSecondsThenOutForAll(int refusedS) {
+        List<JobSpec> jobs = longJobs();
+        int leader = world.leader();
+        refusedAloneWhileCancelled(leader, jobs);
+        world.runS(refusedS);
+        outForAllAfter(leader, jobs);
+    }
+
     @Test
     void aLeaderThatIsServedForAnInstantRenewsAndKnowsNoMore() {
         List<JobSpec> jobs = longJobs();
         int leader = world.leader();
-        world.peersCut(true);
         world.line(leader).failWatches(true);
-        world.line(leader).cut(true);
-        cancelAll(other(leader, 1), jobs);
+        refusedAloneWhileCancelled(leader, jobs);
         for (int instant = 0; instant < 4; instant++) {
             world.runS(2);
             world.line(leader).cut(false);
@@ -88,10 +101,7 @@
             world.line(leader).cut(true);
         }
         assertEquals(leader, world.leader(), "its renewals were answered");
-        world.store().out(true);
-        world.line(leader).cut(false);
-        world.runS(90);
-        goneInTime(jobs);
+        outForAllAfter(leader, jobs);
     }
 
     @Test
@@ -112,30 +122,19 @@
     void aNewLeaderThatHasNotLoadedRenewsNothing() {
         List<JobSpec> jobs = longJobs();
         int leader = world.leader();
-        world.peersCut(true);
-        for (int node = 0; node < 3; node++) {
-            world.line(node).hide(Records.TASKS);
-        }
-        world.line(leader).cut(true);
-        cancelAll(other(leader, 1), jobs);
+        hideRecords();
+        refusedAloneWhileCancelled(leader, jobs);
         world.runS(10);
         assertFalse(leader == world.leader(), "another node leads, and is loading");
-        world.store().out(true);
-        world.line(leader).cut(false);
-        world.runS(90);
-        goneInTime(jobs);
+        outForAllAfter(leader, jobs);
     }
 
     @Test
     void leadersThatFollowOneAnotherWithoutTheRecords() {
         List<JobSpec> jobs = longJobs();
-        world.peersCut(true);
-        for (int node = 0; node < 3; node++) {
-            world.line(node).hide(Records.TASKS);
-        }
+        hideRecords();
         int leader = world.leader();
-        world.line(leader).cut(true);
-        cancelAll(other(leader, 1), jobs);
+        refusedAloneWhileCancelled(leader, jobs);
         for (int takeover = 0; takeover < 2; takeover++) {
             world.runS(9);
             int next = world.leader();
@@ -144,9 +143,7 @@
             world.line(leader).cut(false);
             leader = next;
         }
-        world.store().out(true);
-        world.runS(90);
-        goneInTime(jobs);
+        outForAllAfter(leader, jobs);
     }
 
     @Test
