Tests: a judge of what workers and users saw; the fakes learn the further troubles

Cause found on the way: what a worker or an answer found wrong inside a future was thrown where nobody saw it (a start beside another attempt, an older answer to one who did not wait). Such checks could not fail; they now end the test with its next step.

The fakes get mute machines, lost answers of transactions alone, reports kept for the next leader, cancellations within a fifth of a second with hanging machines, cancellations at the end, close looks, odd bodies, boots of under two seconds with a late list.

--- a/src/test/java/org/meadowhollow/story/FakeStore.java
+++ b/src/test/java/org/meadowhollow/story/FakeStore.java
@@ -43,6 +43,8 @@
     private long revision;
     private long nextLease;
     private boolean out;
+    private String awaitedKey;
+    private Runnable onPut;
 
     FakeStore(EventLoop loop) {
         this(loop, LATENCY);
@@ -59,6 +61,12 @@
         leases.replaceAll((lease, end) -> loop.now().plus(ttls.get(lease)));
     }
 
+    /** What happens just after a key is put, once whoever put it has its answer. */
+    void whenPut(String key, Runnable then) {
+        awaitedKey = key;
+        onPut = then;
+    }
+
     Map<String, Object> value(String key) {
         Stored stored = keys.get(key);
         return stored == null ? null : decode(stored.value());
@@ -123,6 +131,9 @@
         }
         revision++;
         transaction.writes().forEach((key, write) -> {
+            if (write.value() != null && key.equals(awaitedKey)) {
+                loop.after(latency.multipliedBy(2), onPut);
+            }
             if (write.value() == null) {
                 remove(key);
             } else {
@@ -161,6 +172,10 @@
         private boolean holdsCommits;
         private Random late;
         private double lateShare;
+        private Random unanswered;
+        private double unansweredShare;
+        private int lostCommits;
+        private int lateCommits;
         private Executor process = Runnable::run;
         private Consumer<Runnable> copies = late -> { };
 
@@ -237,6 +252,22 @@
             lateShare = share;
         }
 
+        /** So many of the transactions are executed at once, and their answers alone are lost. */
+        void loseCommitAnswers(double share, long seed) {
+            unanswered = new Random(seed);
+            unansweredShare = share;
+        }
+
+        /** Transactions that were executed, and whose answers were lost for that alone. */
+        int lostCommits() {
+            return lostCommits;
+        }
+
+        /** Transactions that were executed late, and changed something. */
+        int lateCommits() {
+            return lateCommits;
+        }
+
         /** The process behind the line is gone: nothing comes back any more. */
         void die() {
             dead = true;
@@ -349,13 +380,20 @@
                 loop.after(TIMEOUT, () -> fail(never, Outcome.UNKNOWN));
                 loop.after(Duration.ofMillis(2000 + late.nextInt(10_000)), () -> {
                     try {
-                        FakeStore.this.commit(transaction);
+                        lateCommits += FakeStore.this.commit(transaction).applied() ? 1 : 0;
                     } catch (StateException refused) {
                         // Nobody hears of it.
                     }
                 });
                 return never;
             }
+            if (unansweredShare > 0 && unanswered.nextDouble() < unansweredShare) {
+                CompletableFuture<Commit> never = new CompletableFuture<>();
+                call(() -> FakeStore.this.commit(transaction)).thenAccept(
+                        done -> lostCommits += done.applied() ? 1 : 0);
+                loop.after(TIMEOUT, () -> fail(never, Outcome.UNKNOWN));
+                return never;
+            }
             boolean heldBefore = holding;
             holding |= holdsCommits;
             try {
--- a/src/test/java/org/meadowhollow/story/FakeWorker.java
+++ b/src/test/java/org/meadowhollow/story/FakeWorker.java
@@ -11,6 +11,7 @@
 import org.meadowhollow.bookkeeping.Attempt;
 import org.meadowhollow.bookkeeping.Cause;
 import org.meadowhollow.bookkeeping.MachineId;
+import org.meadowhollow.bookkeeping.MachineType;
 import org.meadowhollow.bookkeeping.Moment;
 import org.meadowhollow.bookkeeping.Order;
 import org.meadowhollow.bookkeeping.Report;
@@ -21,7 +22,7 @@
 import org.meadowhollow.coordination.Answer;
 
 /** A machine's worker, as the protocol describes it. */
-final class FakeWorker {
+final class FakeWorker implements Judge.Place {
     private static final Duration REPORT = Duration.ofSeconds(3);
     private static final Duration LEASE = Duration.ofSeconds(18);
     /** How long it takes until the next node is tried. */
@@ -57,6 +58,7 @@
     private boolean hung;
     private boolean gone;
     private boolean deaf;
+    private boolean mute;
     private final Set<Integer> unreachable = new HashSet<>();
     private double noticeS = Double.NaN;
 
@@ -73,10 +75,16 @@
         return id;
     }
 
-    String zone() {
+    @Override
+    public String zone() {
         return zone;
     }
 
+    @Override
+    public MachineType machineType() {
+        return World.typeOf(type);
+    }
+
     String type() {
         return type;
     }
@@ -92,11 +100,25 @@
         hung = now;
     }
 
-    /** Reports still go out, but all answers are lost. */
+    /** Reports still go out, but all answers and direct commands are lost. */
     void deaf(boolean now) {
         deaf = now;
     }
 
+    /** No connection to any node can be opened, while direct commands arrive and are answered. */
+    void mute(boolean now) {
+        mute = now;
+        if (now) {
+            inFlight = null;
+        }
+    }
+
+    /** Whether it runs, reports and hears. */
+    @Override
+    public boolean inTouch() {
+        return !hung && !gone && !deaf && !mute && Double.isNaN(noticeS);
+    }
+
     /** Whether this machine alone has no way to a node and back. */
     void cannotReach(int other, boolean cut) {
         if (cut) {
@@ -165,7 +187,8 @@
     }
 
     /** Tasks that are on the machine in the protocol's sense: with their image, and not exited. */
-    List<TaskId> running() {
+    @Override
+    public List<TaskId> running() {
         List<TaskId> all = new ArrayList<>();
         if (world.loop().now().since(answeredSentAt).compareTo(LEASE) > 0) {
             // A hung machine runs nothing; when it goes on, its worker first kills what outlived the lease.
@@ -179,6 +202,13 @@
         return all;
     }
 
+    /** Tasks that take room here: all but those that have exited. */
+    @Override
+    public List<TaskId> held() {
+        return tasks.entrySet().stream().filter(each -> each.getValue().state != TaskState.EXITED)
+                .map(Map.Entry::getKey).toList();
+    }
+
     Attempt attempt(TaskId task) {
         return tasks.get(task).attempt;
     }
@@ -234,7 +264,7 @@
         Report report = snapshot();
         Moment sentAt = world.loop().now();
         Session reporting = session;
-        CompletableFuture<Answer> answer = reaches(node) ? world.deliver(node, report) : new CompletableFuture<>();
+        CompletableFuture<Answer> answer = reaches(node) && !mute ? world.deliver(node, report) : new CompletableFuture<>();
         if (answer == null) {
             tryNext();
             return;
@@ -250,7 +280,7 @@
             if (inFlight == answer) {
                 inFlight = null;
                 if (!hung && !gone && session.equals(reporting)) {
-                    answered(given, sentAt);
+                    world.judged(() -> answered(given, sentAt));
                 }
             }
         });
@@ -295,7 +325,7 @@
 
     /** A direct command; null when there is no answer. */
     Report direct(Term given, Session expected, List<Order> orders) {
-        if (gone || hung) {
+        if (gone || hung || deaf) {
             return null;
         }
         advance();
@@ -318,6 +348,7 @@
                         if (task != null && task.state != TaskState.EXITED) {
                             throw new AssertionError("started " + order + " beside another attempt");
                         }
+                        world.toldToStart(order.task());
                         tasks.put(order.task(), new Task(order.attempt(), world.loop().now().plus(world.fetch())));
                     }
                 }
--- a/src/test/java/org/meadowhollow/story/JobStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/JobStoriesTest.java
@@ -15,13 +15,6 @@
 
 /** What becomes of jobs, and what their users are told. */
 class JobStoriesTest extends Story {
-    private static JobSpec withTeam(JobSpec spec, String team) {
-        return new JobSpec(spec.id(), spec.jobClass(), team, spec.kind(), spec.priority(), spec.tasks(),
-                spec.perTask(), spec.types(), spec.zone(), spec.oneZone(), spec.spread(), spec.spot(),
-                spec.image(), spec.imageGb(), spec.estimateS(), spec.checkpointS(), spec.saveS(),
-                spec.deadlineS());
-    }
-
     @Test
     void anAcceptedJobRunsAndEveryNodeSaysThatItIsDone() {
         JobSpec job = array(1, 7);
--- /dev/null
+++ b/src/test/java/org/meadowhollow/story/Judge.java
@@ -0,0 +1,300 @@
+package org.meadowhollow.story;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.meadowhollow.bookkeeping.JobId;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.MachineType;
+import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.Resources;
+import org.meadowhollow.bookkeeping.TaskId;
+import org.meadowhollow.coordination.admission.Admission.Phase;
+import org.meadowhollow.coordination.platform.Platform;
+
+/**
+ * Holds what workers and users saw against the protocol's rules, and against what is promised for the time after all
+ * troubles. It knows nothing of records, nor of what any node believes.
+ */
+final class Judge {
+    /** A job about which no question is answered for so long, after all troubles, is forgotten. */
+    private static final Duration NO_ANSWER = Duration.ofSeconds(75);
+    /** No job waits for so long, after all troubles, while a machine that fits has room and its team is under its limit. */
+    private static final Duration NEGLECTED = Duration.ofSeconds(90);
+    /** The largest jobs of a class begin within this time, counted from when all troubles were over. */
+    private static final Duration LARGEST_BEGIN = Duration.ofMinutes(4);
+    private static final double LEAST_SERVED = 0.5;
+
+    /** A machine as it is, whatever anybody believes. */
+    interface Place {
+        String zone();
+
+        MachineType machineType();
+
+        /** Whether it runs, reports and hears. */
+        boolean inTouch();
+
+        /** The tasks that take room on it. */
+        List<TaskId> held();
+
+        /** Tasks that are on it in the protocol's sense. */
+        List<TaskId> running();
+    }
+
+    private record Told(Phase phase, Moment at) {
+    }
+
+    private final Duration cancelWithin;
+    private final Map<String, Platform.Team> teams;
+    private final Function<JobId, JobSpec> specs;
+    private final Supplier<? extends Collection<? extends Place>> places;
+    private final List<MachineType> types;
+    private final Set<JobId> submitted = new HashSet<>();
+    private final Set<JobId> cancelAsked = new HashSet<>();
+    private final Map<JobId, Moment> accepted = new LinkedHashMap<>();
+    private final Map<JobId, Told> ends = new HashMap<>();
+    private final Set<TaskId> completed = new HashSet<>();
+    private final Map<JobId, Moment> begunAt = new HashMap<>();
+    private final Map<JobId, Moment> answeredAt = new HashMap<>();
+    private final Map<JobId, Moment> neglectedSince = new HashMap<>();
+    private Moment calmSince;
+    private int startsAfterCancellation;
+
+    Judge(Duration cancelWithin, Map<String, Platform.Team> teams, List<MachineType> types,
+            Function<JobId, JobSpec> specs, Supplier<? extends Collection<? extends Place>> places) {
+        this.cancelWithin = cancelWithin;
+        this.teams = teams;
+        this.types = types;
+        this.specs = specs;
+        this.places = places;
+    }
+
+    // ---- what users do and are told ----
+
+    void submits(JobId id) {
+        submitted.add(id);
+    }
+
+    void asksToCancel(JobId id) {
+        cancelAsked.add(id);
+    }
+
+    /** The protocol's own words on what can never run: team, types, limit, and what a gang's own fields rule out. */
+    boolean canRun(JobSpec spec) {
+        Platform.Team team = teams.get(spec.team());
+        Resources atOnce = spec.kind() == Kind.ARRAY ? spec.perTask() : spec.perTask().times(spec.tasks());
+        if (team == null || !within(atOnce, team.most())) {
+            return false;
+        }
+        Set<String> zones = new HashSet<>();
+        for (MachineType type : types) {
+            if (spec.allowsType(type.name()) && spec.perTask().fitsIn(type.room())) {
+                type.zones().stream().filter(spec::allowsZone).forEach(zones::add);
+            }
+        }
+        boolean inOneZone = spec.oneZone() || zones.size() == 1;
+        return !zones.isEmpty() && !(spec.kind() == Kind.GANG && spec.spread() && inOneZone && spec.tasks() > 1);
+    }
+
+    private static boolean within(Resources used, Resources most) {
+        return (most.cpu() == 0 || used.cpu() <= most.cpu()) && (most.gpu() == 0 || used.gpu() <= most.gpu());
+    }
+
+    /**
+     * An answer has come.
+     *
+     * @param phase null if there is no such job
+     * @param sentAt when the question was sent: what was told only after that may be newer than the answer
+     */
+    void answered(JobId id, Phase phase, Moment sentAt, Moment now) {
+        answeredAt.put(id, now);
+        Moment since = accepted.get(id);
+        if (phase == null) {
+            assertTrue(since == null || !since.isBefore(sentAt), "forgotten: " + id);
+            return;
+        }
+        assertTrue(submitted.contains(id), "invented: " + id);
+        Told end = ends.get(id);
+        boolean isEnd = phase == Phase.DONE || phase == Phase.CANCELLED;
+        if (end != null && (isEnd || end.at().isBefore(sentAt))) {
+            assertTrue(phase == end.phase(), "went_back: " + id + " was " + end.phase() + " and is " + phase);
+        }
+        assertTrue(phase != Phase.CANCELLED || cancelAsked.contains(id), "went_back: " + id + " cancelled by nobody");
+        if (phase == Phase.DONE) {
+            for (int task = 0; task < specs.apply(id).tasks(); task++) {
+                assertTrue(completed.contains(new TaskId(id, task)), "not_done: task " + task + " of " + id);
+            }
+        }
+        if (since == null) {
+            assertTrue(canRun(specs.apply(id)), "wrongly accepted: " + specs.apply(id));
+            accepted.put(id, now);
+        }
+        if (isEnd) {
+            ends.putIfAbsent(id, new Told(phase, now));
+        }
+    }
+
+    /** Whether a user was told that a job is over. */
+    boolean isOver(JobId id) {
+        return ends.containsKey(id);
+    }
+
+    // ---- what workers do ----
+
+    boolean isCompleted(TaskId task) {
+        return completed.contains(task);
+    }
+
+    boolean complete(TaskId task) {
+        return completed.add(task);
+    }
+
+    boolean isCancelled(JobId id) {
+        Told end = ends.get(id);
+        return end != null && end.phase() == Phase.CANCELLED;
+    }
+
+    /** A worker has taken an order to start a task. */
+    void toldToStart(TaskId task) {
+        startsAfterCancellation += isCancelled(task.job()) ? 1 : 0;
+    }
+
+    /** Orders to start that workers took after the job's cancellation was confirmed; each had been under way by then. */
+    int startsAfterCancellation() {
+        return startsAfterCancellation;
+    }
+
+    /** A task has its image now and is on its machine. */
+    void started(Place place, TaskId task, Moment now) {
+        JobSpec spec = specs.apply(task.job());
+        begunAt.putIfAbsent(task.job(), now);
+        assertTrue(spec.allowsZone(place.zone()) && spec.allowsType(place.machineType().name()), "wrong_place: " + task);
+        int inZone = 0;
+        for (Place other : places.get()) {
+            for (TaskId running : other.running()) {
+                assertTrue(other == place || !running.equals(task), "ran_twice: " + task);
+                if (running.job().equals(task.job())) {
+                    inZone += other.zone().equals(place.zone()) ? 1 : 0;
+                    assertTrue(!spec.oneZone() || other.zone().equals(place.zone()), "wrong_place: " + task);
+                }
+            }
+        }
+        assertTrue(!spec.spread() || inZone <= spec.mostPerZone(), "wrong_place: too many in a zone: " + task);
+    }
+
+    // ---- at each step ----
+
+    void check(Moment now) {
+        Map<String, Resources> used = new HashMap<>();
+        for (Place place : places.get()) {
+            for (TaskId task : place.running()) {
+                JobSpec spec = specs.apply(task.job());
+                used.merge(spec.team(), spec.perTask(), Resources::plus);
+                assertTrue(!isCancelled(task.job())
+                        || now.since(ends.get(task.job()).at()).compareTo(cancelWithin) <= 0, "ran_cancelled: " + task);
+            }
+        }
+        used.forEach((team, sum) -> assertTrue(within(sum, teams.get(team).most()), "quota: team " + team));
+        if (calmSince != null) {
+            accepted.keySet().stream().filter(id -> !isOver(id)).forEach(id -> checkCalm(id, used, now));
+        }
+    }
+
+    // ---- once all troubles are over ----
+
+    /** All troubles are over. */
+    void calm(Moment now) {
+        calmSince = now;
+    }
+
+    private void checkCalm(JobId id, Map<String, Resources> used, Moment now) {
+        Moment answered = answeredAt.getOrDefault(id, calmSince);
+        Moment since = Moment.later(answered, calmSince);
+        assertTrue(now.since(since).compareTo(NO_ANSWER) <= 0, "forgotten: no answer about " + id);
+        if (!hasRoom(specs.apply(id), used)) {
+            neglectedSince.remove(id);
+            return;
+        }
+        Moment neglected = neglectedSince.computeIfAbsent(id, unused -> now);
+        assertTrue(now.since(neglected).compareTo(NEGLECTED) <= 0, "neglected: " + id + " waits beside room for it");
+    }
+
+    /** Whether a task of the job, or all of a gang's, waits although machines that fit have room and the team may use it. */
+    private boolean hasRoom(JobSpec spec, Map<String, Resources> used) {
+        Map<String, Integer> zones = new HashMap<>();
+        int held = 0;
+        int done = 0;
+        for (int task = 0; task < spec.tasks(); task++) {
+            done += completed.contains(new TaskId(spec.id(), task)) ? 1 : 0;
+        }
+        for (Place place : places.get()) {
+            int here = (int) place.held().stream().filter(task -> task.job().equals(spec.id())).count();
+            held += here;
+            if (here > 0) {
+                zones.merge(place.zone(), here, Integer::sum);
+            }
+        }
+        boolean gang = spec.kind() == Kind.GANG;
+        int needed = gang ? spec.tasks() : 1;
+        if (held + done >= spec.tasks() || gang && held > 0
+                || !within(used.getOrDefault(spec.team(), Resources.NONE).plus(spec.perTask().times(needed)),
+                teams.get(spec.team()).most())) {
+            return false;
+        }
+        Map<String, Integer> room = new HashMap<>();
+        for (Place place : places.get()) {
+            boolean elsewhere = spec.oneZone() && zones.keySet().stream().anyMatch(zone -> !zone.equals(place.zone()));
+            if (place.inTouch() && spec.allowsType(place.machineType().name()) && spec.allowsZone(place.zone()) && !elsewhere) {
+                Resources free = place.machineType().room();
+                for (TaskId task : place.held()) {
+                    free = free.minus(specs.apply(task.job()).perTask());
+                }
+                int most = spec.mostPerZone() - zones.getOrDefault(place.zone(), 0);
+                room.merge(place.zone(), spec.perTask().countIn(free, spec.tasks()),
+                        (one, other) -> Math.min(most, one + other));
+                room.computeIfPresent(place.zone(), (zone, count) -> Math.min(most, count));
+            }
+        }
+        return (spec.oneZone() ? room.values().stream().mapToInt(Integer::intValue).max().orElse(0)
+                : room.values().stream().mapToInt(Integer::intValue).sum()) >= needed;
+    }
+
+    /** At the end: of what was accepted and is wanted, who was served, by class, team and the largest of each class. */
+    void served() {
+        Map<String, List<JobId>> groups = new LinkedHashMap<>();
+        Map<String, Integer> largest = new HashMap<>();
+        List<JobId> wanted = accepted.keySet().stream().filter(id -> !cancelAsked.contains(id)).toList();
+        wanted.forEach(id -> largest.merge(specs.apply(id).jobClass(), specs.apply(id).tasks(), Math::max));
+        for (JobId id : wanted) {
+            JobSpec spec = specs.apply(id);
+            groups.computeIfAbsent("class " + spec.jobClass(), unused -> new ArrayList<>()).add(id);
+            groups.computeIfAbsent("team " + spec.team(), unused -> new ArrayList<>()).add(id);
+            if (spec.tasks() == largest.get(spec.jobClass())) {
+                groups.computeIfAbsent("largest of " + spec.jobClass(), unused -> new ArrayList<>()).add(id);
+                Moment from = calmSince == null ? accepted.get(id) : Moment.later(calmSince, accepted.get(id));
+                assertTrue(begunAt.containsKey(id) && begunAt.get(id).isBefore(from.plus(LARGEST_BEGIN)),
+                        "the largest have to begin in time: " + id);
+            }
+        }
+        groups.forEach((group, jobs) -> {
+            long served = jobs.stream().filter(this::isServed).count();
+            assertTrue(served >= LEAST_SERVED * jobs.size(), group + ": " + served + " served of " + jobs.size());
+        });
+    }
+
+    private boolean isServed(JobId id) {
+        return specs.apply(id).kind() == Kind.SERVICE ? begunAt.containsKey(id)
+                : isOver(id) && ends.get(id).phase() == Phase.DONE;
+    }
+}
--- a/src/test/java/org/meadowhollow/story/LeaderStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/LeaderStoriesTest.java
@@ -13,12 +13,6 @@
 
 /** Leaders that crash, are deposed, or lose the state service. */
 class LeaderStoriesTest extends Story {
-    private static JobSpec inZone(JobSpec spec, String zone) {
-        return new JobSpec(spec.id(), spec.jobClass(), spec.team(), spec.kind(), spec.priority(), spec.tasks(),
-                spec.perTask(), spec.types(), zone, spec.oneZone(), spec.spread(), spec.spot(), spec.image(),
-                spec.imageGb(), spec.estimateS(), spec.checkpointS(), spec.saveS(), spec.deadlineS());
-    }
-
     @Test
     void aNodeThatTheStateServiceAloneRefusesSendsUsersElsewhere() {
         world.line(1).cut(true);
--- a/src/test/java/org/meadowhollow/story/MeetingStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/MeetingStoriesTest.java
@@ -31,24 +31,11 @@
         return jobs;
     }
 
-    private boolean allRun(JobSpec job) {
-        for (int task = 0; task < job.tasks(); task++) {
-            if (placeOf(job, task) == null) {
-                return false;
-            }
-        }
-        return true;
-    }
-
     private void cancelAll(int node, List<JobSpec> jobs) {
         jobs.forEach(job -> assertTrue(world.cancel(node, job.id())));
         jobs.forEach(job -> assertTrue(allRun(job), job.id() + " should still run when its cancellation is confirmed"));
     }
 
-    private int other(int than, int by) {
-        return (than + by) % 3;
-    }
-
     /** What the judge of {@link World} watches over at each step, and that it had something to watch. */
     private void goneInTime(List<JobSpec> jobs) {
         for (JobSpec job : jobs) {
--- a/src/test/java/org/meadowhollow/story/Story.java
+++ b/src/test/java/org/meadowhollow/story/Story.java
@@ -50,4 +50,29 @@
                 spec.perTask(), List.of("large"), spec.zone(), oneZone, spread, spec.spot(), spec.image(),
                 spec.imageGb(), spec.estimateS(), spec.checkpointS(), spec.saveS(), spec.deadlineS());
     }
+
+    static JobSpec withTeam(JobSpec spec, String team) {
+        return new JobSpec(spec.id(), spec.jobClass(), team, spec.kind(), spec.priority(), spec.tasks(), spec.perTask(),
+                spec.types(), spec.zone(), spec.oneZone(), spec.spread(), spec.spot(), spec.image(), spec.imageGb(),
+                spec.estimateS(), spec.checkpointS(), spec.saveS(), spec.deadlineS());
+    }
+
+    static JobSpec inZone(JobSpec spec, String zone) {
+        return new JobSpec(spec.id(), spec.jobClass(), spec.team(), spec.kind(), spec.priority(), spec.tasks(),
+                spec.perTask(), spec.types(), zone, spec.oneZone(), spec.spread(), spec.spot(), spec.image(),
+                spec.imageGb(), spec.estimateS(), spec.checkpointS(), spec.saveS(), spec.deadlineS());
+    }
+
+    boolean allRun(JobSpec job) {
+        for (int task = 0; task < job.tasks(); task++) {
+            if (placeOf(job, task) == null) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    static int other(int than, int by) {
+        return (than + by) % 3;
+    }
 }
--- a/src/test/java/org/meadowhollow/story/World.java
+++ b/src/test/java/org/meadowhollow/story/World.java
@@ -1,7 +1,6 @@
 package org.meadowhollow.story;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static org.junit.jupiter.api.Assertions.fail;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -19,6 +18,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.UnaryOperator;
+import java.util.stream.IntStream;
 import org.meadowhollow.bookkeeping.Catalog;
 import org.meadowhollow.bookkeeping.Digests;
 import org.meadowhollow.bookkeeping.EventLoop;
@@ -56,9 +56,11 @@
 import org.meadowhollow.coordination.succession.StandbySettings;
 import org.meadowhollow.protocol.Http;
 import org.meadowhollow.protocol.Malformed;
+import org.meadowhollow.protocol.Wire;
 import org.meadowhollow.protocol.calendar.CalendarApi;
 import org.meadowhollow.protocol.tes.TesApi;
 import org.meadowhollow.protocol.tes.TesTokens;
+import org.meadowhollow.protocol.users.UserApi;
 
 /**
  * A deployment in memory and in virtual time: three nodes, the state service, a cloud and workers. It
@@ -75,6 +77,9 @@
     private static final List<Duration> LATE = List.of(Duration.ofMillis(100), Duration.ofSeconds(20),
             Duration.ofMinutes(4));
     private static final Duration STEP = Duration.ofMillis(250);
+    private static final int MOST_HANGING = 8;
+    private static final Duration RENTAL_ANSWER = Duration.ofMillis(100);
+    private static final int MOST_KEPT = 1000;
 
     private final VirtualLoop loop = new VirtualLoop();
     private final FakeStore store = new FakeStore(loop);
@@ -83,10 +88,21 @@
     private final Map<String, List<MachineId>> rentals = new HashMap<>();
     private final Map<JobId, JobSpec> specs = new HashMap<>();
     private final Map<JobId, Duration> runTimes = new HashMap<>();
-    private final Map<JobId, Phase> told = new HashMap<>();
-    private final Map<JobId, Moment> toldCancelled = new HashMap<>();
-    private final Set<TaskId> completed = new HashSet<>();
     private final Map<String, Platform.Team> teams = new HashMap<>();
+    private final Judge judge = new Judge(CANCEL, teams, List.of(SMALL, LARGE), this::spec, workers::values);
+    /** What was found wrong inside an answer, where nothing that is thrown would be seen. */
+    private AssertionError wrong;
+    private final Map<JobId, Phase> lookedClosely = new HashMap<>();
+    private final Map<MachineId, Moment> rentedAt = new HashMap<>();
+    private final List<Report> kept = new ArrayList<>();
+    private Random keeping;
+    private double keptShare;
+    private Random cancelling;
+    private double cancelledAtEnd;
+    private Duration boot = Duration.ofSeconds(10);
+    private Duration listLag = Duration.ZERO;
+    private int deliveredToNext;
+    private int startOrders;
     private final List<OrderLog.Event> events = new ArrayList<>();
     private final NotedTraces traces = new NotedTraces();
     private final Observers observers = new Observers(new OrderLog(events::add), traces);
@@ -99,6 +115,7 @@
     private Random lateReports;
     private double lateShare;
     private int answered;
+    private boolean closeLooks;
     private CalendarSettings calendar = CalendarSettings.OFF;
     private StandbySettings standby = StandbySettings.OFF;
     private UnaryOperator<TableDelta> tablesChange = UnaryOperator.identity();
@@ -198,6 +215,7 @@
     }
 
     World() {
+        store.whenPut(Records.LEADER, this::leaderBegins);
         team("team", 0, 0);
         team("other", 0, 0);
         for (String name : List.of("n0", "n1", "n2")) {
@@ -357,8 +375,14 @@
 
     /** What a job's user asked for, as submitted here or as its live record has it. */
     JobSpec spec(JobId id) {
-        return specs.computeIfAbsent(id, unknown -> Records.job(id, store.value(Records.job(id)), Version.ABSENT,
-                loop.now()).spec());
+        return specs.computeIfAbsent(id, unknown -> {
+            judge.submits(id);
+            return Records.job(id, store.value(Records.job(id)), Version.ABSENT, loop.now()).spec();
+        });
+    }
+
+    static MachineType typeOf(String name) {
+        return name.equals(SMALL.name()) ? SMALL : LARGE;
     }
 
     World team(String name, double guaranteedGpus, double mostGpus) {
@@ -400,6 +424,11 @@
         return starts;
     }
 
+    /** Orders to start that workers took. */
+    int startOrders() {
+        return startOrders;
+    }
+
     /** Messages that went straight to workers since the last call. */
     int takeDirects() {
         int taken = directs;
@@ -523,6 +552,86 @@
         lateShare = share;
     }
 
+    /** A copy of each so many reports is kept until a new leader begins, and reaches every node then; 0 ends it. */
+    void keepReportsForNext(double share, long seed) {
+        keeping = share == 0 ? null : new Random(seed);
+        keptShare = share;
+    }
+
+    /** Keeps a copy of what a worker reports by now for the next leader. */
+    void keepForNext(FakeWorker worker) {
+        kept.add(worker.snapshot());
+    }
+
+    /** Kept reports that reached nodes as a leader began. */
+    int deliveredToNext() {
+        return deliveredToNext;
+    }
+
+    private void leaderBegins() {
+        List<Report> due = List.copyOf(kept);
+        kept.clear();
+        for (Report report : due) {
+            for (Member member : members) {
+                if (member.node != null && member.frozen == null) {
+                    deliveredToNext++;
+                    member.node.report(report);
+                }
+            }
+        }
+    }
+
+    /** Users call off jobs within a fifth of a second, each at the next node, and machines of theirs hang for a time. */
+    void cancelNow(List<JobSpec> jobs, Duration hang) {
+        Set<FakeWorker> hanging = new HashSet<>();
+        for (int at = 0; at < jobs.size(); at++) {
+            JobSpec job = jobs.get(at);
+            int node = at % members.size();
+            loop.after(Duration.ofMillis(200L * at / jobs.size()), () -> cancels(node, job.id()));
+            workers().stream().filter(worker -> worker.running().stream().anyMatch(task -> task.job().equals(job.id())))
+                    .forEach(hanging::add);
+        }
+        hanging.stream().limit(hang.isZero() ? 0 : MOST_HANGING).forEach(worker -> {
+            worker.hang(true);
+            loop.after(hang, () -> worker.hang(false));
+        });
+    }
+
+    /** So many of the jobs that end are called off at the moment of their end; 0 ends it. */
+    void cancelAtEnd(double share, long seed) {
+        cancelling = share == 0 ? null : new Random(seed);
+        cancelledAtEnd = share;
+    }
+
+    /** Users ask at all nodes within milliseconds, and repeat the submission, as soon as they were told of a job's state. */
+    void closeLooks(boolean now) {
+        closeLooks = now;
+    }
+
+    private void lookClosely(JobId id, Phase phase) {
+        if (phase == lookedClosely.put(id, phase)) {
+            return;
+        }
+        for (int node = 0; node < members.size(); node++) {
+            int asked = node;
+            for (int time = 1; time <= 3; time++) {
+                loop.after(Duration.ofMillis(2L * time + node), () -> asks(asked, id));
+            }
+            loop.after(Duration.ofMillis(3 + node), () -> resubmits(asked, spec(id)));
+        }
+    }
+
+    /** Rented machines are up after such a time, and the cloud's list is so late. */
+    void boots(Duration within, Duration listedAfter) {
+        boot = within;
+        listLag = listedAfter;
+    }
+
+    /** Sends a body as a user does, and gives the status; 0 without an answer. */
+    int posts(int node, Map<String, Object> body) {
+        return await(node, admission -> new UserApi(admission).submit(Wire.encode(body))).map(Http.Reply::status).orElse(0);
+    }
+
     void busy(int node, boolean now) {
         busy(node, now ? BUSY : Duration.ZERO);
     }
@@ -579,32 +688,25 @@
     boolean submit(int node, JobSpec spec, Duration runTime) {
         specs.put(spec.id(), spec);
         runTimes.put(spec.id(), runTime);
-        again(() -> repeat(node, admission -> admission.submit(spec).thenAccept(outcome -> tell(outcome.state()))));
-        Optional<Admission.Accepted> accepted = await(node, admission -> admission.submit(spec));
-        accepted.ifPresent(outcome -> tell(outcome.state()));
-        return accepted.isPresent();
+        judge.submits(spec.id());
+        again(() -> resubmits(node, spec));
+        return await(node, admission -> judged(spec.id(), admission.submit(spec).thenApply(
+                accepted -> Optional.of(accepted.state())))).isPresent();
+    }
+
+    /** Submits a job once more, without waiting for the answer. */
+    void resubmits(int node, JobSpec spec) {
+        repeat(node, admission -> judged(spec.id(), admission.submit(spec).thenApply(
+                accepted -> Optional.of(accepted.state()))));
     }
 
     Optional<JobState> poll(int node, JobId id) {
-        Optional<Optional<JobState>> answer = await(node, admission -> admission.poll(id));
-        if (answer.isPresent()) {
-            answer.get().ifPresent(this::tell);
-            if (answer.get().isEmpty() && told.containsKey(id)) {
-                fail("forgotten: " + id);
-            }
-            if (answer.get().isPresent() && !specs.containsKey(id)) {
-                fail("invented: " + id);
-            }
-        }
-        return answer.flatMap(state -> state);
+        return await(node, admission -> judged(id, admission.poll(id))).flatMap(state -> state);
     }
 
     /** Asks about a job without waiting for the answer. */
     void asks(int node, JobId id) {
-        members.get(node).admission.poll(id).thenAccept(state -> {
-            state.ifPresent(this::tell);
-            answered++;
-        });
+        repeat(node, admission -> judged(id, admission.poll(id)).thenAccept(state -> answered++));
     }
 
     /** Answers to those who did not wait. */
@@ -613,11 +715,42 @@
     }
 
     boolean cancel(int node, JobId id) {
-        again(() -> repeat(node, admission -> admission.cancel(id)
-                .thenAccept(state -> state.ifPresent(this::tell))));
-        Optional<Optional<JobState>> answer = await(node, admission -> admission.cancel(id));
-        answer.flatMap(state -> state).ifPresent(this::tell);
-        return answer.isPresent();
+        judge.asksToCancel(id);
+        again(() -> cancels(node, id));
+        return await(node, admission -> judged(id, admission.cancel(id))).isPresent();
+    }
+
+    /** Asks for a job's cancellation without waiting for the answer. */
+    void cancels(int node, JobId id) {
+        judge.asksToCancel(id);
+        repeat(node, admission -> judged(id, admission.cancel(id)));
+    }
+
+    /** What users and workers saw, by the protocol's rules. */
+    Judge judge() {
+        return judge;
+    }
+
+    /** Holds each answer against what was told before its question was sent. */
+    private CompletableFuture<Optional<JobState>> judged(JobId id, CompletableFuture<Optional<JobState>> answer) {
+        Moment sentAt = loop.now();
+        answer.thenAccept(state -> judged(() -> {
+            Phase phase = state.map(JobState::phase).orElse(null);
+            judge.answered(id, phase, sentAt, loop.now());
+            if (closeLooks && phase != null) {
+                lookClosely(id, phase);
+            }
+        }));
+        return answer;
+    }
+
+    /** What is found wrong inside an answer ends the test with its next step; thrown there, nobody would see it. */
+    void judged(Runnable check) {
+        try {
+            check.run();
+        } catch (AssertionError found) {
+            wrong = wrong == null ? found : wrong;
+        }
     }
 
     private interface Ask<T> {
@@ -643,23 +776,6 @@
                 : Optional.empty();
     }
 
-    private void tell(JobState state) {
-        Phase before = told.get(state.id());
-        if (before == Phase.DONE || before == Phase.CANCELLED) {
-            assertTrue(state.phase() == before, "went_back: " + state.id() + " was " + before);
-        }
-        told.put(state.id(), state.phase());
-        if (state.phase() == Phase.CANCELLED) {
-            toldCancelled.putIfAbsent(state.id(), loop.now());
-        }
-        if (state.phase() == Phase.DONE) {
-            for (int task = 0; task < spec(state.id()).tasks(); task++) {
-                assertTrue(completed.contains(new TaskId(state.id(), task)),
-                        "not_done: task " + task + " of " + state.id());
-            }
-        }
-    }
-
     // ---- time and rules ----
 
     void run(Duration span) {
@@ -680,38 +796,22 @@
     }
 
     private void check() {
-        Map<String, Resources> used = new HashMap<>();
-        for (FakeWorker worker : workers.values()) {
-            for (TaskId task : worker.running()) {
-                used.merge(spec(task.job()).team(), spec(task.job()).perTask(), Resources::plus);
-                Moment since = toldCancelled.get(task.job());
-                assertTrue(since == null || loop.now().since(since).compareTo(CANCEL) <= 0,
-                        "ran_cancelled: " + task);
-            }
+        if (wrong != null) {
+            throw wrong;
         }
-        used.forEach((team, sum) -> {
-            long most = teams.get(team).most().gpu();
-            assertTrue(most == 0 || sum.gpu() <= most, "quota: team " + team);
-        });
+        judge.check(loop.now());
+    }
+
+    /** A worker has taken an order to start a task. */
+    void toldToStart(TaskId task) {
+        startOrders++;
+        judge.toldToStart(task);
     }
 
     /** A task has its image now and is on its machine. */
     void started(FakeWorker worker, TaskId task) {
         starts++;
-        JobSpec spec = spec(task.job());
-        assertTrue(spec.allowsZone(worker.zone()) && spec.allowsType(worker.type()), "wrong_place: " + task);
-        int inZone = 0;
-        for (FakeWorker other : workers.values()) {
-            for (TaskId running : other.running()) {
-                assertTrue(other == worker || !running.equals(task),
-                        "ran_twice: " + task + " on " + other.id() + " and " + worker.id());
-                if (running.job().equals(task.job())) {
-                    inZone += other.zone().equals(worker.zone()) ? 1 : 0;
-                    assertTrue(!spec.oneZone() || other.zone().equals(worker.zone()), "wrong_place: " + task);
-                }
-            }
-        }
-        assertTrue(!spec.spread() || inZone <= spec.mostPerZone(), "wrong_place: too many in a zone: " + task);
+        judge.started(worker, task, loop.now());
     }
 
     /** A gang runs, and so completes, only while each of its tasks is on a machine. */
@@ -719,7 +819,7 @@
         JobSpec spec = spec(id);
         for (int task = 0; spec.kind() == Kind.GANG && task < spec.tasks(); task++) {
             TaskId each = new TaskId(id, task);
-            if (!completed.contains(each) && on(each).isEmpty()) {
+            if (!judge.isCompleted(each) && on(each).isEmpty()) {
                 return false;
             }
         }
@@ -727,13 +827,19 @@
     }
 
     void completed(TaskId task) {
-        completed.add(task);
+        judge.complete(task);
         JobSpec spec = spec(task.job());
+        boolean ends = spec.kind() == Kind.GANG || !judge.isOver(spec.id())
+                && IntStream.range(0, spec.tasks()).allMatch(at -> judge.isCompleted(new TaskId(spec.id(), at)));
+        if (ends && cancelling != null && cancelling.nextDouble() < cancelledAtEnd) {
+            int node = cancelling.nextInt(members.size());
+            loop.after(Duration.ofMillis(cancelling.nextInt(400)), () -> cancels(node, spec.id()));
+        }
         if (spec.kind() == Kind.GANG) {
             // The tasks of a gang complete together.
             for (int other = 0; other < spec.tasks(); other++) {
                 TaskId each = new TaskId(task.job(), other);
-                if (completed.add(each)) {
+                if (judge.complete(each)) {
                     on(each).forEach(worker -> worker.complete(each));
                 }
             }
@@ -763,6 +869,9 @@
         }
         Node asked = member.node;
         reports++;
+        if (keeping != null && keeping.nextDouble() < keptShare && kept.size() < MOST_KEPT) {
+            kept.add(report);
+        }
         if (lateReports != null && lateReports.nextDouble() < lateShare) {
             loop.after(Duration.ofMillis(2000 + lateReports.nextInt(40_000)), () -> {
                 if (member.node != null && member.frozen == null) {
@@ -914,6 +1023,10 @@
         }
     }
 
+    private boolean isListed(MachineId id) {
+        return !rentedAt.containsKey(id) || loop.now().since(rentedAt.get(id)).compareTo(listLag) > 0;
+    }
+
     private final class Offer implements Cloud {
         private <T> CompletableFuture<T> after(CompletableFuture<T> answer, Runnable work) {
             loop.after(Duration.ofMillis(200), () -> {
@@ -942,15 +1055,16 @@
                 for (int at = 0; at < count && workers.size() + ids.size() < mostMachines; at++) {
                     MachineId id = new MachineId("vm-%06d".formatted(++nextMachine));
                     ids.add(id);
+                    rentedAt.put(id, loop.now());
                     if (neverUp > 0) {
                         neverUp--;
                         continue;
                     }
-                    loop.after(Duration.ofSeconds(10),
-                            () -> workers.put(id, new FakeWorker(World.this, id.value(), type, zone)));
+                    loop.after(boot, () -> workers.put(id, new FakeWorker(World.this, id.value(), type, zone)));
                 }
                 rentals.put(request, ids);
-                answer.complete(ids.isEmpty() ? Optional.empty() : Optional.of(ids));
+                // A machine that is up at once may report before its rental is answered.
+                loop.after(RENTAL_ANSWER, () -> answer.complete(ids.isEmpty() ? Optional.empty() : Optional.of(ids)));
             });
         }
 
@@ -977,7 +1091,7 @@
         @Override
         public CompletableFuture<List<Listed>> list() {
             CompletableFuture<List<Listed>> answer = new CompletableFuture<>();
-            return after(answer, () -> answer.complete(workers.values().stream().filter(worker -> !taken.contains(worker.id()))
+            return after(answer, () -> answer.complete(workers.values().stream().filter(worker -> !taken.contains(worker.id()) && isListed(worker.id()))
                     .map(worker -> new Listed(worker.id(), worker.id().value() + ":9000", worker.type(),
                             worker.zone(), false, Phase.RUNNING, 60)).toList()));
         }
