A submission that lacks a field is malformed; a gang that can never be whole is refused

Cause: together, spread and loaners were taken as false where they were missing, though none of them may be null; and a gang that must be in one zone and may have only half its tasks there was accepted and waited for ever. A zone that the settings do not name but a machine type offers was refused, though its jobs may run.

Change: the three flags are required; 422 for a gang of two and more tasks bound to one zone and spread; zones are judged by the types alone. A repeat of a job that is known to live is answered by a look at the changes instead of a transaction that must fail, which cost a change of the state service's budget.

Result: SubmissionTest goes through every field (missing, null, wrong type, negative, not finite); JobStoriesTest has what is refused, what must not be, and repeats of accepted jobs after a team's limit looks different.

--- a/src/main/java/org/meadowhollow/coordination/admission/Admission.java
+++ b/src/main/java/org/meadowhollow/coordination/admission/Admission.java
@@ -1,9 +1,11 @@
 package org.meadowhollow.coordination.admission;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.meadowhollow.bookkeeping.Catalog;
 import org.meadowhollow.bookkeeping.Companion;
@@ -131,6 +133,16 @@
         if (store.seemsOut()) {
             return CompletableFuture.failedFuture(new TryLater("the state service is out"));
         }
+        if (companion == null && live.sight(spec.id()) != null) {
+            // Repeated while the job lives: a transaction that must fail would cost a change of the state service's budget.
+            return poll(spec.id()).thenCompose(found -> found.isPresent()
+                    ? CompletableFuture.completedFuture(new Accepted(found.get(), false)) : accept(spec, null, Map.of()));
+        }
+        return accept(spec, companion, records);
+    }
+
+    private CompletableFuture<Accepted> accept(JobSpec spec, Companion companion,
+            Map<String, Map<String, Object>> records) {
         long now = loop.wallMillis();
         Map<String, Object> record = Records.job(spec, now,
                 Records.chunkSize(platform.valueBytes()), false, companion);
@@ -299,15 +311,19 @@
                 || team.most().gpu() > 0 && atOnce.gpu() > team.most().gpu()) {
             return "the job needs more than the limit of team " + spec.team();
         }
-        if (spec.zone() != null && !platform.zones().contains(spec.zone())) {
-            return "there is no zone " + spec.zone();
-        }
+        Set<String> zones = new HashSet<>();
         for (MachineType type : catalog.types()) {
-            if (spec.allowsType(type.name()) && spec.perTask().fitsIn(type.room())
-                    && (spec.zone() == null || type.zones().contains(spec.zone()))) {
-                return null;
+            if (spec.allowsType(type.name()) && spec.perTask().fitsIn(type.room())) {
+                type.zones().stream().filter(spec::allowsZone).forEach(zones::add);
             }
         }
-        return "a task fits no machine type that the job allows";
+        if (zones.isEmpty()) {
+            return spec.zone() == null || platform.zones().contains(spec.zone())
+                    ? "a task fits no machine type that the job allows" : "there is no zone " + spec.zone();
+        }
+        // All of a gang's tasks run at the same time; an array's or a service's may run half by half.
+        boolean inOneZone = spec.oneZone() || zones.size() == 1;
+        return spec.kind() == Kind.GANG && inOneZone && spec.tasks() > spec.mostPerZone()
+                ? "its tasks run together, may only be in one zone, and only half of them may be in one" : null;
     }
 }
--- a/src/main/java/org/meadowhollow/protocol/users/SubmissionCodec.java
+++ b/src/main/java/org/meadowhollow/protocol/users/SubmissionCodec.java
@@ -18,6 +18,11 @@
     private SubmissionCodec() {
     }
 
+    /**
+     * Reads a submission. Only {@code breeds}, {@code field} and {@code dueS} may be null, and so may be left out.
+     *
+     * @throws Malformed if a field is missing, of another type or out of its range
+     */
     public static JobSpec decode(Fields body) throws Malformed {
         String ref = body.text("ref");
         if (!JobId.wellFormed(ref)) {
@@ -31,8 +36,7 @@
         List<String> types = body.textsOrNull("breeds");
         return new JobSpec(new JobId(ref), name(body, "herd"), name(body, "crew"), kind(body.text("shape")),
                 priority(body.text("urgency")), (int) tasks, perTask, types == null ? null : List.copyOf(types),
-                body.textOrNull("field"), body.flagOr("together", false), body.flagOr("spread", false),
-                body.flagOr("loaners", false), name(body, "bundle"), body.amount("pullGb"),
+                body.textOrNull("field"), body.flag("together"), body.flag("spread"), body.flag("loaners"), name(body, "bundle"), body.amount("pullGb"),
                 body.amount("expectedS"), body.amount("bookmarkS"), body.amount("stashS"),
                 body.amountOr("dueS", Double.NaN));
     }
--- a/src/test/java/org/meadowhollow/protocol/SubmissionTest.java
+++ b/src/test/java/org/meadowhollow/protocol/SubmissionTest.java
@@ -3,11 +3,14 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.meadowhollow.bookkeeping.JobSpec;
 import org.meadowhollow.bookkeeping.Kind;
 import org.meadowhollow.bookkeeping.Priority;
@@ -38,16 +41,44 @@
     @Test
     void anAbsentFieldEqualsNull() throws Malformed {
         Map<String, Object> body = new HashMap<>(body());
-        body.remove("field");
-        body.remove("dueS");
-        assertEquals(decode(body()), decode(body));
+        body.put("breeds", null);
+        Map<String, Object> shorter = new HashMap<>(body);
+        for (String mayBeNull : List.of("field", "dueS", "breeds")) {
+            shorter.remove(mayBeNull);
+            assertEquals(decode(body), decode(shorter), mayBeNull);
+        }
+    }
+
+    /** The protocol names three fields that may be null; a job that lacks any other one is not taken. */
+    @ParameterizedTest
+    @ValueSource(strings = {"ref", "herd", "crew", "shape", "urgency", "chores", "cores", "gpus", "memGb", "bundle", "pullGb",
+            "together", "spread", "loaners", "expectedS", "bookmarkS", "stashS"})
+    void everyOtherFieldHasToBeThereAndOfItsType(String field) {
+        Map<String, Object> without = new HashMap<>(body());
+        without.remove(field);
+        assertThrows(Malformed.class, () -> decode(without), "missing");
+        Object good = body().get(field);
+        List<Object> wrong = new ArrayList<>(Arrays.asList(null, List.of(), Map.of("a", 1L)));
+        wrong.add(good instanceof Boolean ? (Object) 1L : true);
+        wrong.add(good instanceof String ? (Object) 7L : "7");
+        if (good instanceof Number) {
+            wrong.addAll(List.of(-1.0, -1L, Double.NaN, Double.POSITIVE_INFINITY));
+        }
+        for (Object value : wrong) {
+            Map<String, Object> body = body();
+            body.put(field, value);
+            assertThrows(Malformed.class, () -> decode(body), field + " as " + value);
+        }
     }
 
     @Test
     void wrongFieldsAreMalformed() {
         for (Object[] wrong : new Object[][] {{"ref", "job-1"}, {"ref", null}, {"chores", 0L}, {"chores", 100_001L},
                 {"chores", 2.5}, {"chores", "2"}, {"cores", -1.0}, {"cores", Double.NaN}, {"shape", "heap"},
-                {"urgency", 3L}, {"breeds", "g8"}, {"breeds", List.of(1L)}, {"together", "yes"}, {"herd", ""}}) {
+                {"urgency", 3L}, {"breeds", "g8"}, {"breeds", List.of(1L)}, {"together", "yes"}, {"herd", ""},
+                {"urgency", "soon"}, {"shape", "Array"}, {"field", 3L}, {"field", true}, {"dueS", -1.0}, {"dueS", "9"},
+                {"dueS", Double.NaN}, {"breeds", Map.of()}, {"breeds", Arrays.asList("g8", null)}, {"crew", "x".repeat(201)},
+                {"chores", -1L}, {"chores", Long.MAX_VALUE}, {"cores", 1e13}}) {
             Map<String, Object> body = body();
             body.put((String) wrong[0], wrong[1]);
             assertThrows(Malformed.class, () -> decode(body), Arrays.toString(wrong));
--- a/src/test/java/org/meadowhollow/story/JobStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/JobStoriesTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -12,6 +13,7 @@
 import org.meadowhollow.bookkeeping.Kind;
 import org.meadowhollow.bookkeeping.TaskId;
 import org.meadowhollow.coordination.admission.Admission.Phase;
+import org.meadowhollow.protocol.users.SubmissionCodec;
 
 /** What becomes of jobs, and what their users are told. */
 class JobStoriesTest extends Story {
@@ -163,4 +165,52 @@
         assertFalse(world.submit(0, withTeam(World.spec(3, Kind.GANG, 4, 1), "small"), SHORT));
         assertTrue(world.submit(0, withTeam(array(4, 4), "small"), SHORT), "an array runs a task at a time");
     }
+
+    /** All tasks of a gang run at once, so one that must be in one zone and may not be is never whole. */
+    @Test
+    void aGangThatMayNotBeWhereItMustBeIsRefusedAndWhatMayRunIsNot() {
+        JobSpec gang = World.spec(1, Kind.GANG, 3, 1);
+        assertFalse(world.submit(0, zoned(gang, true, true), SHORT), "together and spread");
+        assertFalse(world.submit(0, inZone(zoned(gang, false, true), "a"), SHORT), "in one zone and spread");
+        assertFalse(world.submit(0, inZone(gang, "c"), SHORT), "nowhere");
+        assertTrue(world.submit(0, zoned(World.spec(2, Kind.GANG, 1, 1), true, true), SHORT), "one task is whole");
+        assertTrue(world.submit(0, inZone(zoned(array(3, 4), false, true), "b"), SHORT), "an array runs half by half");
+        assertTrue(world.submit(0, inZone(zoned(World.spec(4, Kind.GANG, 3, 1), true, false), "a"), SHORT));
+        world.runS(60);
+        for (int number = 2; number <= 4; number++) {
+            assertEquals(Phase.DONE, phase(array(number, 1)), "job " + number);
+        }
+        for (int node = 0; node < 3; node++) {
+            Map<String, Object> body = new HashMap<>(SubmissionCodec.encode(World.spec(5 + node, Kind.ARRAY, 1, 1)));
+            body.remove("loaners");
+            assertEquals(400, world.posts(node, body), "lacks a field");
+            assertEquals(422, world.posts(node, SubmissionCodec.encode(World.spec(9, Kind.ARRAY, 1, 9))), "fits no machine");
+            assertEquals(422, world.posts(node, SubmissionCodec.encode(noTypes(World.spec(10, Kind.ARRAY, 1, 1)))));
+        }
+    }
+
+    private static JobSpec noTypes(JobSpec spec) {
+        return new JobSpec(spec.id(), spec.jobClass(), spec.team(), spec.kind(), spec.priority(), spec.tasks(), spec.perTask(),
+                List.of(), spec.zone(), spec.oneZone(), spec.spread(), spec.spot(), spec.image(), spec.imageGb(),
+                spec.estimateS(), spec.checkpointS(), spec.saveS(), spec.deadlineS());
+    }
+
+    /** What is accepted stays so, also where it would be refused today. */
+    @Test
+    void aRepeatOfAnAcceptedJobIsNeverRefusedAlsoAfterTeamsLookDifferent() {
+        world.team("small", 0, 3);
+        JobSpec gang = withTeam(World.spec(1, Kind.GANG, 3, 1), "small");
+        assertTrue(world.submit(0, gang, SHORT));
+        world.team("small", 0, 1);
+        for (int node = 0; node < 3; node++) {
+            assertEquals(200, world.posts(node, SubmissionCodec.encode(gang)));
+        }
+        world.team("small", 0, 3);
+        world.runS(40);
+        assertEquals(Phase.DONE, phase(gang));
+        world.team("small", 0, 1);
+        for (int node = 0; node < 3; node++) {
+            assertEquals(200, world.posts(node, SubmissionCodec.encode(gang)));
+        }
+    }
 }
