Looks: a late answer brings nothing back; users are served by reads while looks get no answer

Cause, found by reading: a look sent before another may be answered after it, when what it shows may have been let go from memory, so an older state could be kept. And where looks get no answer for long while reads do (an answer may be larger than the client takes), everyone who asked about a live job was left without one.

--- a/src/main/java/org/meadowhollow/coordination/admission/LiveJobs.java
+++ b/src/main/java/org/meadowhollow/coordination/admission/LiveJobs.java
@@ -40,6 +40,9 @@
     /** Questions that wait for a look; each holds a connection, of which a process has about as many. */
     private static final int MOST_ASKING = 2000;
 
+    /** Looks in a row without an answer after which those who ask are served by reads. */
+    private static final int MOST_FAILURES = 2;
+
     /** What is known of a job that was seen alive. */
     enum Sight { LIVE, CANCELLED, MOVED }
 
@@ -63,6 +66,10 @@
     private boolean lookSet;
     private int epoch;
     private long dropped;
+    /** Looks without an answer, since the last one that had one. */
+    private int failures;
+    /** Until when jobs are read instead of followed, or null. */
+    private Moment readUntil;
 
     LiveJobs(StateStore store, EventLoop loop) {
         this.store = store;
@@ -98,7 +105,7 @@
             if (reached != null && looks == 0 && loop.now().since(lookedAt).compareTo(IDLE) > 0) {
                 forget();
             }
-            begin = reached == null;
+            begin = reached == null && isFollowed();
             mark = new Mark(epoch, dropped);
         }
         if (begin) {
@@ -109,7 +116,7 @@
 
     /** Keeps what a read found, unless changes that were taken in since may have been forgotten again. */
     synchronized void read(JobId id, Version version, boolean cancelled, Mark sent) {
-        if (reached != null && sent.epoch() == epoch && sent.dropped() == dropped) {
+        if (reached != null && isFollowed() && sent.epoch() == epoch && sent.dropped() == dropped) {
             keep(id, new Known(cancelled ? Sight.CANCELLED : Sight.LIVE, version));
         }
     }
@@ -128,6 +135,23 @@
         }
     }
 
+    /**
+     * Looks that get no answer while reads do (an answer may be larger than the client takes) would leave all who ask
+     * about live jobs without one, for as long as that lasts: after two in a row they are served by reads for a time.
+     */
+    private void failed(Outcome outcome) {
+        failures += outcome == Outcome.UNKNOWN ? 1 : 0;
+        if (outcome == Outcome.TOO_OLD || failures >= MOST_FAILURES) {
+            readUntil = failures >= MOST_FAILURES ? loop.now().plus(IDLE) : readUntil;
+            failures = 0;
+            forget();
+        }
+    }
+
+    private boolean isFollowed() {
+        return readUntil == null || readUntil.isBefore(loop.now());
+    }
+
     private void forget() {
         known.clear();
         reached = null;
@@ -186,15 +210,18 @@
             looks--;
             current = begun == epoch;
             if (failure == null && current) {
-                for (StateStore.Change change : changes.changes()) {
-                    keep(Records.jobOfKey(change.key()), new Known(change.value() == null ? Sight.MOVED
-                            : Records.isCancelled(change.value()) ? Sight.CANCELLED : Sight.LIVE, change.version()));
+                failures = 0;
+                // A look that was sent before may be answered after it, when what it shows may have been let go again.
+                if (reached == null || changes.revision().isAfter(reached)) {
+                    for (StateStore.Change change : changes.changes()) {
+                        keep(Records.jobOfKey(change.key()), new Known(change.value() == null ? Sight.MOVED
+                                : Records.isCancelled(change.value()) ? Sight.CANCELLED : Sight.LIVE, change.version()));
+                    }
+                    reached = changes.revision();
                 }
-                // A look that was sent before may be answered after it.
-                reached = reached == null || changes.revision().isAfter(reached) ? changes.revision() : reached;
             } else {
-                if (failure != null && current && StateException.of(failure) == Outcome.TOO_OLD) {
-                    forget();
+                if (failure != null && current) {
+                    failed(StateException.of(failure));
                 }
                 served.stream().filter(asker -> !asker.answer().isDone()).forEach(asking::add);
             }
