An exit that was taken back, or one of another session, proves nothing; no start in another session

Cause, found by two stories on the untouched sources: - A gang's task that gave up waiting is started again in the same attempt. An old report of its exit, the first thing that the next leader heard of the machine, let a cancelled gang end while the task was on its machine: the team's limit was broken (quota). - After all controllers were away for longer than the lease, the first answer started each task in a session that it was not placed in; the next report proved that session over, and the running task was one that no record knew of, neither counted for its team nor for its zone: 18 orders to start instead of 12.

Change: such an exit is proof only under our token and after our last start; an exit counts only in the placement's own session; a start goes only to that session. A machine that answers direct commands but reports to nobody takes no task.

--- a/src/main/java/org/meadowhollow/coordination/Reconciliation.java
+++ b/src/main/java/org/meadowhollow/coordination/Reconciliation.java
@@ -79,13 +79,15 @@
                     continue;
                 }
                 leader.lost(machine, placement, "the worker's lease ran out", now);
-            } else if (placement.session().isAfter(report.session()) && report.token().equals(term)
-                    && report.seq() > placement.startSentSeq()) {
-                // It shows our token, so it was sent after the session of the record was seen, and sessions only grow: the
-                // machine has begun anew. Without this its task would be waited for, and its job with it, for ever.
-                leader.lost(machine, placement, "its machine has begun anew", now);
+            } else if (placement.session().isAfter(report.session())) {
+                if (report.token().equals(term) && report.seq() > placement.startSentSeq()) {
+                    // It shows our token, so it was sent after the session of the record was seen, and sessions only grow: the
+                    // machine has begun anew. Without this its task would be waited for, and its job with it, for ever.
+                    leader.lost(machine, placement, "its machine has begun anew", now);
+                }
+                // Otherwise it is a copy from before the placement: the same attempt of a gang may have ended here then.
             } else if (task != null && task.attempt().equals(placement.attempt())) {
-                if (task.state() == TaskState.EXITED && !mayWaitAgain(placement, task.cause())) {
+                if (task.state() == TaskState.EXITED && isOver(placement, task.cause(), report)) {
                     leader.exited(machine, placement, task.cause(), now);
                 } else {
                     if (placement.state() != task.state()) {
@@ -137,7 +139,7 @@
             if (placement != null) {
                 if (placement.stopping() && (task.state() != TaskState.SAVING || placement.graceS() == 0)) {
                     orders.add(Order.stop(task.id(), task.attempt(), placement.graceS()));
-                } else if (task.state() == TaskState.EXITED && mayStart(placement, machine)) {
+                } else if (task.state() == TaskState.EXITED && mayStart(placement, machine, report)) {
                     // It gave up waiting for its gang, whose fetches go on; its record stands, so it may wait anew.
                     placement.startSent(report.seq());
                     orders.add(Order.forget(task.id(), task.attempt()));
@@ -162,7 +164,7 @@
                 if (neverStarts(placement, machine, report)) {
                     leader.remove(machine, placement, now, true);
                 }
-            } else if (orders.size() < MOST_ORDERS && mayStart(placement, machine)) {
+            } else if (orders.size() < MOST_ORDERS && mayStart(placement, machine, report)) {
                 placement.startSent(report.seq());
                 orders.add(Order.start(placement.task(), placement.attempt()));
             }
@@ -181,17 +183,27 @@
                 && report.seq() > placement.startSentSeq() && machine.heardAt() != null;
     }
 
-    private boolean mayStart(Placement placement, Machine machine) {
+    /**
+     * Whether the answer to a report may start a placement. Not in another session than that which it was placed in: the
+     * next report would prove that session over, and the task just started would be one that no record knows of.
+     */
+    private boolean mayStart(Placement placement, Machine machine, Report report) {
         return leadership.mayStart() && placement.committed() && !machine.releasing()
-                && wholeGangCommitted(placement);
+                && placement.session().equals(report.session()) && wholeGangCommitted(placement);
     }
 
     /**
-     * Whether a task has only lost patience with its gang. Images differ by more than a gang's patience, and
-     * ending the attempt would give up the fetches of all its other tasks.
+     * Whether an exit that a report of the placement's session lists is its end. One that only lost patience with its gang
+     * is started anew in the same attempt, for images differ by more than a gang's patience, and ending the attempt would
+     * give up the fetches of all its other tasks. Where it is not wanted any more, its exit is proof only if nobody can have
+     * taken it back: an old report that reached the next leader first let a cancelled gang end while it ran.
      */
-    private static boolean mayWaitAgain(Placement placement, Cause cause) {
-        return cause == Cause.ALONE && !placement.stopping() && !placement.job().cancelled();
+    private boolean isOver(Placement placement, Cause cause, Report report) {
+        if (cause != Cause.ALONE) {
+            return true;
+        }
+        return (placement.stopping() || placement.job().cancelled()) && report.token().equals(term)
+                && report.seq() > placement.startSentSeq();
     }
 
     private static boolean wholeGangCommitted(Placement placement) {
--- a/src/main/java/org/meadowhollow/coordination/placement/Cluster.java
+++ b/src/main/java/org/meadowhollow/coordination/placement/Cluster.java
@@ -85,11 +85,14 @@
         }
     }
 
-    /** Whether a machine can be told to start tasks now. */
+    /**
+     * Whether a machine can be told to start tasks now. Starts go out in answers to reports alone, so one that only answers
+     * direct commands cannot: tasks that were placed there waited for as long as it found no controller.
+     */
     public boolean usable(Machine machine, Moment now) {
-        return !machine.draining() && machine.heardAt() != null && machine.shown().equals(term)
+        return !machine.draining() && machine.answeredAt() != null && machine.shown().equals(term)
                 && machine.session() != null
-                && now.secondsSince(machine.heardAt()) < SILENT_REPORTS * platform.reportEvery().toNanos() / 1e9;
+                && now.secondsSince(machine.answeredAt()) < SILENT_REPORTS * platform.reportEvery().toNanos() / 1e9;
     }
 
     /** Whether a machine can take tasks of a job now, if it has room. */
--- /dev/null
+++ b/src/test/java/org/meadowhollow/story/OldReportStoriesTest.java
@@ -0,0 +1,107 @@
+package org.meadowhollow.story;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.Session;
+import org.meadowhollow.bookkeeping.TaskId;
+import org.meadowhollow.coordination.admission.Admission.Phase;
+
+/** What a new leader may conclude from the first report that it hears of a machine, which may be old or of another session. */
+class OldReportStoriesTest extends Story {
+    private static final Duration HOURS = Duration.ofHours(2);
+
+    /** Without a check of the session each task was started by the first answer, and stopped as a stray by the next. */
+    @Test
+    void allNodesAreAwayForLongerThanTheLeaseAndNothingStartsInASessionThatItWasNotPlacedIn() {
+        world.team("team", 0, 6);
+        JobSpec running = World.spec(1, Kind.SERVICE, 6, 1);
+        JobSpec next = World.spec(2, Kind.ARRAY, 6, 1);
+        assertTrue(world.submit(0, running, null));
+        world.runS(10);
+        assertTrue(world.submit(1, next, LONG));
+        world.crashAll();
+        world.runS(25);
+        assertEquals(6, world.starts());
+        assertTrue(world.workers().stream().allMatch(worker -> worker.session().equals(new Session(2))),
+                "all leases have run out");
+        world.restartAll();
+        world.runS(20);
+        assertEquals(12, world.startOrders(), "each replica is started once more, and none is stopped at once");
+    }
+
+    /**
+     * A gang's task that gave up waiting is started again in the same attempt. Taken for an exit, the old report let the
+     * cancelled job end and its team's limit be used again while the task was on its machine.
+     */
+    @Test
+    void anExitThatWasTakenBackProvesNothingToTheNextLeader() {
+        world.team("team", 0, 24);
+        world.fetch(Duration.ofSeconds(30));
+        JobSpec gang = World.spec(1, Kind.GANG, 3, 8);
+        assertTrue(world.submit(0, gang, HOURS));
+        world.runS(10);
+        TaskId first = new TaskId(gang.id(), 0);
+        FakeWorker worker = world.workers().stream().filter(one -> one.holds(first)).findFirst().orElseThrow();
+        assertTrue(world.submit(0, withTeam(World.spec(3, Kind.SERVICE, 3, 4), "other"), null), "keeps the other machines");
+        worker.giveUp(first);
+        world.keepForNext(worker);
+        world.runS(60);
+        assertEquals(worker, placeOf(gang, 0), "it was started again in the same attempt");
+        JobSpec next = array(2, 24);
+        assertTrue(world.submit(1, next, HOURS));
+        world.fetch(Duration.ofSeconds(1));
+        world.cloudOut(true);
+        worker.hang(true);
+        int leader = world.leader();
+        world.crash(leader);
+        assertTrue(world.cancel((leader + 1) % 3, gang.id()));
+        world.runS(12);
+        assertTrue(world.deliveredToNext() > 0 && world.leader() != leader && world.leader() >= 0);
+        assertEquals(worker, placeOf(gang, 0), "it may go on at any time");
+        // The judge of the limit watches from here on.
+        world.runS(10);
+        world.cloudOut(false);
+        world.runS(60);
+        assertTrue(allRun(next), "nobody waits for it for ever");
+    }
+
+    /** An old report with a start, an end of an earlier attempt, or nothing at all reaches every node as a leader begins. */
+    @ParameterizedTest
+    @ValueSource(strings = {"before the start", "while it ran", "of an earlier session"})
+    void anOldReportReachesEveryNodeJustAsALeaderBegins(String when) {
+        JobSpec job = World.spec(1, Kind.SERVICE, 6, 1);
+        if (when.equals("before the start")) {
+            world.workers().forEach(world::keepForNext);
+        }
+        assertTrue(world.submit(0, job, null));
+        world.runS(10);
+        if (!when.equals("before the start")) {
+            world.workers().forEach(world::keepForNext);
+        }
+        if (when.equals("of an earlier session")) {
+            world.workers().forEach(worker -> worker.hang(true));
+            world.runS(25);
+            world.workers().forEach(worker -> worker.hang(false));
+            world.runS(30);
+        }
+        int starts = world.starts();
+        int leader = world.leader();
+        world.crash(leader);
+        world.runS(25);
+        assertTrue(world.deliveredToNext() > 0);
+        assertFalse(world.leader() == leader);
+        assertEquals(starts, world.starts(), "what runs goes on where it is");
+        assertTrue(world.cancel(world.leader(), job.id()));
+        world.runS(8);
+        assertTrue(world.workers().stream().allMatch(worker -> worker.running().isEmpty()), "newer reports were heeded");
+        assertEquals(Phase.CANCELLED, phase(job));
+    }
+}
