--- a/src/main/java/org/meadowhollow/coordination/fleet/Listening.java
+++ b/src/main/java/org/meadowhollow/coordination/fleet/Listening.java
@@ -146,11 +146,13 @@
     }
 
     /**
-     * Whether the cloud has left out a machine that it listed before for longer than its lists are late, as it does with
-     * one that it took away. A hint that its silence is its own: what was on it still counts until that is proven.
+     * Whether the cloud has left out a machine that it listed before, or that a report has shown, for longer than its lists
+     * are late, as it does with one that it took away. A hint that its silence is its own: what was on it still counts until
+     * that is proven. Old reports of machines long gone, the first that a new leader heard, had it give its lease up as deaf.
      */
     boolean isUnlisted(Machine machine) {
-        return machine.listedAt() != null && lastListAt != null && lastListAt.since(machine.listedAt())
+        Moment shownAt = machine.listedAt() == null ? machine.knownSince() : machine.listedAt();
+        return lastListAt != null && lastListAt.since(shownAt)
                 .compareTo(platform.listLag().multipliedBy(LISTS_LATE_BY)) > 0;
     }
 
--- a/src/main/java/org/meadowhollow/coordination/fleet/SilenceWatch.java
+++ b/src/main/java/org/meadowhollow/coordination/fleet/SilenceWatch.java
@@ -72,7 +72,9 @@
                 leader.send(machine, machine.session() == null ? new Session(1) : machine.session(), List.of());
             }
         }
-        if (!machine.placements().isEmpty() && leaseCertainlyOver(machine, now)) {
+        // Also where nothing is placed: an old report of a machine that is gone may be all that was ever heard of it, and the
+        // tasks that it lists would be held up by it until it is returned for its silence.
+        if (!(machine.placements().isEmpty() && machine.strays().isEmpty()) && leaseCertainlyOver(machine, now)) {
             for (Placement placement : List.copyOf(machine.placements())) {
                 leader.lost(machine, placement, "the machine has been silent for longer than its lease", now);
             }
--- a/src/test/java/org/meadowhollow/story/FakeWorker.java
+++ b/src/test/java/org/meadowhollow/story/FakeWorker.java
@@ -186,11 +186,15 @@
         exit(tasks.get(task), Cause.DONE);
     }
 
+    private boolean leaseIsOver() {
+        return world.loop().now().since(answeredSentAt).compareTo(LEASE) > 0;
+    }
+
     /** Tasks that are on the machine in the protocol's sense: with their image, and not exited. */
     @Override
     public List<TaskId> running() {
         List<TaskId> all = new ArrayList<>();
-        if (world.loop().now().since(answeredSentAt).compareTo(LEASE) > 0) {
+        if (leaseIsOver()) {
             // A hung machine runs nothing; when it goes on, its worker first kills what outlived the lease.
             return all;
         }
@@ -205,7 +209,7 @@
     /** Tasks that take room here: all but those that have exited. */
     @Override
     public List<TaskId> held() {
-        return tasks.entrySet().stream().filter(each -> each.getValue().state != TaskState.EXITED)
+        return leaseIsOver() ? List.of() : tasks.entrySet().stream().filter(each -> each.getValue().state != TaskState.EXITED)
                 .map(Map.Entry::getKey).toList();
     }
 
@@ -232,7 +236,7 @@
     /** What time has brought: the end of the lease, images that have come, tasks that are done. */
     void advance() {
         Moment now = world.loop().now();
-        if (now.since(answeredSentAt).compareTo(LEASE) > 0) {
+        if (leaseIsOver()) {
             tasks.clear();
             session = new Session(session.value() + 1);
             answeredSentAt = now;
--- a/src/test/java/org/meadowhollow/story/Judge.java
+++ b/src/test/java/org/meadowhollow/story/Judge.java
@@ -207,7 +207,7 @@
         }
         used.forEach((team, sum) -> assertTrue(within(sum, teams.get(team).most()), "quota: team " + team));
         if (calmSince != null) {
-            accepted.keySet().stream().filter(id -> !isOver(id)).forEach(id -> checkCalm(id, used, now));
+            unfinished().forEach(id -> checkCalm(id, used, now));
         }
     }
 
@@ -218,6 +218,11 @@
         calmSince = now;
     }
 
+    /** What was accepted and is not known to be over. */
+    List<JobId> unfinished() {
+        return accepted.keySet().stream().filter(id -> !isOver(id)).toList();
+    }
+
     private void checkCalm(JobId id, Map<String, Resources> used, Moment now) {
         Moment answered = answeredAt.getOrDefault(id, calmSince);
         Moment since = Moment.later(answered, calmSince);
--- a/src/test/java/org/meadowhollow/story/OldReportStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/OldReportStoriesTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -104,4 +105,51 @@
         assertTrue(world.workers().stream().allMatch(worker -> worker.running().isEmpty()), "newer reports were heeded");
         assertEquals(Phase.CANCELLED, phase(job));
     }
+
+    /** An old report of machines that are gone names tasks, which nobody ever takes back, and the cloud returns nothing. */
+    @Test
+    void whatMachinesThatAreGoneOnceReportedHoldsNobodyUp() {
+        JobSpec job = World.spec(1, Kind.ARRAY, 2, 8);
+        assertTrue(world.submit(0, job, LONG));
+        world.runS(10);
+        assertTrue(world.submit(0, withTeam(World.spec(2, Kind.SERVICE, 4, 8), "other"), null), "fills the other machines");
+        world.runS(10);
+        List<FakeWorker> gone = List.of(placeOf(job, 0), placeOf(job, 1));
+        takenWithOldReports(gone);
+        assertTrue(world.deliveredToNext() > 0);
+        world.machine(World.LARGE, "a");
+        world.machine(World.LARGE, "b");
+        world.calm();
+        // The judge watches that nothing waits beside room for it.
+        world.runS(95);
+        assertTrue(allRun(job));
+    }
+
+    /** The cloud takes machines away, their tasks are proven lost, and the next leader hears of them by old reports first. */
+    private void takenWithOldReports(List<FakeWorker> gone) {
+        world.cloudOut(true);
+        gone.forEach(worker -> {
+            world.keepForNext(worker);
+            world.take(worker);
+        });
+        world.runS(30);
+        world.crash(world.leader());
+        world.runS(8);
+    }
+
+    @Test
+    void oldReportsOfMachinesThatAreGoneDoNotMakeALeaderSeemDeaf() {
+        for (int at = 0; at < 5; at++) {
+            world.machine(World.LARGE, "a");
+        }
+        world.runS(10);
+        takenWithOldReports(world.workers().stream().filter(worker -> worker.zone().equals("a")).toList());
+        assertTrue(world.deliveredToNext() > 0);
+        world.cloudOut(false);
+        int leader = world.leader();
+        long term = world.term();
+        world.runS(60);
+        assertEquals(leader, world.leader(), "it hears all that are there");
+        assertEquals(term, world.term());
+    }
 }
--- a/src/test/java/org/meadowhollow/story/RandomTroubleTest.java
+++ b/src/test/java/org/meadowhollow/story/RandomTroubleTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.provider.MethodSource;
 import org.meadowhollow.bookkeeping.JobSpec;
 import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.Priority;
 import org.meadowhollow.coordination.admission.Admission.JobState;
 import org.meadowhollow.coordination.admission.Admission.Phase;
 
@@ -175,6 +176,71 @@
         ends(world, jobs, 60, 1000);
     }
 
+    private static LongStream furtherSeeds() {
+        return LongStream.rangeClosed(Long.getLong("further.first", 1), Long.getLong("further.seeds", 40));
+    }
+
+    /**
+     * One of the further troubles with any other, two teams at their limits on every second day, and what is promised for the
+     * time after all troubles held against what workers and users saw.
+     */
+    @ParameterizedTest
+    @MethodSource("furtherSeeds")
+    void theRulesHoldWhenFurtherTroublesMeet(long seed) {
+        Random random = new Random(seed);
+        boolean limited = seed % 2 == 0;
+        World world = new World().team("team", 4, limited ? 12 : 0).team("other", 2, limited ? 8 : 0);
+        if (seed % 3 == 0) {
+            world.standby();
+        }
+        sixMachines(world);
+        world.runS(10);
+        List<JobSpec> jobs = new ArrayList<>();
+        for (int meeting = 0; meeting < 8; meeting++) {
+            for (int at = 0; at < 4; at++) {
+                jobs.add(anyJob(world, random, jobs.size()));
+            }
+            world.runS(random.nextInt(20));
+            List<Runnable> ends = new ArrayList<>();
+            ends.add(Trouble.beginFurther(world, random));
+            world.run(Duration.ofMillis(250 * random.nextInt(16)));
+            ends.add(random.nextBoolean() ? Trouble.begin(world, random) : Trouble.beginFurther(world, random));
+            for (int step = random.nextInt(5); step >= 0; step--) {
+                JobSpec job = jobs.get(random.nextInt(jobs.size()));
+                if (random.nextInt(3) == 0) {
+                    world.poll(random.nextInt(3), job.id());
+                } else {
+                    world.cancel(random.nextInt(3), job.id());
+                }
+                world.runS(random.nextInt(4));
+            }
+            world.runS(random.nextInt(90));
+            Collections.shuffle(ends, random);
+            for (Runnable end : ends) {
+                end.run();
+                world.runS(random.nextInt(10));
+            }
+        }
+        calm(world);
+        world.calm();
+        ends(world, jobs, 60, 1200);
+        if (!limited) {
+            world.judge().served();
+        }
+    }
+
+    private static JobSpec anyJob(World world, Random random, int number) {
+        Kind kind = Kind.values()[random.nextInt(3)];
+        JobSpec plain = World.spec(number, kind, 1 + random.nextInt(4), 1 + random.nextInt(2));
+        JobSpec job = new JobSpec(plain.id(), kind.name(), random.nextInt(3) == 0 ? "other" : "team", kind,
+                Priority.values()[random.nextInt(3)], plain.tasks(), plain.perTask(), null,
+                random.nextInt(6) == 0 ? "a" : null, random.nextInt(4) == 0, false, false, plain.image(), plain.imageGb(),
+                plain.estimateS(), 0, 0, Double.NaN);
+        world.submit(random.nextInt(3), job, kind == Kind.SERVICE ? null
+                : Duration.ofSeconds(random.nextBoolean() ? 200 : 5 + random.nextInt(40)));
+        return job;
+    }
+
     private static Duration back(Random random) {
         return Duration.ofMillis(List.of(50, 200, 500, 1000).get(random.nextInt(4)));
     }
@@ -230,6 +296,7 @@
         for (FakeWorker worker : world.workers()) {
             worker.hang(false);
             worker.deaf(false);
+            worker.mute(false);
         }
     }
 }
--- a/src/test/java/org/meadowhollow/story/Trouble.java
+++ b/src/test/java/org/meadowhollow/story/Trouble.java
@@ -2,19 +2,33 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Random;
+import org.meadowhollow.bookkeeping.JobSpec;
 import org.meadowhollow.bookkeeping.Records;
+import org.meadowhollow.bookkeeping.Term;
 
 /** A trouble that begins, and ends when it is told to, for days on which troubles meet. */
 enum Trouble {
     REFUSED_ALONE, OUT_FOR_ALL, APART, LATE_WRITES, LATE_REPORTS, DEAF_MACHINES, HUNG_MACHINES, ENDED, ALL_ENDED, BACK_AT_ONCE,
     FROZEN, ANSWERS_LOST, REQUESTS_HELD, DEAF_TO_A_ZONE, WATCHES_FAIL, RECORDS_HIDDEN, SHORT_OF_TIME, PEERS_CUT, HAND_OVER,
-    MACHINES_BEGIN_ANEW, SERVED_FOR_INSTANTS;
+    MACHINES_BEGIN_ANEW, SERVED_FOR_INSTANTS,
+    MUTE_MACHINES, MUTE_ZONE, ANSWERS_OF_WRITES_LOST, REPORTS_FOR_NEXT, CANCEL_NOW, CANCEL_AT_END, ODD_REQUESTS, CLOSE_LOOKS,
+    QUICK_BOOTS, DEPOSED_BY_A_HINT, ALL_AWAY, ZONE_APART_WITH_A_NODE, LEADER_AFTER_LEADER;
 
-    /** Begins one of them, mostly at the leader; what is returned ends it. */
+    private static final List<Trouble> FIRST = List.copyOf(EnumSet.range(REFUSED_ALONE, SERVED_FOR_INSTANTS));
+    private static final List<Trouble> FURTHER = List.copyOf(EnumSet.range(MUTE_MACHINES, LEADER_AFTER_LEADER));
+
+    /** Begins one of the first list, mostly at the leader; what is returned ends it. */
     static Runnable begin(World world, Random random) {
-        return values()[random.nextInt(values().length)].at(world, random);
+        return FIRST.get(random.nextInt(FIRST.size())).at(world, random);
+    }
+
+    /** Begins one of the further ones. */
+    static Runnable beginFurther(World world, Random random) {
+        return FURTHER.get(random.nextInt(FURTHER.size())).at(world, random);
     }
 
     private Runnable at(World world, Random random) {
@@ -127,6 +141,97 @@
                 some(world, random).forEach(FakeWorker::reboot);
                 return () -> { };
             }
+            case MUTE_MACHINES -> {
+                List<FakeWorker> some = some(world, random);
+                some.forEach(worker -> worker.mute(true));
+                return () -> some.forEach(worker -> worker.mute(false));
+            }
+            case MUTE_ZONE -> {
+                String zone = random.nextBoolean() ? "a" : "b";
+                List<FakeWorker> some = world.workers().stream().filter(worker -> worker.zone().equals(zone)).toList();
+                some.forEach(worker -> worker.mute(true));
+                return () -> some.forEach(worker -> worker.mute(false));
+            }
+            case ANSWERS_OF_WRITES_LOST -> {
+                double share = 0.2 + 0.6 * random.nextDouble();
+                for (int each = 0; each < 3; each++) {
+                    world.line(each).loseCommitAnswers(share, random.nextLong());
+                }
+                return () -> {
+                    for (int each = 0; each < 3; each++) {
+                        world.line(each).loseCommitAnswers(0, 0);
+                    }
+                };
+            }
+            case REPORTS_FOR_NEXT -> {
+                world.keepReportsForNext(0.2 + 0.6 * random.nextDouble(), random.nextLong());
+                return () -> world.keepReportsForNext(0, 0);
+            }
+            case CANCEL_NOW -> {
+                List<JobSpec> running = new ArrayList<>(world.runningJobs());
+                Collections.shuffle(running, random);
+                world.cancelNow(running.subList(0, Math.min(4, running.size())),
+                        Duration.ofSeconds(random.nextBoolean() ? 0 : 5 + random.nextInt(40)));
+                return () -> { };
+            }
+            case CANCEL_AT_END -> {
+                world.cancelAtEnd(0.3 + 0.7 * random.nextDouble(), random.nextLong());
+                return () -> world.cancelAtEnd(0, 0);
+            }
+            case ODD_REQUESTS -> {
+                for (int time = 0; time < 8; time++) {
+                    world.oddRequest(random);
+                    world.run(Duration.ofMillis(250 * random.nextInt(4)));
+                }
+                return () -> { };
+            }
+            case CLOSE_LOOKS -> {
+                world.closeLooks(true);
+                return () -> world.closeLooks(false);
+            }
+            case QUICK_BOOTS -> {
+                world.boots(Duration.ofMillis(50 + random.nextInt(1900)), Duration.ofSeconds(10));
+                return () -> world.boots(Duration.ofSeconds(10), Duration.ZERO);
+            }
+            case DEPOSED_BY_A_HINT -> {
+                if (world.leader() >= 0 && world.node(world.leader()) != null) {
+                    world.node(world.leader()).heardOf(new Term(world.term() + 1), "n" + random.nextInt(3));
+                }
+                return () -> { };
+            }
+            case ALL_AWAY -> {
+                for (int each = 0; each < 3; each++) {
+                    world.thaw(each);
+                }
+                world.crashAll();
+                world.runS(19 + random.nextInt(20));
+                world.restartAll();
+                return () -> { };
+            }
+            case ZONE_APART_WITH_A_NODE -> {
+                String zone = random.nextBoolean() ? "a" : "b";
+                world.apart(node, true);
+                for (int each = 0; each < 3; each++) {
+                    world.cutFromZone(each, zone, each != node);
+                    world.cutFromZone(each, zone.equals("a") ? "b" : "a", each == node);
+                }
+                return () -> {
+                    world.apart(node, false);
+                    for (int each = 0; each < 3; each++) {
+                        world.cutFromWorkers(each, false);
+                    }
+                };
+            }
+            case LEADER_AFTER_LEADER -> {
+                for (int time = 0; time < 5; time++) {
+                    int now = world.leader();
+                    if (now >= 0) {
+                        world.bounce(now, Duration.ofMillis(100 + random.nextInt(6000)));
+                    }
+                    world.runS(3 + random.nextInt(9));
+                }
+                return () -> { };
+            }
             default -> {
                 line.failWatches(true);
                 for (int instant = 0; instant < 4; instant++) {
--- a/src/test/java/org/meadowhollow/story/World.java
+++ b/src/test/java/org/meadowhollow/story/World.java
@@ -60,6 +60,7 @@
 import org.meadowhollow.protocol.calendar.CalendarApi;
 import org.meadowhollow.protocol.tes.TesApi;
 import org.meadowhollow.protocol.tes.TesTokens;
+import org.meadowhollow.protocol.users.SubmissionCodec;
 import org.meadowhollow.protocol.users.UserApi;
 
 /**
@@ -103,6 +104,7 @@
     private Duration listLag = Duration.ZERO;
     private int deliveredToNext;
     private int startOrders;
+    private int nextAsked;
     private final List<OrderLog.Event> events = new ArrayList<>();
     private final NotedTraces traces = new NotedTraces();
     private final Observers observers = new Observers(new OrderLog(events::add), traces);
@@ -621,6 +623,54 @@
         }
     }
 
+    /** Jobs of which tasks run, and that nobody was told to be over. */
+    List<JobSpec> runningJobs() {
+        return specs.values().stream().filter(spec -> !judge.isOver(spec.id()) && workers().stream()
+                .anyMatch(worker -> worker.running().stream().anyMatch(task -> task.job().equals(spec.id()))))
+                .sorted(Comparator.comparing(JobSpec::id)).toList();
+    }
+
+    /** A user repeats a submission, calls off a job that is done, or sends one that cannot run or lacks a field. */
+    void oddRequest(Random random) {
+        int node = random.nextInt(members.size());
+        List<JobSpec> known = specs.values().stream().sorted(Comparator.comparing(JobSpec::id)).toList();
+        if (known.isEmpty()) {
+            return;
+        }
+        JobSpec job = known.get(random.nextInt(known.size()));
+        switch (random.nextInt(5)) {
+            case 0, 1 -> resubmits(node, job);
+            case 2 -> {
+                if (judge.isOver(job.id())) {
+                    cancels(node, job.id());
+                }
+            }
+            case 3 -> refused(node, 422, SubmissionCodec.encode(spec(900_000 + random.nextInt(1000), Kind.ARRAY, 1, 9)));
+            default -> {
+                Map<String, Object> body = new HashMap<>(SubmissionCodec.encode(spec(910_000, Kind.ARRAY, 1, 1)));
+                List<String> needed = body.keySet().stream().filter(key -> body.get(key) != null).sorted().toList();
+                body.remove(needed.get(random.nextInt(needed.size())));
+                refused(node, 400, body);
+            }
+        }
+    }
+
+    private void refused(int node, int status, Map<String, Object> body) {
+        repeat(node, admission -> new UserApi(admission).submit(Wire.encode(body)).thenAccept(reply -> judged(() ->
+                assertTrue(reply.status() == status || reply.status() == 503, "wrongly answered " + reply.status()))));
+    }
+
+    /** All troubles are over: users ask about each job every few seconds, and what is promised for then is checked. */
+    void calm() {
+        judge.calm(loop.now());
+        askAll();
+    }
+
+    private void askAll() {
+        judge.unfinished().forEach(id -> asks(nextAsked++ % members.size(), id));
+        loop.after(Duration.ofSeconds(5), this::askAll);
+    }
+
     /** Rented machines are up after such a time, and the cloud's list is so late. */
     void boots(Duration within, Duration listedAfter) {
         boot = within;
