--- a/src/test/java/org/meadowhollow/story/FakeWorker.java
+++ b/src/test/java/org/meadowhollow/story/FakeWorker.java
@@ -123,6 +123,7 @@
     void cannotReach(int other, boolean cut) {
         if (cut) {
             unreachable.add(other);
+            inFlight = node == other ? null : inFlight;
         } else {
             unreachable.remove(other);
         }
--- a/src/test/java/org/meadowhollow/story/GangStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/GangStoriesTest.java
@@ -134,4 +134,34 @@
         }
         assertEquals(List.of(2, 2, 2), attempts);
     }
+
+    /**
+     * A gang's machine fails, and the next leader hears that before it hears that the gang has begun. Its other tasks cannot be
+     * completed to a whole attempt any more; without a guard they kept their machines, and the gang waited, for ever.
+     */
+    @Test
+    void aTaskIsLostBeforeTheNextLeaderHearsThatTheGangHasBegun() {
+        JobSpec gang = World.spec(1, Kind.GANG, 3, 8);
+        assertTrue(world.submit(0, gang, Duration.ofHours(2)));
+        world.runS(10);
+        assertTrue(world.submit(0, withTeam(World.spec(2, Kind.SERVICE, 3, 8), "other"), null), "fills the other machines");
+        world.runS(10);
+        assertEquals(6, world.starts());
+        world.mostMachines(0);
+        List<FakeWorker> rest = List.of(placeOf(gang, 0), placeOf(gang, 2));
+        world.fail(placeOf(gang, 1));
+        rest.forEach(worker -> worker.hang(true));
+        int leader = world.leader();
+        world.crash(leader);
+        world.runS(12);
+        assertTrue(world.leader() >= 0 && world.leader() != leader);
+        rest.forEach(worker -> worker.hang(false));
+        world.runS(6);
+        world.machine(World.LARGE, "a");
+        world.calm();
+        // The judge watches that nothing waits beside room for it.
+        world.runS(60);
+        assertTrue(allRun(gang), "whole, in a new attempt");
+        assertEquals(2, placeOf(gang, 0).attempt(new TaskId(gang.id(), 0)).value());
+    }
 }
--- /dev/null
+++ b/src/test/java/org/meadowhollow/story/LimitStoriesTest.java
@@ -0,0 +1,266 @@
+package org.meadowhollow.story;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.Term;
+import org.meadowhollow.coordination.admission.Admission.Phase;
+
+/**
+ * Teams at their limits and zones that jobs are bound to, while tasks are called off on machines that cannot be asked, and the
+ * work changes hands. The judge of {@link World} watches limits, zones and the time that a cancellation has.
+ */
+class LimitStoriesTest extends Story {
+    private static final Duration HOURS = Duration.ofHours(2);
+
+    /** Why a machine cannot be asked. */
+    enum OutOfReach {
+        HUNG {
+            @Override
+            void set(World world, FakeWorker worker, boolean now) {
+                worker.hang(now);
+            }
+        },
+        CUT {
+            @Override
+            void set(World world, FakeWorker worker, boolean now) {
+                for (int node = 0; node < 3; node++) {
+                    worker.cannotReach(node, now);
+                }
+            }
+        },
+        MUTE {
+            @Override
+            void set(World world, FakeWorker worker, boolean now) {
+                worker.mute(now);
+            }
+        },
+        DEAF {
+            @Override
+            void set(World world, FakeWorker worker, boolean now) {
+                worker.deaf(now);
+            }
+        };
+
+        abstract void set(World world, FakeWorker worker, boolean now);
+    }
+
+    private JobSpec filling(int number, String team, int tasks) {
+        JobSpec job = withTeam(World.spec(number, Kind.SERVICE, tasks, 1), team);
+        assertTrue(world.submit(0, job, null));
+        return job;
+    }
+
+    /** Both teams use all that they may; more of each waits. */
+    private List<JobSpec> bothTeamsAtTheirLimits() {
+        world.team("team", 0, 12).team("other", 0, 8);
+        List<JobSpec> running = List.of(filling(1, "team", 12), filling(2, "other", 8));
+        world.runS(10);
+        running.forEach(job -> assertTrue(allRun(job)));
+        return running;
+    }
+
+    @ParameterizedTest
+    @CsvSource({"HUNG, 1", "HUNG, 2", "HUNG, 3", "CUT, 1", "CUT, 2", "MUTE, 1", "MUTE, 2", "DEAF, 1", "DEAF, 2", "DEAF, 3"})
+    void whatIsCalledOffOutOfReachCountsForItsTeamUntilItIsGoneAcrossLeaders(OutOfReach how, int leaders) {
+        List<JobSpec> running = bothTeamsAtTheirLimits();
+        world.cloudOut(true);
+        List<FakeWorker> lost = world.workers().subList(0, 2);
+        lost.forEach(worker -> how.set(world, worker, true));
+        running.forEach(job -> assertTrue(world.cancel(other(world.leader(), 1), job.id())));
+        List<JobSpec> next = List.of(withTeam(array(3, 12), "team"), withTeam(array(4, 8), "other"));
+        next.forEach(job -> assertTrue(world.submit(other(world.leader(), 1), job, HOURS)));
+        boolean still = false;
+        for (int takeover = 0; takeover < leaders; takeover++) {
+            int leader = world.leader();
+            world.crash(leader);
+            for (int second = 0; second < 8; second++) {
+                world.runS(1);
+                still |= world.leader() != leader && lost.stream().anyMatch(worker -> !worker.running().isEmpty());
+            }
+            assertNotEquals(leader, world.leader());
+            world.restart(leader);
+        }
+        // Direct commands reach a mute machine, so there its tasks are gone at once.
+        assertEquals(how != OutOfReach.MUTE, still, "a task that was called off was there while the next one led");
+        world.runS(60);
+        lost.forEach(worker -> how.set(world, worker, false));
+        world.cloudOut(false);
+        world.calm();
+        world.runS(60);
+        next.forEach(job -> assertTrue(allRun(job), job.id() + " waits for nobody for ever"));
+    }
+
+    /** The start was committed and never sent: the next leader cannot know, and nobody waits for it for ever. */
+    @Test
+    void anAttemptWhoseStartWasNeverSentCountsAndIsGivenUp() {
+        world.team("team", 0, 8);
+        List<FakeWorker> first = world.workers();
+        first.forEach(worker -> worker.deaf(true));
+        JobSpec job = World.spec(1, Kind.ARRAY, 8, 1);
+        assertTrue(world.submit(0, job, HOURS));
+        world.runS(3);
+        assertEquals(1, world.store().size("task/"), "its places are committed");
+        int leader = world.leader();
+        world.crash(leader);
+        assertTrue(world.cancel(other(leader, 1), job.id()));
+        JobSpec next = array(2, 8);
+        assertTrue(world.submit(other(leader, 1), next, HOURS));
+        first.forEach(worker -> worker.deaf(false));
+        world.runS(30);
+        assertTrue(allRun(next));
+        assertEquals(8, world.starts(), "nothing of the cancelled job was started");
+        assertEquals(0, world.judge().startsAfterCancellation());
+    }
+
+    /** How the work changes hands. */
+    enum Handing { RESIGNED, ENDED, DEPOSED, ENDED_AND_BACK }
+
+    private void handOn(Handing how, int leader) {
+        switch (how) {
+            case RESIGNED -> world.node(leader).handOver();
+            case ENDED -> world.crash(leader);
+            case DEPOSED -> world.node(leader).heardOf(new Term(world.term() + 1), "n" + other(leader, 1));
+            default -> world.bounce(leader, Duration.ofMillis(200));
+        }
+    }
+
+    /** Cancellations a quarter of a second apart, from before the work changes hands until after the next one has loaded. */
+    @ParameterizedTest
+    @EnumSource(Handing.class)
+    void jobsCalledOffInTheSecondsInWhichWorkChangesHandsAreGone(Handing how) {
+        List<JobSpec> jobs = new ArrayList<>();
+        for (int number = 1; number <= 24; number++) {
+            JobSpec job = number % 6 == 0 ? World.spec(number, Kind.GANG, 2, 1) : array(number, 1);
+            jobs.add(job);
+            world.submits(number % 3, job, HOURS);
+        }
+        world.runS(10);
+        jobs.forEach(job -> assertTrue(allRun(job)));
+        int leader = world.leader();
+        long term = world.term();
+        int during = 0;
+        for (int at = 0; at < jobs.size(); at++) {
+            if (at == 4) {
+                handOn(how, leader);
+            }
+            // By a node that thinks that another one leads.
+            world.cancels(other(leader, 1 + at % 2), jobs.get(at).id());
+            world.run(Duration.ofMillis(250));
+            during += at >= 4 && (world.leader() < 0 || world.term() == term) ? 1 : 0;
+        }
+        assertTrue(how != Handing.ENDED || during > 0, "called off while nobody led");
+        assertTrue(world.term() > term);
+        world.runS(15);
+        for (JobSpec job : jobs) {
+            assertEquals(Phase.CANCELLED, phase(job));
+            assertEquals(null, placeOf(job, 0));
+        }
+        assertEquals(0, world.store().size("job/") + world.store().size("task/"));
+        assertEquals(0, world.judge().startsAfterCancellation());
+    }
+
+    /** Ten leaders in two minutes, also inside an outage, in which none of them can read anything. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void tenLeadersInTwoMinutes(boolean inAnOutage) {
+        world.team("team", 0, 12);
+        JobSpec stays = filling(1, "team", 6);
+        JobSpec goes = filling(2, "team", 6);
+        world.runS(10);
+        long term = world.term();
+        for (int change = 0; change < 13; change++) {
+            world.bounce(Math.max(0, world.leader()), Duration.ofMillis(change % 2 == 0 ? 200 : 3000));
+            if (inAnOutage && change == 4) {
+                world.store().out(true);
+            }
+            world.runS(5);
+            if (inAnOutage && change == 6) {
+                world.store().out(false);
+            }
+            world.runS(4);
+            if (change == 2) {
+                assertTrue(world.cancel(other(world.leader(), 1), goes.id()));
+                assertTrue(world.submit(other(world.leader(), 1), array(3, 6), HOURS));
+            }
+        }
+        assertTrue(world.term() - term >= 10, "led " + (world.term() - term) + " times");
+        world.calm();
+        world.runS(60);
+        assertTrue(allRun(stays) && allRun(array(3, 6)));
+        assertEquals(Phase.CANCELLED, phase(goes));
+    }
+
+    /** A job bound to a zone loses its machines: nothing of it starts elsewhere, and it does not wait for ever. */
+    @ParameterizedTest
+    @CsvSource({"ARRAY, true", "ARRAY, false", "GANG, true", "GANG, false", "SERVICE, true"})
+    void aJobBoundToOneZoneLosesMachinesThere(Kind kind, boolean together) {
+        JobSpec plain = World.spec(1, kind, 3, 8);
+        JobSpec job = together ? zoned(plain, true, false) : inZone(plain, "a");
+        assertTrue(world.submit(0, job, HOURS));
+        world.runS(10);
+        assertTrue(allRun(job));
+        String zone = placeOf(job, 0).zone();
+        world.mostMachines(world.workers().size() + 1);
+        // One hangs and goes on when its task is given up, one is taken away, and the leader ends.
+        FakeWorker hung = placeOf(job, 0);
+        hung.hang(true);
+        world.take(placeOf(job, 1));
+        world.crash(world.leader());
+        world.runS(40);
+        hung.hang(false);
+        world.restartAll();
+        world.calm();
+        world.runS(90);
+        assertTrue(together || zone.equals("a"));
+        assertTrue(allRun(job), "it runs again, where its tasks may be");
+    }
+
+    /** New machines are up before their rental is answered or listed, get work at once while writes lag, and the leader ends. */
+    @ParameterizedTest
+    @ValueSource(ints = {50, 150, 600, 1900})
+    void machinesUpAtOnceGetWorkWhileWritesLagAndTheLeaderEnds(int bootMillis) {
+        world.boots(Duration.ofMillis(bootMillis), Duration.ofSeconds(20));
+        JobSpec job = World.spec(1, Kind.ARRAY, 48, 1);
+        assertTrue(world.submit(0, job, Duration.ofSeconds(40)));
+        world.runS(5);
+        int before = world.workers().size();
+        int leader = world.leader();
+        for (int node = 0; node < 3; node++) {
+            world.line(node).lateWrites(0.7, 1_000_003L * (node + 1));
+        }
+        JobSpec more = World.spec(2, Kind.ARRAY, 40, 4);
+        world.submits(other(leader, 1), more, Duration.ofSeconds(20));
+        for (int step = 0; step < 80 && world.workers().size() == before; step++) {
+            world.run(Duration.ofMillis(250));
+        }
+        assertTrue(world.workers().size() > before, "machines came");
+        // Their first attempts are on their way to the state service, or there and not answered.
+        world.run(Duration.ofMillis(1250));
+        world.crash(leader);
+        world.runS(20);
+        int late = 0;
+        for (int node = 0; node < 3; node++) {
+            late += world.line(node).lateCommits();
+            world.line(node).lateWrites(0, 0);
+        }
+        assertTrue(late > 0, "a transaction was executed late");
+        world.restart(leader);
+        world.boots(Duration.ofSeconds(10), Duration.ZERO);
+        world.calm();
+        world.runS(400);
+        assertEquals(Phase.DONE, phase(job));
+        assertEquals(Phase.DONE, phase(more));
+    }
+}
--- a/src/test/java/org/meadowhollow/story/MeetingStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/MeetingStoriesTest.java
@@ -244,4 +244,51 @@
         assertEquals(2, world.starts(), "no finished task runs again");
         assertEquals(0, world.store().size(Records.JOBS) + world.store().size(Records.TASKS));
     }
+
+    /** A zone goes on inside with a controller that leads, and jobs are called off through the new one outside. */
+    @ParameterizedTest
+    @ValueSource(ints = {20, 35, 60})
+    void aZoneWithWorkersAndItsLeaderIsCutOffForLongerThanTheLease(int cutS) {
+        List<JobSpec> jobs = longJobs();
+        int leader = world.leader();
+        world.apart(leader, true);
+        world.cutFromZone(leader, "b", true);
+        world.cutFromZone(other(leader, 1), "a", true);
+        world.cutFromZone(other(leader, 2), "a", true);
+        world.runS(3);
+        cancelAll(other(leader, 1), jobs);
+        world.runS(12);
+        assertFalse(leader == world.leader());
+        assertTrue(jobs.stream().anyMatch(job -> world.workers().stream().anyMatch(worker -> worker.zone().equals("a")
+                && worker.running().stream().anyMatch(task -> task.job().equals(job.id())))), "the cut zone goes on inside");
+        world.runS(cutS);
+        world.apart(leader, false);
+        for (int node = 0; node < 3; node++) {
+            world.cutFromWorkers(node, false);
+        }
+        world.runS(40);
+        goneInTime(jobs);
+        assertEquals(0, world.store().size(Records.JOBS) + world.store().size(Records.TASKS));
+    }
+
+    /** Each of a leader's writes for some seconds is carried out later, after the newer ones by which it went on. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 2, 5, 8, 11})
+    void whatALeaderWroteIsCarriedOutAfterItsNewerWrites(int fromS) {
+        JobSpec first = World.spec(1, Kind.ARRAY, 6, 1);
+        JobSpec second = World.spec(2, Kind.GANG, 2, 2);
+        assertTrue(world.submit(0, first, SHORT));
+        world.runS(fromS);
+        int leader = world.leader();
+        world.line(leader).lateWrites(1, fromS);
+        world.submits(other(leader, 1), second, SHORT);
+        world.runS(1.75);
+        world.line(leader).lateWrites(0, 0);
+        world.cancels(other(leader, 1), fromS % 2 == 0 ? first.id() : second.id());
+        world.runS(40);
+        assertTrue(world.line(leader).lateCommits() > 0, "executed after newer ones");
+        assertEquals(fromS % 2 == 0 ? Phase.CANCELLED : Phase.DONE, phase(first));
+        assertEquals(fromS % 2 == 0 ? Phase.DONE : Phase.CANCELLED, phase(second));
+        assertEquals(0, world.store().size(Records.JOBS) + world.store().size(Records.TASKS));
+    }
 }
--- /dev/null
+++ b/src/test/java/org/meadowhollow/story/MuteMachineStoriesTest.java
@@ -0,0 +1,145 @@
+package org.meadowhollow.story;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.TaskId;
+
+/**
+ * Machines that can open no connection to any controller, while direct commands reach them, and machines whose answers are
+ * lost or held up. Their reports are missing though they live, and a direct answer renews no lease.
+ */
+class MuteMachineStoriesTest extends Story {
+    private static final Duration HOURS = Duration.ofHours(2);
+
+    private List<FakeWorker> muteZone(String zone) {
+        List<FakeWorker> mute = world.workers().stream().filter(worker -> worker.zone().equals(zone)).toList();
+        mute.forEach(worker -> worker.mute(true));
+        return mute;
+    }
+
+    /** Placed there, tasks waited for as long as the machine was mute, since starts go out in answers alone. */
+    @Test
+    void nothingIsPlacedOnAMachineThatOnlyAnswersDirectCommands() {
+        world.mostMachines(0);
+        world.runS(4);
+        List<FakeWorker> mute = muteZone("a");
+        world.runS(10);
+        JobSpec job = World.spec(1, Kind.ARRAY, 12, 2);
+        assertTrue(world.submit(0, job, HOURS));
+        world.runS(12);
+        assertTrue(allRun(job), "there is room for all on the others");
+        mute.forEach(worker -> worker.mute(false));
+        world.runS(40);
+        assertEquals(12, world.starts());
+    }
+
+    /** A zone's worth of machines goes mute, tasks there are called off, and the leader ends before or after it knows. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2, 4, 6})
+    void aMuteZoneKeepsItsMachinesAndItsCancelledTasksGo(int leaderEndsAfterS) {
+        JobSpec goes = World.spec(1, Kind.SERVICE, 12, 1);
+        JobSpec stays = World.spec(2, Kind.SERVICE, 12, 1);
+        assertTrue(world.submit(0, goes, null));
+        assertTrue(world.submit(0, stays, null));
+        world.runS(10);
+        List<FakeWorker> mute = muteZone("b");
+        world.runS(2);
+        int leader = world.leader();
+        if (leaderEndsAfterS == 0) {
+            world.crash(leader);
+        }
+        assertTrue(world.cancel(other(leader, 1), goes.id()));
+        assertTrue(leaderEndsAfterS > 0 || mute.stream().anyMatch(worker -> worker.running().stream().anyMatch(task -> task.job().equals(goes.id()))),
+                "it is there when its cancellation is confirmed");
+        if (leaderEndsAfterS > 0) {
+            world.runS(leaderEndsAfterS);
+            world.crash(leader);
+        }
+        world.runS(12);
+        for (int task = 0; task < 12; task++) {
+            assertEquals(null, placeOf(goes, task), "a direct command reaches it well within the time there is");
+        }
+        int next = world.leader();
+        long term = world.term();
+        world.runS(20);
+        assertEquals(next, world.leader(), "half of the machines do not speak against its hearing");
+        assertEquals(term, world.term());
+        assertTrue(world.returned().isEmpty(), "returned " + world.returned());
+        mute.forEach(worker -> worker.mute(false));
+        world.restart(leader);
+        world.calm();
+        world.runS(60);
+        assertTrue(allRun(stays));
+    }
+
+    /** What the former leader ordered directly is held up and carried out only when another one leads. */
+    @ParameterizedTest
+    @ValueSource(ints = {6, 14, 25})
+    void anOrderThatWasHeldUpIsCarriedOutWhenAnotherOneLeads(int heldS) {
+        JobSpec job = World.spec(1, Kind.GANG, 3, 8);
+        assertTrue(world.submit(0, job, HOURS));
+        world.runS(10);
+        List<FakeWorker> places = new ArrayList<>();
+        for (int task = 0; task < 3; task++) {
+            places.add(placeOf(job, task));
+        }
+        world.holdOrders(true);
+        // A task of the gang fails, and the others are told to stop, directly and in their next answers.
+        FakeWorker first = places.get(0);
+        places.get(1).hang(true);
+        places.get(2).hang(true);
+        first.fail(new TaskId(job.id(), 0));
+        world.runS(4);
+        assertTrue(world.heldOrders() > 0, "stops are on their way");
+        int leader = world.leader();
+        world.crash(leader);
+        world.runS(heldS);
+        places.get(1).hang(false);
+        places.get(2).hang(false);
+        world.holdOrders(false);
+        world.runS(10);
+        assertNotEquals(leader, world.leader());
+        world.restart(leader);
+        world.calm();
+        world.runS(85);
+        assertTrue(allRun(job), "in a new attempt, of which none was stopped by an order for the former one");
+    }
+
+    /** A machine is deaf for longer than its lease while leaders change; its tasks count until the lease has surely ended. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3})
+    void machinesThatAreDeafAcrossLeadersHoldTheirTasksForAsLongAsTheyMayRun(int leaders) {
+        world.team("team", 0, 6);
+        JobSpec job = World.spec(1, Kind.SERVICE, 6, 1);
+        assertTrue(world.submit(0, job, null));
+        world.runS(10);
+        List<FakeWorker> deaf = world.workers().subList(0, 3);
+        deaf.forEach(worker -> worker.deaf(true));
+        boolean still = false;
+        for (int takeover = 0; takeover < leaders; takeover++) {
+            int leader = world.leader();
+            world.crash(leader);
+            for (int second = 0; second < 9; second++) {
+                world.runS(1);
+                still |= world.leader() != leader && deaf.stream().anyMatch(worker -> !worker.running().isEmpty());
+            }
+            world.restart(leader);
+        }
+        assertTrue(still, "a deaf machine had tasks while the next one led");
+        world.runS(70);
+        deaf.forEach(worker -> worker.deaf(false));
+        world.calm();
+        world.runS(40);
+        assertTrue(allRun(job));
+    }
+}
