Stories of a late cancellation, a question during a job's move, an old report without a task

Need: four guards were not missed by any story when they were taken out (the version in a cancellation, the order of reads, the repeat of a submission whose answer was lost, the token for what never starts). Each now has its hard moment: a cancellation written after the end, questions every millisecond around the move to the final record, a submission whose repeat fails on its own effect, a report from before the start that the next leader hears first.

--- a/src/test/java/org/meadowhollow/story/CloseLookStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/CloseLookStoriesTest.java
@@ -6,12 +6,15 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.meadowhollow.bookkeeping.JobSpec;
 import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.coordination.admission.Admission.JobState;
 import org.meadowhollow.coordination.admission.Admission.Phase;
 
 /**
@@ -68,11 +71,8 @@
         world.line(node).loseCommitAnswers(1, 7);
         int before = world.line(node).lostCommits();
         world.closeLooks(true);
-        if (what.equals("accepted")) {
-            world.submits(node, job, SHORT);
-        } else if (what.equals("called off")) {
-            world.cancels(node, job.id());
-        }
+        CompletableFuture<Optional<JobState>> answer = what.equals("accepted") ? world.submits(node, job, SHORT)
+                : what.equals("called off") ? world.cancels(node, job.id()) : null;
         for (int step = 0; step < 200 && world.line(node).lostCommits() == before; step++) {
             world.run(Duration.ofMillis(250));
         }
@@ -83,6 +83,12 @@
             assertTrue(world.cancel(other(node, 2), job.id()), "and calls it off there");
             then = Phase.CANCELLED;
         }
+        if (!what.equals("ended")) {
+            // Sent again, it fails on its own effect, and what is told follows the record.
+            world.line(node).loseCommitAnswers(0, 0);
+            world.runS(3);
+            assertEquals(then, answer.join().orElseThrow().phase());
+        }
         world.runS(3);
         world.line(node).loseCommitAnswers(0, 0);
         world.runS(40);
@@ -131,4 +137,46 @@
         assertTrue(world.cancel(other(node, 1), job.id()));
         assertEquals(Phase.CANCELLED, world.poll(node, job.id()).orElseThrow().phase());
     }
+
+    /** A job moves from its live record to its final one between the two reads of a question, at whatever moment that is sent. */
+    @Test
+    void aQuestionThatMeetsTheMoveToTheFinalRecordIsAnsweredAllTheSame() {
+        JobSpec job = World.spec(1, Kind.ARRAY, 1, 1);
+        int node = other(world.leader(), 1);
+        assertTrue(world.submit(node, job, SHORT));
+        world.poll(node, job.id());
+        // Looks get no answer, so each question is two reads.
+        world.line(node).failWatches(true);
+        world.poll(node, job.id());
+        world.runS(9);
+        int before = world.answered();
+        for (int step = 0; step < 40 && !world.judge().isOver(job.id()); step++) {
+            for (int at = 0; at < 250; at++) {
+                world.loop().after(Duration.ofMillis(at), () -> world.asks(node, job.id()));
+            }
+            world.run(Duration.ofMillis(250));
+        }
+        assertEquals(Phase.DONE, phase(job));
+        assertTrue(world.answered() - before > 500, "asked each millisecond until it was done");
+    }
+
+    /** A cancellation has read the live record, and its write comes after the job's end. */
+    @Test
+    void aCancellationThatIsWrittenAfterTheEndChangesNothing() {
+        JobSpec job = World.spec(1, Kind.ARRAY, 1, 1);
+        int node = other(world.leader(), 1);
+        assertTrue(world.submit(node, job, SHORT));
+        world.runS(9);
+        world.line(node).holdCommits();
+        CompletableFuture<Optional<JobState>> answer = world.cancels(node, job.id());
+        for (int step = 0; step < 40 && world.store().size("ended/") == 0; step++) {
+            world.run(Duration.ofMillis(250));
+        }
+        assertEquals(Phase.DONE, world.poll(other(node, 1), job.id()).orElseThrow().phase());
+        world.line(node).hold(false);
+        world.runS(5);
+        assertTrue(answer.isDone());
+        everyNodeSays(Phase.DONE, job);
+        assertEquals(0, world.store().size("job/"), "its live record is not there again");
+    }
 }
--- a/src/test/java/org/meadowhollow/story/MuteMachineStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/MuteMachineStoriesTest.java
@@ -33,10 +33,11 @@
         world.mostMachines(0);
         world.runS(4);
         List<FakeWorker> mute = muteZone("a");
-        world.runS(10);
+        world.runS(8);
         JobSpec job = World.spec(1, Kind.ARRAY, 12, 2);
         assertTrue(world.submit(0, job, HOURS));
-        world.runS(12);
+        // Before the lease of those that are mute is over, which would prove that nothing was started there.
+        world.runS(7);
         assertTrue(allRun(job), "there is room for all on the others");
         mute.forEach(worker -> worker.mute(false));
         world.runS(40);
--- a/src/test/java/org/meadowhollow/story/OldReportStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/OldReportStoriesTest.java
@@ -74,6 +74,31 @@
         assertTrue(allRun(next), "nobody waits for it for ever");
     }
 
+    /** A report from before the start, without the task, reaches the next leader first, while the machine cannot be asked. */
+    @Test
+    void anOldReportWithoutATaskDoesNotProveThatItNeverStarts() {
+        world.team("team", 0, 12);
+        world.workers().forEach(world::keepForNext);
+        JobSpec job = World.spec(1, Kind.SERVICE, 12, 1);
+        assertTrue(world.submit(0, job, null));
+        world.runS(10);
+        List<FakeWorker> silent = world.workers().subList(0, 3);
+        silent.forEach(worker -> worker.hang(true));
+        world.cloudOut(true);
+        int leader = world.leader();
+        world.crash(leader);
+        assertTrue(world.cancel(other(leader, 1), job.id()));
+        assertTrue(world.submit(other(leader, 1), array(2, 12), LONG));
+        world.runS(11);
+        assertTrue(world.deliveredToNext() > 0);
+        assertTrue(silent.stream().anyMatch(worker -> !worker.running().isEmpty()), "they may go on at any time");
+        world.runS(4);
+        silent.forEach(worker -> worker.hang(false));
+        world.calm();
+        world.runS(60);
+        assertTrue(allRun(array(2, 12)));
+    }
+
     /** An old report with a start, an end of an earlier attempt, or nothing at all reaches every node as a leader begins. */
     @ParameterizedTest
     @ValueSource(strings = {"before the start", "while it ran", "of an earlier session"})
--- a/src/test/java/org/meadowhollow/story/World.java
+++ b/src/test/java/org/meadowhollow/story/World.java
@@ -15,7 +15,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.UnaryOperator;
 import java.util.stream.IntStream;
@@ -678,7 +677,7 @@
     }
 
     private void refused(int node, int status, Map<String, Object> body) {
-        repeat(node, admission -> new UserApi(admission).submit(Wire.encode(body)).thenAccept(reply -> judged(() ->
+        request(node, admission -> new UserApi(admission).submit(Wire.encode(body)).thenAccept(reply -> judged(() ->
                 assertTrue(reply.status() == status || reply.status() == 503, "wrongly answered " + reply.status()))));
     }
 
@@ -767,16 +766,16 @@
     }
 
     /** Submits without waiting for the answer. */
-    void submits(int node, JobSpec spec, Duration runTime) {
+    CompletableFuture<Optional<JobState>> submits(int node, JobSpec spec, Duration runTime) {
         specs.put(spec.id(), spec);
         runTimes.put(spec.id(), runTime);
         judge.submits(spec.id());
-        resubmits(node, spec);
+        return resubmits(node, spec);
     }
 
     /** Submits a job once more, without waiting for the answer. */
-    void resubmits(int node, JobSpec spec) {
-        repeat(node, admission -> judged(spec.id(), admission.submit(spec).thenApply(
+    CompletableFuture<Optional<JobState>> resubmits(int node, JobSpec spec) {
+        return request(node, admission -> judged(spec.id(), admission.submit(spec).thenApply(
                 accepted -> Optional.of(accepted.state()))));
     }
 
@@ -786,7 +785,7 @@
 
     /** Asks about a job without waiting for the answer. */
     void asks(int node, JobId id) {
-        repeat(node, admission -> judged(id, admission.poll(id)).thenAccept(state -> answered++));
+        request(node, admission -> judged(id, admission.poll(id)).thenAccept(state -> answered++));
     }
 
     /** Answers to those who did not wait. */
@@ -801,9 +800,9 @@
     }
 
     /** Asks for a job's cancellation without waiting for the answer. */
-    void cancels(int node, JobId id) {
+    CompletableFuture<Optional<JobState>> cancels(int node, JobId id) {
         judge.asksToCancel(id);
-        repeat(node, admission -> judged(id, admission.cancel(id)));
+        return request(node, admission -> judged(id, admission.cancel(id)));
     }
 
     /** What users and workers saw, by the protocol's rules. */
@@ -837,10 +836,10 @@
         CompletableFuture<T> of(Admission admission);
     }
 
-    private void repeat(int node, Consumer<Admission> request) {
-        if (members.get(node).node != null && members.get(node).frozen == null) {
-            request.accept(members.get(node).admission);
-        }
+    /** Sends a request that nobody waits for; it fails where no node listens. */
+    private <T> CompletableFuture<T> request(int node, Ask<T> request) {
+        return members.get(node).node != null && members.get(node).frozen == null
+                ? request.of(members.get(node).admission) : CompletableFuture.failedFuture(new IllegalStateException("down"));
     }
 
     /** Waits five seconds for an answer; empty if none or a refusal came. */
