A return that the cloud certainly did not execute closes no machine

Cause, found by a story that set out for something else: a return that fails may be executed late, so its machine takes no more tasks; but one that the cloud refused (429, 503) was not executed, and the machine stayed closed for as long as a replica ran on it. A cloud outage while machines hung or stood idle closed all of them: 0 of 47 tasks found the room.

Change: the cloud's client tells a refusal from no answer; only the latter closes the machine.

Result: MachineStoriesTest fails without it (0 of 47 placed) and holds with it.

--- a/src/main/java/org/meadowhollow/coordination/fleet/Fleet.java
+++ b/src/main/java/org/meadowhollow/coordination/fleet/Fleet.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletionException;
 import java.util.function.IntConsumer;
 import org.meadowhollow.bookkeeping.Catalog;
 import org.meadowhollow.bookkeeping.EventLoop;
@@ -403,10 +404,16 @@
                 returned.accept(batch.size());
                 batch.forEach(id -> leader.gone(id, "its machine was returned", true));
             } else {
-                // It may still be executed late, so nothing is placed there; the next round tries again.
-                machines.forEach(Machine::drain);
+                if (!(cause(failure) instanceof Cloud.Refused)) {
+                    // It may still be executed late, so nothing is placed there; the next round tries again.
+                    machines.forEach(Machine::drain);
+                }
                 machines.forEach(machine -> machine.releasing(false));
             }
         });
     }
+
+    private static Throwable cause(Throwable failure) {
+        return failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
+    }
 }
--- a/src/main/java/org/meadowhollow/protocol/cloud/CloudClient.java
+++ b/src/main/java/org/meadowhollow/protocol/cloud/CloudClient.java
@@ -82,7 +82,12 @@
     @Override
     public CompletableFuture<Void> release(List<MachineId> machines) {
         byte[] bytes = Wire.encode(Map.of("stalls", machines.stream().map(MachineId::value).toList()));
-        return call("POST", "/rentals/release", bytes).thenAccept(reply -> read(reply, body -> body));
+        return call("POST", "/rentals/release", bytes).thenAccept(reply -> {
+            if (reply.status() == 429 || reply.status() == 503) {
+                throw new Cloud.Refused("the cloud answered " + reply.status());
+            }
+            read(reply, body -> body);
+        });
     }
 
     @Override
--- a/src/test/java/org/meadowhollow/story/MachineStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/MachineStoriesTest.java
@@ -130,4 +130,22 @@
         assertEquals(Phase.DONE, phase(job));
         assertTrue(world.workers().size() <= 1, world.workers().size() + " are left idle");
     }
+
+    /** A return that the cloud certainly did not execute closes no machine: its room was lost for as long as a replica ran there. */
+    @Test
+    void aMachineWhoseReturnWasRefusedTakesTasksAgain() {
+        JobSpec job = runningReplica();
+        FakeWorker place = placeOf(job, 0);
+        world.mostMachines(0);
+        world.cloudOut(true);
+        place.hang(true);
+        world.runS(12);
+        place.hang(false);
+        world.runS(20);
+        assertEquals(place, placeOf(job, 0));
+        JobSpec more = array(2, 47);
+        assertTrue(world.submit(0, more, LONG));
+        world.runS(10);
+        assertTrue(allRun(job) && allRun(more), "all room there is");
+    }
 }
