Stories that fail without their guard: late starts and ends, sessions of a former life, orders held up

Each of these now has one whose hard moment is shown to happen: the record of a start written after the end of its task, an end written after a cancellation, a session of a machine's former life, an exit of an earlier session in the same attempt, a look answered late (LiveJobsTest), an array that is together, an order held up until the next attempt runs on the same machines, a mute machine alone.

--- /dev/null
+++ b/src/test/java/org/meadowhollow/coordination/admission/LiveJobsTest.java
@@ -0,0 +1,62 @@
+package org.meadowhollow.coordination.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import java.lang.reflect.Proxy;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.meadowhollow.bookkeeping.JobId;
+import org.meadowhollow.bookkeeping.Records;
+import org.meadowhollow.bookkeeping.StateStore;
+import org.meadowhollow.bookkeeping.Version;
+import org.meadowhollow.story.VirtualLoop;
+
+class LiveJobsTest {
+    private static final JobId JOB = new JobId("req-1");
+
+    private final VirtualLoop loop = new VirtualLoop();
+    private final List<CompletableFuture<StateStore.Changes>> looks = new ArrayList<>();
+    /** Looks that are answered when the test says so, and a first page that is answered at once. */
+    private final StateStore store = (StateStore) Proxy.newProxyInstance(StateStore.class.getClassLoader(),
+            new Class<?>[] {StateStore.class}, (proxy, method, arguments) -> switch (method.getName()) {
+                case "list" -> CompletableFuture.completedFuture(new StateStore.Page(List.of(), false, new Version(10)));
+                case "watch" -> {
+                    looks.add(new CompletableFuture<>());
+                    yield looks.get(looks.size() - 1);
+                }
+                default -> throw new UnsupportedOperationException(method.getName());
+            });
+    private final LiveJobs live = new LiveJobs(store, loop);
+
+    private static StateStore.Change change(boolean cancelled, long version) {
+        return new StateStore.Change(Records.job(JOB), Map.of("cancelled", cancelled), new Version(version));
+    }
+
+    private static StateStore.Changes upTo(long revision, StateStore.Change... changes) {
+        return new StateStore.Changes(new Version(revision), List.of(changes));
+    }
+
+    /** The look sent first is answered last, after what the second one showed has been let go to make room. */
+    @Test
+    void aLookThatIsAnsweredLateBringsNothingOlderBack() {
+        live.mark();
+        live.confirmed();
+        loop.run(Duration.ofMillis(250));
+        live.confirmed();
+        loop.run(Duration.ofMillis(250));
+        assertEquals(2, looks.size());
+        looks.get(1).complete(upTo(30, change(false, 15), change(true, 20)));
+        assertEquals(LiveJobs.Sight.CANCELLED, live.sight(JOB));
+        for (int other = 2; live.sight(JOB) != null; other++) {
+            live.read(new JobId("req-" + other), new Version(25), false, live.mark());
+        }
+        assertNotNull(live.sight(new JobId("req-2")));
+        looks.get(0).complete(upTo(17, change(false, 15)));
+        assertEquals(null, live.sight(JOB), "it was cancelled since");
+    }
+}
--- a/src/test/java/org/meadowhollow/story/CloseLookStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/CloseLookStoriesTest.java
@@ -148,7 +148,7 @@
         // Looks get no answer, so each question is two reads.
         world.line(node).failWatches(true);
         world.poll(node, job.id());
-        world.runS(9);
+        world.runS(4);
         int before = world.answered();
         for (int step = 0; step < 40 && !world.judge().isOver(job.id()); step++) {
             for (int at = 0; at < 250; at++) {
--- a/src/test/java/org/meadowhollow/story/FakeStore.java
+++ b/src/test/java/org/meadowhollow/story/FakeStore.java
@@ -176,6 +176,8 @@
         private double unansweredShare;
         private int lostCommits;
         private int lateCommits;
+        private Duration lateBy;
+        private int waitingCommits;
         private Executor process = Runnable::run;
         private Consumer<Runnable> copies = late -> { };
 
@@ -252,6 +254,16 @@
             lateShare = share;
         }
 
+        /** From now on no transaction gets an answer, and each is executed so much later; null ends it. */
+        void lateWritesBy(Duration by) {
+            lateBy = by;
+        }
+
+        /** Transactions that are to be executed late. */
+        int waitingCommits() {
+            return waitingCommits;
+        }
+
         /** So many of the transactions are executed at once, and their answers alone are lost. */
         void loseCommitAnswers(double share, long seed) {
             unanswered = new Random(seed);
@@ -375,10 +387,12 @@
         @Override
         public CompletableFuture<Commit> commit(Transaction transaction, Urgency urgency) {
             mostWrites = Math.max(mostWrites, transaction.writes().size());
-            if (lateShare > 0 && late.nextDouble() < lateShare) {
+            if (lateBy != null || lateShare > 0 && late.nextDouble() < lateShare) {
                 CompletableFuture<Commit> never = new CompletableFuture<>();
                 loop.after(TIMEOUT, () -> fail(never, Outcome.UNKNOWN));
-                loop.after(Duration.ofMillis(2000 + late.nextInt(10_000)), () -> {
+                waitingCommits++;
+                loop.after(lateBy != null ? lateBy : Duration.ofMillis(2000 + late.nextInt(10_000)), () -> {
+                    waitingCommits--;
                     try {
                         FakeStore.this.commit(transaction);
                         lateCommits++;
--- a/src/test/java/org/meadowhollow/story/LimitStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/LimitStoriesTest.java
@@ -227,6 +227,32 @@
         assertTrue(allRun(job), "it runs again, where its tasks may be");
     }
 
+    /** One machine of the zone fails, the other hangs through a change of leader, and only the other zone has room. */
+    @Test
+    void anArrayThatIsTogetherStaysWhereOneOfItsTasksMayBe() {
+        JobSpec job = zoned(World.spec(1, Kind.ARRAY, 2, 8), true, false);
+        assertTrue(world.submit(0, job, HOURS));
+        world.runS(10);
+        FakeWorker hung = placeOf(job, 0);
+        JobSpec fills = inZone(withTeam(World.spec(2, Kind.SERVICE, 1, 8), "other"), hung.zone());
+        assertTrue(world.submit(0, fills, null));
+        world.runS(5);
+        assertTrue(allRun(fills));
+        world.mostMachines(0);
+        world.fail(placeOf(job, 1));
+        hung.hang(true);
+        world.crash(world.leader());
+        world.runS(14);
+        assertEquals(hung, placeOf(job, 0), "it may go on at any time");
+        hung.hang(false);
+        world.runS(6);
+        assertEquals(3, world.starts(), "the other zone has room, and is not for it");
+        world.machine(World.LARGE, hung.zone());
+        world.calm();
+        world.runS(40);
+        assertTrue(allRun(job));
+    }
+
     /** New machines are up before their rental is answered or listed, get work at once while writes lag, and the leader ends. */
     @ParameterizedTest
     @ValueSource(ints = {50, 150, 600, 1900})
--- a/src/test/java/org/meadowhollow/story/MeetingStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/MeetingStoriesTest.java
@@ -6,6 +6,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -250,6 +251,10 @@
     @ValueSource(ints = {20, 35, 60})
     void aZoneWithWorkersAndItsLeaderIsCutOffForLongerThanTheLease(int cutS) {
         List<JobSpec> jobs = longJobs();
+        JobSpec stays = World.spec(4, Kind.SERVICE, 6, 2);
+        assertTrue(world.submit(0, stays, null));
+        world.runS(8);
+        assertTrue(allRun(stays));
         int leader = world.leader();
         world.apart(leader, true);
         world.cutFromZone(leader, "b", true);
@@ -268,7 +273,10 @@
         }
         world.runS(40);
         goneInTime(jobs);
-        assertEquals(0, world.store().size(Records.JOBS) + world.store().size(Records.TASKS));
+        // What was not called off counts as running in the cut zone for as long as its leader may have gone on answering.
+        world.runS(30);
+        assertTrue(allRun(stays));
+        assertEquals(2, world.store().size(Records.JOBS) + world.store().size(Records.TASKS));
     }
 
     /** Each of a leader's writes for some seconds is carried out later, after the newer ones by which it went on. */
@@ -291,4 +299,58 @@
         assertEquals(fromS % 2 == 0 ? Phase.DONE : Phase.CANCELLED, phase(second));
         assertEquals(0, world.store().size(Records.JOBS) + world.store().size(Records.TASKS));
     }
+
+    /** The record of a start is written again over that of the task's end, and then the leader ends. */
+    @Test
+    void aStartThatIsWrittenAfterTheEndOfItsTaskIsRefused() {
+        JobSpec job = World.spec(1, Kind.ARRAY, 2, 8);
+        int leader = world.leader();
+        world.line(leader).lateWritesBy(Duration.ofSeconds(9));
+        assertTrue(world.submit(other(leader, 1), job, Duration.ofSeconds(3)));
+        for (int step = 0; step < 20 && world.line(leader).waitingCommits() == 0; step++) {
+            world.run(Duration.ofMillis(250));
+        }
+        world.line(leader).lateWritesBy(null);
+        for (int step = 0; step < 40 && placeOf(job, 1) == null; step++) {
+            world.run(Duration.ofMillis(250));
+        }
+        FakeWorker second = placeOf(job, 1);
+        second.hang(true);
+        for (int step = 0; step < 60 && world.line(leader).lateCommits() == 0; step++) {
+            world.run(Duration.ofMillis(250));
+        }
+        assertTrue(world.line(leader).lateCommits() > 0);
+        assertEquals(null, placeOf(job, 0), "its task had ended");
+        assertEquals(leader, world.leader());
+        Map<String, Object> record = world.store().value(Records.TASKS + job.id() + "/0");
+        assertEquals(1, ((List<?>) record.get("placed")).size(), "the record of its start does not come back");
+        world.crash(leader);
+        second.hang(false);
+        world.runS(40);
+        assertEquals(2, world.starts());
+        assertEquals(Phase.DONE, phase(job));
+    }
+
+    /** A job's end is on its way when another node confirms its cancellation. */
+    @Test
+    void anEndThatIsWrittenAfterTheCancellationIsRefused() {
+        JobSpec job = array(1, 1);
+        int leader = world.leader();
+        assertTrue(world.submit(other(leader, 1), job, SHORT));
+        world.runS(8);
+        assertTrue(allRun(job));
+        world.line(leader).lateWritesBy(Duration.ofSeconds(4));
+        for (int step = 0; step < 60 && world.line(leader).waitingCommits() == 0; step++) {
+            world.run(Duration.ofMillis(250));
+        }
+        world.line(leader).lateWritesBy(null);
+        assertTrue(world.cancel(other(leader, 1), job.id()));
+        assertEquals(Phase.CANCELLED, world.poll(other(leader, 1), job.id()).orElseThrow().phase());
+        world.runS(20);
+        assertTrue(world.line(leader).lateCommits() > 0);
+        for (int node = 0; node < 3; node++) {
+            assertEquals(Phase.CANCELLED, world.poll(node, job.id()).orElseThrow().phase());
+        }
+        assertEquals(0, world.store().size(Records.JOBS) + world.store().size(Records.TASKS));
+    }
 }
--- a/src/test/java/org/meadowhollow/story/MuteMachineStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/MuteMachineStoriesTest.java
@@ -1,7 +1,6 @@
 package org.meadowhollow.story;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
@@ -9,6 +8,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.meadowhollow.bookkeeping.JobSpec;
 import org.meadowhollow.bookkeeping.Kind;
@@ -44,6 +44,22 @@
         assertEquals(12, world.starts());
     }
 
+    /** It lives, as its direct answers show; its tasks go with its lease, and then run elsewhere. */
+    @Test
+    void aMuteMachineIsNotReturnedForItsSilence() {
+        JobSpec job = World.spec(1, Kind.SERVICE, 6, 1);
+        assertTrue(world.submit(0, job, null));
+        world.runS(10);
+        FakeWorker mute = placeOf(job, 0);
+        mute.mute(true);
+        world.runS(40);
+        assertTrue(world.returned().isEmpty(), "returned " + world.returned());
+        assertTrue(allRun(job) && mute.running().isEmpty());
+        mute.mute(false);
+        world.runS(10);
+        assertEquals(7, world.starts());
+    }
+
     /** A zone's worth of machines goes mute, tasks there are called off, and the leader ends before or after it knows. */
     @ParameterizedTest
     @ValueSource(ints = {0, 1, 2, 4, 6})
@@ -83,13 +99,16 @@
         assertTrue(allRun(stays));
     }
 
-    /** What the former leader ordered directly is held up and carried out only when another one leads. */
+    /** What was ordered directly is held up and carried out when another one leads, or when the next attempt has begun. */
     @ParameterizedTest
-    @ValueSource(ints = {6, 14, 25})
-    void anOrderThatWasHeldUpIsCarriedOutWhenAnotherOneLeads(int heldS) {
+    @CsvSource({"6, true", "14, true", "25, true", "6, false", "14, false"})
+    void anOrderThatWasHeldUpIsCarriedOutWhenThereIsANewAttempt(int heldS, boolean leaderEnds) {
         JobSpec job = World.spec(1, Kind.GANG, 3, 8);
         assertTrue(world.submit(0, job, HOURS));
         world.runS(10);
+        assertTrue(world.submit(0, withTeam(World.spec(2, Kind.SERVICE, 3, 8), "other"), null), "fills the other machines");
+        world.mostMachines(0);
+        world.runS(10);
         List<FakeWorker> places = new ArrayList<>();
         for (int task = 0; task < 3; task++) {
             places.add(placeOf(job, task));
@@ -103,17 +122,28 @@
         world.runS(4);
         assertTrue(world.heldOrders() > 0, "stops are on their way");
         int leader = world.leader();
-        world.crash(leader);
-        world.runS(heldS);
+        if (leaderEnds) {
+            world.crash(leader);
+            world.runS(heldS);
+        }
         places.get(1).hang(false);
         places.get(2).hang(false);
+        if (!leaderEnds) {
+            for (int step = 0; step < 160 && !allRun(job); step++) {
+                world.run(Duration.ofMillis(250));
+            }
+            assertTrue(allRun(job), "in a new attempt");
+            world.runS(heldS);
+        }
+        int starts = world.starts();
         world.holdOrders(false);
         world.runS(10);
-        assertNotEquals(leader, world.leader());
+        assertEquals(leaderEnds, leader != world.leader());
         world.restart(leader);
         world.calm();
         world.runS(85);
-        assertTrue(allRun(job), "in a new attempt, of which none was stopped by an order for the former one");
+        assertTrue(allRun(job), "none of it was stopped by an order for the former attempt");
+        assertEquals(leaderEnds ? world.starts() : starts, world.starts());
     }
 
     /** A machine is deaf for longer than its lease while leaders change; its tasks count until the lease has surely ended. */
--- a/src/test/java/org/meadowhollow/story/OldReportStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/OldReportStoriesTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.meadowhollow.bookkeeping.JobSpec;
 import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.Report;
 import org.meadowhollow.bookkeeping.Session;
 import org.meadowhollow.bookkeeping.TaskId;
 import org.meadowhollow.coordination.admission.Admission.Phase;
@@ -74,6 +75,38 @@
         assertTrue(allRun(next), "nobody waits for it for ever");
     }
 
+    /** A gang's task is replaced on its machine in the same attempt, and an exit from the session before comes late. */
+    @Test
+    void anExitInAnEarlierSessionIsNotTheEndOfTheSameAttemptInTheNext() {
+        world.fetch(Duration.ofSeconds(60));
+        JobSpec gang = World.spec(1, Kind.GANG, 6, 8);
+        assertTrue(world.submit(0, gang, HOURS));
+        world.runS(8);
+        world.cloudOut(true);
+        TaskId first = new TaskId(gang.id(), 0);
+        FakeWorker worker = world.workers().stream().filter(one -> one.holds(first)).findFirst().orElseThrow();
+        worker.fail(first);
+        world.keepForNext(worker);
+        worker.hang(true);
+        world.runS(22);
+        worker.hang(false);
+        world.runS(90);
+        assertTrue(allRun(gang));
+        assertEquals(1, worker.attempt(first).value());
+        assertEquals(new Session(2), worker.session());
+        worker.hang(true);
+        world.cloudOut(false);
+        world.machine(World.LARGE, "b");
+        world.fetch(Duration.ofSeconds(1));
+        world.crash(world.leader());
+        world.runS(14);
+        assertTrue(world.deliveredToNext() > 0);
+        worker.hang(false);
+        world.runS(30);
+        assertTrue(allRun(gang));
+        assertEquals(6, world.starts(), "it went on where it was");
+    }
+
     /** A report from before the start, without the task, reaches the next leader first, while the machine cannot be asked. */
     @Test
     void anOldReportWithoutATaskDoesNotProveThatItNeverStarts() {
@@ -99,6 +132,48 @@
         assertTrue(allRun(array(2, 12)));
     }
 
+    private static JobSpec onSmall(JobSpec spec) {
+        return new JobSpec(spec.id(), spec.jobClass(), spec.team(), spec.kind(), spec.priority(), spec.tasks(), spec.perTask(),
+                List.of("small"), spec.zone(), spec.oneZone(), spec.spread(), spec.spot(), spec.image(), spec.imageGb(),
+                spec.estimateS(), spec.checkpointS(), spec.saveS(), spec.deadlineS());
+    }
+
+    /** The machine is back with its sessions begun anew, and a report of a higher session of its former life comes late. */
+    @Test
+    void aHigherSessionOfAFormerLifeDoesNotProveTheSessionOverInWhichATaskRuns() {
+        FakeWorker first = world.machine(World.SMALL, "a");
+        JobSpec fills = onSmall(withTeam(World.spec(2, Kind.SERVICE, 1, 2), "other"));
+        assertTrue(world.submit(0, fills, null));
+        world.runS(10);
+        assertEquals(first, placeOf(fills, 0));
+        FakeWorker worker = world.machine(World.SMALL, "a");
+        worker.hang(true);
+        world.runS(25);
+        worker.hang(false);
+        world.runS(8);
+        assertEquals(new Session(2), worker.session());
+        Report former = worker.snapshot();
+        int leader = world.leader();
+        worker.reboot();
+        world.crash(leader);
+        world.runS(12);
+        JobSpec job = onSmall(World.spec(1, Kind.SERVICE, 1, 1));
+        assertTrue(world.submit(world.leader(), job, null));
+        world.runS(8);
+        assertEquals(worker, placeOf(job, 0), "in the first session of its new life");
+        // From now on the first machine has room, and would come first.
+        assertTrue(world.cancel(world.leader(), fills.id()));
+        world.runS(3);
+        worker.hang(true);
+        world.deliver(world.leader(), former);
+        world.runS(8);
+        assertEquals(worker, placeOf(job, 0), "it may go on at any time");
+        worker.hang(false);
+        world.calm();
+        world.runS(60);
+        assertTrue(allRun(job));
+    }
+
     /** An old report with a start, an end of an earlier attempt, or nothing at all reaches every node as a leader begins. */
     @ParameterizedTest
     @ValueSource(strings = {"before the start", "while it ran", "of an earlier session"})
--- a/src/test/java/org/meadowhollow/story/Trouble.java
+++ b/src/test/java/org/meadowhollow/story/Trouble.java
@@ -16,10 +16,11 @@
     FROZEN, ANSWERS_LOST, REQUESTS_HELD, DEAF_TO_A_ZONE, WATCHES_FAIL, RECORDS_HIDDEN, SHORT_OF_TIME, PEERS_CUT, HAND_OVER,
     MACHINES_BEGIN_ANEW, SERVED_FOR_INSTANTS,
     MUTE_MACHINES, MUTE_ZONE, ANSWERS_OF_WRITES_LOST, REPORTS_FOR_NEXT, CANCEL_NOW, CANCEL_AT_END, ODD_REQUESTS, CLOSE_LOOKS,
-    QUICK_BOOTS, DEPOSED_BY_A_HINT, ALL_AWAY, ZONE_APART_WITH_A_NODE, LEADER_AFTER_LEADER;
+    QUICK_BOOTS, DEPOSED_BY_A_HINT, ALL_AWAY, ZONE_APART_WITH_A_NODE, LEADER_AFTER_LEADER,
+    CLOUD_OUT;
 
     private static final List<Trouble> FIRST = List.copyOf(EnumSet.range(REFUSED_ALONE, SERVED_FOR_INSTANTS));
-    private static final List<Trouble> FURTHER = List.copyOf(EnumSet.range(MUTE_MACHINES, LEADER_AFTER_LEADER));
+    private static final List<Trouble> FURTHER = List.copyOf(EnumSet.range(MUTE_MACHINES, CLOUD_OUT));
 
     /** Begins one of the first list, mostly at the leader; what is returned ends it. */
     static Runnable begin(World world, Random random) {
@@ -232,6 +233,10 @@
                 }
                 return () -> { };
             }
+            case CLOUD_OUT -> {
+                world.cloudOut(true);
+                return () -> world.cloudOut(false);
+            }
             default -> {
                 line.failWatches(true);
                 for (int instant = 0; instant < 4; instant++) {
