--- a/src/test/java/org/meadowhollow/story/FakeWorker.java
+++ b/src/test/java/org/meadowhollow/story/FakeWorker.java
@@ -173,6 +173,11 @@
         exit(tasks.get(task), Cause.ERROR);
     }
 
+    /** Makes a task exit because it found another one of its gang gone. */
+    void missPeers(TaskId task) {
+        exit(tasks.get(task), Cause.PEERS);
+    }
+
     /** Makes a task give up waiting for its gang. */
     void giveUp(TaskId task) {
         exit(tasks.get(task), Cause.ALONE);
