The failure detector and the read barrier are called so

Need: names of the field where the code was touched. Listening becomes FailureDetector, the look that an answer waits for becomes readBarrier. No change of behaviour; untouched code keeps its names (Earshot, GivingUp, Awaited).

--- a/src/main/java/org/meadowhollow/coordination/Leader.java
+++ b/src/main/java/org/meadowhollow/coordination/Leader.java
@@ -44,7 +44,7 @@
 import org.meadowhollow.coordination.admission.Admission;
 import org.meadowhollow.coordination.fleet.Fleet;
 import org.meadowhollow.coordination.fleet.GivingUp;
-import org.meadowhollow.coordination.fleet.Listening;
+import org.meadowhollow.coordination.fleet.FailureDetector;
 import org.meadowhollow.coordination.fleet.SilenceWatch;
 import org.meadowhollow.coordination.fleet.TermHolder;
 import org.meadowhollow.coordination.hearing.Deafness;
@@ -142,7 +142,7 @@
     private final Loading loading;
     private final SilenceWatch silence;
     private final Reconciliation reconciliation;
-    private final Listening listening;
+    private final FailureDetector detector;
     private final GivingUp givingUp;
     private final CalendarKeeper calendar;
     private final Version leaderVersion;
@@ -191,8 +191,8 @@
                 leaderVersion, inheritance, takeover);
         this.silence = new SilenceWatch(this, cluster, platform, term, begunAt);
         this.reconciliation = new Reconciliation(this, cluster, images, leadership, term, inheritance, feed);
-        this.listening = new Listening(this, cluster, platform, loop, peers, leadership, begunAt);
-        this.givingUp = new GivingUp(listening, platform);
+        this.detector = new FailureDetector(this, cluster, platform, loop, peers, leadership, begunAt);
+        this.givingUp = new GivingUp(detector, platform);
         this.calendar = new CalendarKeeper(this, cluster, aims, catalog, platform, store, loop, calendarSettings);
         this.fleet = new Fleet(this, cloud, platform, catalog, loop, term, givingUp);
     }
@@ -628,7 +628,7 @@
             }
             Moment now = loop.now();
             leadership.keepUp();
-            listening.round(now);
+            detector.round(now);
             silence.round(now);
             if (mayDecide(now)) {
                 place(now);
@@ -641,7 +641,7 @@
                         loop.wallMillis());
             }
         }
-        listening.act();
+        detector.act();
         fleet.act();
     }
 
@@ -712,7 +712,7 @@
         }
         Set<FirstDecision.Check> failing = FirstDecision.failing(new FirstDecision.Facts(leadership.mayStart(), term,
                 leadership.highest(), leaderVersion, loading.revision(), !catalog.isEmpty(), calendar.isReady(),
-                listening.hearing() != Deafness.Hearing.DEAF, heard(), needed(now)));
+                detector.hearing() != Deafness.Hearing.DEAF, heard(), needed(now)));
         takeover.waitsFor(failing);
         begun = failing.isEmpty();
         return begun;
@@ -737,18 +737,18 @@
      */
     @Override
     public synchronized boolean mayAct() {
-        return leadership.mayStart() && listening.hearing() != Deafness.Hearing.DEAF;
+        return leadership.mayStart() && detector.hearing() != Deafness.Hearing.DEAF;
     }
 
     /** Whether what is silent is so for its own reasons, as far as can be told. */
     @Override
     public synchronized boolean hearsWell() {
-        return listening.hearing() == Deafness.Hearing.GOOD;
+        return detector.hearing() == Deafness.Hearing.GOOD;
     }
 
     @Override
     public synchronized boolean isSilent(Machine machine, Moment now) {
-        return listening.isLate(machine, now);
+        return detector.isLate(machine, now);
     }
 
     /** Some workers' addresses, to see later whether this node hears them again. */
@@ -960,7 +960,7 @@
     public synchronized void listed(List<Cloud.Listed> list) {
         listed = true;
         Moment now = loop.now();
-        listening.listed(now);
+        detector.listed(now);
         for (Cloud.Listed item : list) {
             Machine machine = machines.get(item.id());
             if (machine == null && item.phase() == Cloud.Phase.RUNNING && catalog.type(item.type()) != null) {
--- a/src/main/java/org/meadowhollow/coordination/admission/Admission.java
+++ b/src/main/java/org/meadowhollow/coordination/admission/Admission.java
@@ -178,7 +178,7 @@
         if (live.sight(id) == null) {
             return find(id).thenApply(found -> found.map(record -> state(id, record)));
         }
-        return live.confirmed().thenCompose(now -> {
+        return live.readBarrier().thenCompose(now -> {
             LiveJobs.Sight sight = live.sight(id);
             return sight == LiveJobs.Sight.LIVE || sight == LiveJobs.Sight.CANCELLED
                     ? CompletableFuture.completedFuture(Optional.of(alive(id, sight == LiveJobs.Sight.CANCELLED)))
--- a/src/main/java/org/meadowhollow/coordination/admission/LiveJobs.java
+++ b/src/main/java/org/meadowhollow/coordination/admission/LiveJobs.java
@@ -76,14 +76,14 @@
         this.loop = loop;
     }
 
-    /** What was last seen of a job, or null; not to be told to anybody before {@link #confirmed}. */
+    /** What was last seen of a job, or null; not to be told to anybody before {@link #readBarrier}. */
     synchronized Sight sight(JobId id) {
         Known seen = known.get(id);
         return seen == null ? null : seen.sight();
     }
 
     /** Completes once all changes up to now are taken in; fails if that is not known within {@link #PATIENCE}. */
-    CompletableFuture<Void> confirmed() {
+    CompletableFuture<Void> readBarrier() {
         Asker asker = new Asker(new CompletableFuture<>());
         synchronized (this) {
             if (asking.size() >= MOST_ASKING) {
--- a/src/main/java/org/meadowhollow/coordination/fleet/Listening.java
+++ b/src/main/java/org/meadowhollow/coordination/fleet/FailureDetector.java
@@ -27,8 +27,8 @@
  * whose network failed towards its workers alone took hundreds of healthy machines for silent, returned them to the
  * cloud and was refused others. Guarded by the leader's lock.
  */
-public final class Listening {
-    private static final Logger LOG = LoggerFactory.getLogger(Listening.class);
+public final class FailureDetector {
+    private static final Logger LOG = LoggerFactory.getLogger(FailureDetector.class);
     /** Reports come up to a quarter late, and a worker that lost its connection turns to the next node a second later. */
     private static final double LATEST_REPORT = 1.25;
     private static final Duration NEXT_NODE = Duration.ofSeconds(1);
@@ -69,7 +69,7 @@
     private List<Testimony> answers = List.of();
     private Moment answersAt;
 
-    public Listening(TermHolder leader, Cluster cluster, Platform platform, EventLoop loop, Peers peers, Leadership leadership,
+    public FailureDetector(TermHolder leader, Cluster cluster, Platform platform, EventLoop loop, Peers peers, Leadership leadership,
             Moment begunAt) {
         this.leader = leader;
         this.cluster = cluster;
--- a/src/main/java/org/meadowhollow/coordination/fleet/GivingUp.java
+++ b/src/main/java/org/meadowhollow/coordination/fleet/GivingUp.java
@@ -48,14 +48,14 @@
      */
     private static final int LATE_AGAIN = 2;
 
-    private final Listening listening;
+    private final FailureDetector detector;
     private final Platform platform;
     private final ArrayDeque<Moment> returned = new ArrayDeque<>();
     private final ArrayDeque<Moment> lateReports = new ArrayDeque<>();
     private Moment suspendedUntil;
 
-    public GivingUp(Listening listening, Platform platform) {
-        this.listening = listening;
+    public GivingUp(FailureDetector detector, Platform platform) {
+        this.detector = detector;
         this.platform = platform;
     }
 
@@ -69,7 +69,7 @@
 
     /** A report has come: if it is from a machine that was about to be given up, others may be heard again as well. */
     public void reported(Machine machine, Moment now) {
-        if (machine.heardAt() == null || listening.silentS(machine, now) <= givenUpS()) {
+        if (machine.heardAt() == null || detector.silentS(machine, now) <= givenUpS()) {
             return;
         }
         forgetBefore(lateReports, now);
@@ -101,8 +101,8 @@
             }
             count++;
             known.merge(machine.zone(), 1, Integer::sum);
-            double silentS = listening.silentS(machine, now);
-            if (silentS > givenUpS() && !listening.isUnlisted(machine)) {
+            double silentS = detector.silentS(machine, now);
+            if (silentS > givenUpS() && !detector.isUnlisted(machine)) {
                 silent.merge(machine.zone(), 1, Integer::sum);
             }
             if (silentS > limitS(machine)) {
@@ -112,7 +112,7 @@
         if (candidates.isEmpty()) {
             return List.of();
         }
-        boolean common = listening.hearing() != Deafness.Hearing.GOOD
+        boolean common = detector.hearing() != Deafness.Hearing.GOOD
                 || suspendedUntil != null && now.isBefore(suspendedUntil);
         Set<String> cutOff = new HashSet<>();
         known.forEach((zone, all) -> {
@@ -125,9 +125,9 @@
         double lastResortS = seconds(platform.lease()) * LAST_RESORT_LEASES;
         return candidates.stream()
                 .filter(machine -> !common && !cutOff.contains(machine.zone())
-                        || listening.silentS(machine, now) > lastResortS)
-                .filter(machine -> listening.unheardByAll(machine, now) && !heardElsewhere(machine, now))
-                .sorted(Comparator.comparingDouble((Machine machine) -> -listening.silentS(machine, now))
+                        || detector.silentS(machine, now) > lastResortS)
+                .filter(machine -> detector.unheardByAll(machine, now) && !heardElsewhere(machine, now))
+                .sorted(Comparator.comparingDouble((Machine machine) -> -detector.silentS(machine, now))
                         .thenComparing(Machine::id))
                 .limit(Math.max(0, mostNow)).map(Machine::id).toList();
     }
@@ -140,7 +140,7 @@
     }
 
     private boolean heardElsewhere(Machine machine, Moment now) {
-        Moment at = listening.elsewhereAt(machine);
+        Moment at = detector.elsewhereAt(machine);
         return at != null && now.secondsSince(at) <= givenUpS();
     }
 
--- a/src/test/java/org/meadowhollow/coordination/admission/LiveJobsTest.java
+++ b/src/test/java/org/meadowhollow/coordination/admission/LiveJobsTest.java
@@ -45,9 +45,9 @@
     @Test
     void aLookThatIsAnsweredLateBringsNothingOlderBack() {
         live.mark();
-        live.confirmed();
+        live.readBarrier();
         loop.run(Duration.ofMillis(250));
-        live.confirmed();
+        live.readBarrier();
         loop.run(Duration.ofMillis(250));
         assertEquals(2, looks.size());
         looks.get(1).complete(upTo(30, change(false, 15), change(true, 20)));
--- a/src/test/java/org/meadowhollow/coordination/fleet/GivingUpTest.java
+++ b/src/test/java/org/meadowhollow/coordination/fleet/GivingUpTest.java
@@ -27,7 +27,7 @@
                 Duration.ofSeconds(18), Duration.ofSeconds(30), Duration.ofSeconds(48), 100, 50, 16 * 1024, 12, 10,
                 Duration.ofSeconds(8));
         Cluster cluster = new Cluster(platform, new Term(1));
-        GivingUp givingUp = new GivingUp(new Listening(null, cluster, platform, null, null, null, BEGUN), platform);
+        GivingUp givingUp = new GivingUp(new FailureDetector(null, cluster, platform, null, null, null, BEGUN), platform);
         Machine silent = new Machine(new MachineId("vm-1"), TYPE, "a", false);
         silent.knownSince(BEGUN);
         silent.answered(BEGUN);
