Each check of the judge sees a fault that is planted

JudgeTest plants a fault for each rule, for each promise for the time after all troubles, and one inside an answer, and lets pass what is right beside it.

--- /dev/null
+++ b/src/test/java/org/meadowhollow/story/JudgeTest.java
@@ -0,0 +1,195 @@
+package org.meadowhollow.story;
+
+import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.function.Executable;
+import org.meadowhollow.bookkeeping.JobId;
+import org.meadowhollow.bookkeeping.JobSpec;
+import org.meadowhollow.bookkeeping.Kind;
+import org.meadowhollow.bookkeeping.MachineType;
+import org.meadowhollow.bookkeeping.Moment;
+import org.meadowhollow.bookkeeping.Resources;
+import org.meadowhollow.bookkeeping.TaskId;
+import org.meadowhollow.coordination.admission.Admission.Phase;
+import org.meadowhollow.coordination.platform.Platform;
+
+/** Each check of the judge sees a fault that is planted, and lets pass what is right beside it. */
+class JudgeTest {
+    private static final JobId UNKNOWN = new JobId("req-99");
+
+    private record Stand(String zone, MachineType machineType, List<TaskId> held, List<TaskId> running)
+            implements Judge.Place {
+        @Override
+        public boolean inTouch() {
+            return true;
+        }
+    }
+
+    private final Map<JobId, JobSpec> specs = new HashMap<>();
+    private final Map<String, Platform.Team> teams = new HashMap<>();
+    private final List<Stand> places = new ArrayList<>();
+    private final Judge judge = new Judge(Duration.ofSeconds(48), teams, List.of(World.SMALL, World.LARGE), specs::get,
+            () -> places);
+
+    private static Moment at(double seconds) {
+        return new Moment((long) (seconds * 1e9));
+    }
+
+    private JobSpec job(JobSpec spec) {
+        teams.putIfAbsent("team", new Platform.Team("team", Resources.NONE, Resources.of(0, 4, 0)));
+        specs.put(spec.id(), spec);
+        judge.submits(spec.id());
+        return spec;
+    }
+
+    private JobSpec accepted(int number, Kind kind, int tasks) {
+        JobSpec spec = job(World.spec(number, kind, tasks, 1));
+        judge.answered(spec.id(), Phase.QUEUED, at(0), at(1));
+        return spec;
+    }
+
+    private Stand place(String zone, TaskId... running) {
+        Stand stand = new Stand(zone, World.LARGE, List.of(running), List.of(running));
+        places.add(stand);
+        return stand;
+    }
+
+    private static TaskId task(JobSpec job, int index) {
+        return new TaskId(job.id(), index);
+    }
+
+    private static void sees(String fault, Executable check) {
+        AssertionError found = assertThrows(AssertionError.class, check, fault);
+        assertTrue(found.getMessage().startsWith(fault), found.getMessage());
+    }
+
+    @Test
+    void whatUsersAreTold() {
+        sees("invented", () -> judge.answered(UNKNOWN, Phase.QUEUED, at(0), at(1)));
+        JobSpec job = accepted(1, Kind.ARRAY, 2);
+        assertDoesNotThrow(() -> judge.answered(job.id(), null, at(0.5), at(2)), "asked before anybody was told");
+        sees("forgotten", () -> judge.answered(job.id(), null, at(1.5), at(2)));
+        sees("went_back: " + job.id() + " cancelled by nobody", () -> judge.answered(job.id(), Phase.CANCELLED, at(2), at(3)));
+        sees("not_done", () -> judge.answered(job.id(), Phase.DONE, at(2), at(3)));
+        judge.asksToCancel(job.id());
+        judge.answered(job.id(), Phase.CANCELLED, at(3), at(4));
+        assertDoesNotThrow(() -> judge.answered(job.id(), Phase.RUNNING, at(3.5), at(5)), "asked before it was confirmed");
+        sees("went_back", () -> judge.answered(job.id(), Phase.RUNNING, at(4.1), at(5)));
+        judge.complete(task(job, 0));
+        judge.complete(task(job, 1));
+        sees("went_back", () -> judge.answered(job.id(), Phase.DONE, at(3.5), at(5)));
+    }
+
+    @Test
+    void whatIsAcceptedThoughItCannotRun() {
+        for (JobSpec wrong : List.of(World.spec(1, Kind.ARRAY, 1, 9), Story.withTeam(World.spec(2, Kind.ARRAY, 1, 1), "nobody"),
+                World.spec(3, Kind.GANG, 5, 1), Story.inZone(World.spec(4, Kind.ARRAY, 1, 1), "c"),
+                Story.zoned(World.spec(5, Kind.GANG, 2, 1), true, true))) {
+            job(wrong);
+            sees("wrongly accepted", () -> judge.answered(wrong.id(), Phase.QUEUED, at(0), at(1)));
+        }
+        accepted(6, Kind.ARRAY, 50);
+    }
+
+    @Test
+    void whereTasksStart() {
+        JobSpec array = accepted(1, Kind.ARRAY, 4);
+        Stand first = place("a", task(array, 0));
+        Stand second = place("b");
+        sees("ran_twice", () -> judge.started(second, task(array, 0), at(2)));
+        judge.started(second, task(array, 1), at(2));
+        JobSpec bound = job(Story.inZone(World.spec(2, Kind.ARRAY, 1, 1), "a"));
+        sees("wrong_place", () -> judge.started(second, task(bound, 0), at(2)));
+        JobSpec together = job(Story.zoned(World.spec(3, Kind.ARRAY, 2, 1), true, false));
+        places.clear();
+        place("a", task(together, 0));
+        sees("wrong_place", () -> judge.started(second, task(together, 1), at(2)));
+        JobSpec spread = job(Story.zoned(World.spec(4, Kind.ARRAY, 3, 1), false, true));
+        places.clear();
+        Stand third = place("a", task(spread, 0), task(spread, 1), task(spread, 2));
+        sees("wrong_place", () -> judge.started(third, task(spread, 2), at(2)));
+        assertEquals("a", first.zone());
+    }
+
+    @Test
+    void limitsAndCancellations() {
+        JobSpec job = accepted(1, Kind.ARRAY, 5);
+        place("a", task(job, 0), task(job, 1), task(job, 2), task(job, 3));
+        judge.check(at(2));
+        place("b", task(job, 4));
+        sees("quota", () -> judge.check(at(3)));
+        places.clear();
+        place("a", task(job, 0));
+        judge.asksToCancel(job.id());
+        judge.answered(job.id(), Phase.CANCELLED, at(3), at(4));
+        judge.toldToStart(task(job, 1));
+        assertEquals(1, judge.startsAfterCancellation());
+        judge.check(at(52));
+        sees("ran_cancelled", () -> judge.check(at(52.1)));
+    }
+
+    @Test
+    void afterAllTroubles() {
+        JobSpec job = accepted(1, Kind.ARRAY, 2);
+        place("a");
+        judge.calm(at(10));
+        judge.check(at(10));
+        sees("forgotten: no answer", () -> judge.check(at(85.1)));
+        judge.answered(job.id(), Phase.QUEUED, at(84), at(85));
+        judge.check(at(100));
+        judge.answered(job.id(), Phase.QUEUED, at(99), at(100));
+        sees("neglected", () -> judge.check(at(100.1)));
+        places.clear();
+        place("a", task(job, 0), task(job, 1));
+        assertDoesNotThrow(() -> judge.check(at(100.2)), "all its tasks are placed");
+        JobSpec full = accepted(2, Kind.GANG, 3);
+        judge.answered(job.id(), Phase.QUEUED, at(189), at(190));
+        judge.answered(full.id(), Phase.QUEUED, at(189), at(190));
+        assertDoesNotThrow(() -> judge.check(at(195)), "its team has no more than four");
+    }
+
+    @Test
+    void whoIsServed() {
+        judge.calm(at(0));
+        List<JobSpec> jobs = new ArrayList<>();
+        for (int number = 0; number < 5; number++) {
+            jobs.add(accepted(number, Kind.ARRAY, number < 4 ? 1 : 2));
+        }
+        Stand place = place("a");
+        for (int number = 3; number < 5; number++) {
+            for (int task = 0; task < jobs.get(number).tasks(); task++) {
+                judge.started(place, task(jobs.get(number), task), at(200));
+                judge.complete(task(jobs.get(number), task));
+            }
+            judge.answered(jobs.get(number).id(), Phase.DONE, at(210), at(211));
+        }
+        sees("class class: 2 served of 5", judge::served);
+        judge.started(place, task(jobs.get(2), 0), at(300));
+        judge.complete(task(jobs.get(2), 0));
+        judge.answered(jobs.get(2).id(), Phase.DONE, at(310), at(311));
+        judge.served();
+        JobSpec large = accepted(5, Kind.ARRAY, 2);
+        sees("the largest have to begin in time", judge::served);
+        judge.started(place, task(large, 0), at(241.5));
+        sees("the largest have to begin in time", judge::served);
+    }
+
+    /** Thrown inside an answer it would be lost in the future that carries it. */
+    @Test
+    void whatIsFoundInsideAnAnswerEndsTheTestWithItsNextStep() {
+        World world = new World();
+        world.judged(() -> {
+            throw new AssertionError("planted");
+        });
+        sees("planted", () -> world.runS(1));
+    }
+}
