A leader sends starts only while it knows what was called off a moment ago

Cause, found by a story: a leader that the state service alone refuses, and that nobody else tells, went on sending starts of committed places for as long as its lease held, up to 5 s, also of jobs whose cancellation another node had confirmed: 24 of 24.

Change: a start goes out only if all cancellations are known up to 2.5 s ago, a watch of a second, its answer and a try again. Placing, renting and answering go by the lease and the horizon as before. Ruled out: to tell the leader of each confirmation, on which nothing may rest; it is refused its news just then.

--- a/src/main/java/org/meadowhollow/coordination/Reconciliation.java
+++ b/src/main/java/org/meadowhollow/coordination/Reconciliation.java
@@ -188,7 +188,7 @@
      * next report would prove that session over, and the task just started would be one that no record knows of.
      */
     private boolean mayStart(Placement placement, Machine machine, Report report) {
-        return leadership.mayStart() && placement.committed() && !machine.releasing()
+        return leadership.maySendStarts() && placement.committed() && !machine.releasing()
                 && placement.session().equals(report.session()) && wholeGangCommitted(placement);
     }
 
--- a/src/main/java/org/meadowhollow/coordination/leadership/Leadership.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/Leadership.java
@@ -93,6 +93,11 @@
         return LeadershipStep.mayStart(state, loop.now());
     }
 
+    /** Whether starts may be sent to workers: the lease certainly holds, and no cancellation of a moment ago is unknown here. */
+    public synchronized boolean maySendStarts() {
+        return LeadershipStep.maySendStarts(state, loop.now());
+    }
+
     /**
      * Whether reports may be answered. A leader that cannot renew keeps the tasks running, but only so long that all
      * leases it renewed are over before a cancellation it never heard of is due. Before it has loaded it may not.
--- a/src/main/java/org/meadowhollow/coordination/leadership/LeadershipStep.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/LeadershipStep.java
@@ -25,6 +25,11 @@
     static final Duration TTL = Duration.ofSeconds(5);
     /** Three tries fit into a lease. */
     static final Duration RENEW = Duration.ofMillis(1500);
+    /**
+     * How old a leader's knowledge of cancellations may be for a start to go out: a watch of a second, its answer's time and a
+     * try again. Refused alone, it went on with starts of jobs called off elsewhere for as long as its lease held.
+     */
+    static final Duration FRESH = Duration.ofMillis(2500);
     /** The bound that the protocol gives for the drift between two machines' clocks. */
     private static final double DRIFT = 0.0005;
     /**
@@ -65,6 +70,11 @@
                 && !state.holding().resigning();
     }
 
+    /** Whether starts may be sent: decisions may, and all cancellations are known up to a moment ago. */
+    static boolean maySendStarts(LeadershipState state, Moment now) {
+        return mayStart(state, now) && state.holding().knownAt() != null && within(FRESH, state.holding().knownAt(), now);
+    }
+
     /**
      * Whether reports may be answered, which renews the leases of workers. It counts from when the last answered renewal
      * was sent, or from when this node last knew all cancellations, whichever was earlier: a renewal shows that the lease
--- a/src/test/java/org/meadowhollow/story/MeetingStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/MeetingStoriesTest.java
@@ -353,4 +353,26 @@
         }
         assertEquals(0, world.store().size(Records.JOBS) + world.store().size(Records.TASKS));
     }
+
+    /** Places are committed and their starts not sent yet when the leader alone is refused and the job is called off. */
+    @Test
+    void aLeaderThatIsRefusedAloneSendsNoStartsOfWhatWasCalledOffElsewhere() {
+        world.workers().forEach(worker -> worker.hang(true));
+        JobSpec job = array(1, 24);
+        int leader = world.leader();
+        assertTrue(world.submit(other(leader, 1), job, HOURS));
+        world.runS(1.5);
+        assertEquals(1, world.store().size(Records.TASKS), "its places are committed");
+        world.peersCut(true);
+        world.line(leader).cut(true);
+        assertTrue(world.cancel(other(leader, 1), job.id()));
+        world.runS(2.5);
+        assertEquals(leader, world.leader(), "its lease holds");
+        world.workers().forEach(worker -> worker.hang(false));
+        world.runS(1.5);
+        assertEquals(0, world.startOrders(), "nobody told it, and it knows that it may not know");
+        world.runS(60);
+        assertEquals(0, world.judge().startsAfterCancellation());
+        assertEquals(0, world.starts());
+    }
 }
