--- a/src/test/java/org/meadowhollow/story/World.java
+++ b/src/test/java/org/meadowhollow/story/World.java
@@ -18,6 +18,7 @@
 import java.util.function.Function;
 import java.util.function.UnaryOperator;
 import java.util.stream.IntStream;
+import org.meadowhollow.bookkeeping.Attempt;
 import org.meadowhollow.bookkeeping.Catalog;
 import org.meadowhollow.bookkeeping.Digests;
 import org.meadowhollow.bookkeeping.EventLoop;
@@ -905,6 +906,17 @@
         return true;
     }
 
+    /** Whether all tasks of a gang's attempt are there. */
+    boolean isWhole(JobId id, Attempt attempt) {
+        for (int task = 0; task < spec(id).tasks(); task++) {
+            TaskId each = new TaskId(id, task);
+            if (workers.values().stream().noneMatch(worker -> worker.takesPart(each, attempt))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     void completed(TaskId task) {
         judge.complete(task);
         JobSpec spec = spec(task.job());
