A slow state service is waited for longer, instead of counting as out

Change: after three calls in a row without an answer in time, answers are waited for 3.2 s, less than a lease and than users wait, until one comes soon again. Polls wait 1.85 s for their look instead of 1.5 s, of the 2 s that users wait. Ruled out: 3.2 s from the start, since a dead line would be noticed later; a lease longer than 5 s, since every takeover would take longer.

--- a/src/main/java/org/meadowhollow/coordination/admission/LiveJobs.java
+++ b/src/main/java/org/meadowhollow/coordination/admission/LiveJobs.java
@@ -32,7 +32,7 @@
     /** Looks on their way at a time: one that hangs must not hold up those who ask later. */
     private static final int MOST_LOOKS = 4;
     /** Users wait 2 s for an answer; one that comes later is of no use, and they ask again. */
-    private static final Duration PATIENCE = Duration.ofMillis(1500);
+    private static final Duration PATIENCE = Duration.ofMillis(1850);
     /** After so long without a question the changes since then may be many; it is cheaper to begin anew. */
     private static final Duration IDLE = Duration.ofSeconds(20);
     /** Jobs kept; a few times as many as live at once on the largest deployments seen. */
--- a/src/main/java/org/meadowhollow/protocol/state/StateClient.java
+++ b/src/main/java/org/meadowhollow/protocol/state/StateClient.java
@@ -28,8 +28,15 @@
  */
 public final class StateClient implements StateStore {
     private static final Logger LOG = LoggerFactory.getLogger(StateClient.class);
-    /** Most answers take a few milliseconds and a few take some hundred; past this the line is dead. */
+    /** Most answers take a few milliseconds and a few take some hundred; past this the line is mostly dead. */
     private static final Duration ANSWER = Duration.ofMillis(1500);
+    /**
+     * For how long answers are waited for once some in a row have not come in time: less than a leader's lease, and than users
+     * wait. A state service that took 1.5 s for each was as good as out for all, for as long as it was slow.
+     */
+    private static final Duration SLOW_ANSWER = Duration.ofMillis(3200);
+    /** Calls in a row without an answer in time, after which answers are waited for longer. */
+    private static final int SLOW_AFTER = 3;
     /** Room for bursts of users' calls; past it a caller is better told at once to come back. */
     private static final int MOST_WAITING = 256;
     /**
@@ -76,6 +83,9 @@
     /** What users' calls took of the budgets beyond the leader's, while both were waiting. */
     private double usersAhead;
     private Moment recordsAt;
+    /** Calls without an answer in time since the last one that had one. */
+    private int unanswered;
+    private boolean slow;
 
     public StateClient(Http.Client http, String address, EventLoop loop, RateBudget requests, RateBudget changes) {
         this.http = http;
@@ -168,7 +178,7 @@
         String path = "/changes?prefix=" + prefix + "&after=" + after.value() + "&blockMs=" + wait.toMillis();
         // A watch waits by design, so it has a time-out of its own and stays out of the queue.
         requests.take(1, loop.now());
-        return http.send(address, "GET", path, null, wait.plus(ANSWER)).handle((reply, failure) -> {
+        return http.send(address, "GET", path, null, wait.plus(answerWithin())).handle((reply, failure) -> {
             if (failure != null) {
                 throw new StateException(Outcome.UNKNOWN, "no answer to the watch");
             }
@@ -294,15 +304,31 @@
     }
 
     private void send(Call call) {
-        http.send(address, call.method(), call.path(), call.body(), ANSWER).whenComplete((reply, failure) -> {
+        Moment sentAt = loop.now();
+        http.send(address, call.method(), call.path(), call.body(), answerWithin()).whenComplete((reply, failure) -> {
             synchronized (this) {
                 inFlight--;
+                noteTime(failure, loop.now().since(sentAt));
             }
             settle(call, reply, failure);
             pump();
         });
     }
 
+    private synchronized Duration answerWithin() {
+        return slow ? SLOW_ANSWER : ANSWER;
+    }
+
+    /** Whether the state service is slow: it gave no answer in time again and again, and none soon since. */
+    private void noteTime(Throwable failure, Duration took) {
+        if (failure == null) {
+            unanswered = 0;
+            slow &= took.multipliedBy(2).compareTo(ANSWER) > 0;
+        } else if (!(failure instanceof Http.NotSent) && took.compareTo(ANSWER) >= 0) {
+            slow |= ++unanswered >= SLOW_AFTER;
+        }
+    }
+
     private void settle(Call call, Http.Reply reply, Throwable failure) {
         if (failure != null) {
             noteFailure(failure.getMessage());
--- a/src/test/java/org/meadowhollow/protocol/StateClientTest.java
+++ b/src/test/java/org/meadowhollow/protocol/StateClientTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.meadowhollow.bookkeeping.LeaseId;
@@ -135,4 +136,33 @@
         }
         assertEquals(20, sent.size());
     }
+
+    /** A state service that took somewhat longer than it was waited for was as good as out, for as long as it was slow. */
+    @Test
+    void aSlowStateServiceIsWaitedForLongerUntilItIsSoonAgain() {
+        List<Duration> waited = new ArrayList<>();
+        Duration[] takes = {Duration.ofMillis(2000)};
+        Http.Client slow = (address, method, path, body, timeout) -> {
+            waited.add(timeout);
+            CompletableFuture<Http.Reply> answer = new CompletableFuture<>();
+            loop.after(takes[0], () -> answer.complete(Http.Reply.of(404, Map.of())));
+            loop.after(timeout, () -> answer.completeExceptionally(new IllegalStateException("no answer in time")));
+            return answer;
+        };
+        StateClient asking = new StateClient(slow, "state:1", loop, new RateBudget(100, 100), new RateBudget(10, 2));
+        List<CompletableFuture<?>> calls = new ArrayList<>();
+        for (int at = 0; at < 5; at++) {
+            calls.add(asking.get("key/" + at, Urgency.USER));
+            loop.run(Duration.ofMillis(4000));
+        }
+        assertEquals(Outcome.UNKNOWN, outcomeOf(calls.get(2)));
+        assertTrue(calls.get(3).join().equals(Optional.empty()) && calls.get(4).join().equals(Optional.empty()), "answered after 2 s");
+        assertFalse(asking.seemsOut());
+        assertTrue(waited.get(4).compareTo(Duration.ofMillis(3500)) < 0, "sooner than users give up, and than a lease ends");
+        takes[0] = Duration.ofMillis(5);
+        asking.get("key/5", Urgency.USER);
+        loop.run(Duration.ofMillis(10));
+        asking.get("key/6", Urgency.USER);
+        assertEquals(waited.get(0), waited.get(6), "a dead line is noticed as soon as before");
+    }
 }
