--- a/src/test/java/org/meadowhollow/story/FakeStore.java
+++ b/src/test/java/org/meadowhollow/story/FakeStore.java
@@ -30,12 +30,14 @@
     /** Changes that a watch can go back, as the protocol has it. */
     private static final int MOST_LOG = 10_000;
     private static final Duration TIMEOUT = Duration.ofMillis(1500);
+    private static final Duration SLOW_TIMEOUT = Duration.ofMillis(3200);
 
     private record Stored(byte[] value, long version, long lease) {
     }
 
     private final EventLoop loop;
-    private final Duration latency;
+    private final Duration usual;
+    private Duration latency;
     private final TreeMap<String, Stored> keys = new TreeMap<>();
     private final Map<Long, Moment> leases = new HashMap<>();
     private final Map<Long, Duration> ttls = new HashMap<>();
@@ -57,6 +59,7 @@
 
     FakeStore(EventLoop loop, Duration latency) {
         this.loop = loop;
+        this.usual = latency;
         this.latency = latency;
     }
 
@@ -95,6 +98,15 @@
         changes += writes;
     }
 
+    /** From now on each call takes so long one way, and is waited for longer, as the client does; null ends it. */
+    void slow(Duration oneWay) {
+        latency = oneWay == null ? usual : oneWay;
+    }
+
+    private Duration timeout() {
+        return latency.equals(usual) ? TIMEOUT : SLOW_TIMEOUT;
+    }
+
     /** What happens just after a key is put, once whoever put it has its answer. */
     void whenPut(String key, Runnable then) {
         awaitedKey = key;
@@ -371,7 +383,7 @@
                     }
                 }
             });
-            loop.after(TIMEOUT, () -> fail(answer, Outcome.UNKNOWN));
+            loop.after(timeout(), () -> fail(answer, Outcome.UNKNOWN));
             return answer;
         }
 
@@ -424,7 +436,7 @@
             mostWrites = Math.max(mostWrites, transaction.writes().size());
             if (lateBy != null || lateShare > 0 && late.nextDouble() < lateShare) {
                 CompletableFuture<Commit> never = new CompletableFuture<>();
-                loop.after(TIMEOUT, () -> fail(never, Outcome.UNKNOWN));
+                loop.after(timeout(), () -> fail(never, Outcome.UNKNOWN));
                 waitingCommits++;
                 loop.after(lateBy != null ? lateBy : Duration.ofMillis(2000 + late.nextInt(10_000)), () -> {
                     waitingCommits--;
@@ -441,7 +453,7 @@
                 CompletableFuture<Commit> never = new CompletableFuture<>();
                 call(() -> FakeStore.this.commit(transaction)).thenAccept(
                         done -> lostCommits += done.applied() ? 1 : 0);
-                loop.after(TIMEOUT, () -> fail(never, Outcome.UNKNOWN));
+                loop.after(timeout(), () -> fail(never, Outcome.UNKNOWN));
                 return never;
             }
             boolean heldBefore = holding;
--- a/src/test/java/org/meadowhollow/story/MeetingStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/MeetingStoriesTest.java
@@ -375,4 +375,27 @@
         assertEquals(0, world.judge().startsAfterCancellation());
         assertEquals(0, world.starts());
     }
+
+    /** Each answer of the state service takes 1.6 s, for longer than `cancel_s`, while users cancel, ask and submit. */
+    @Test
+    void aSlowStateServiceStillLetsUsersAskAndCancelAndTasksGoOn() {
+        List<JobSpec> jobs = longJobs();
+        world.store().slow(Duration.ofMillis(800));
+        world.runS(10);
+        int leader = world.leader();
+        JobSpec more = array(4, 3);
+        assertTrue(world.submit(other(leader, 1), more, HOURS), "taken within five seconds");
+        assertTrue(world.cancel(other(leader, 2), jobs.get(0).id()));
+        for (int time = 0; time < 12; time++) {
+            assertEquals(Phase.CANCELLED, world.poll(other(leader, 1), jobs.get(0).id()).orElseThrow().phase());
+            assertTrue(world.poll(other(leader, 1), jobs.get(1).id()).isPresent());
+            world.runS(3);
+        }
+        assertEquals(leader, world.leader(), "its lease is renewed in time");
+        assertTrue(allRun(jobs.get(1)) && allRun(jobs.get(2)) && allRun(more));
+        assertEquals(null, placeOf(jobs.get(0), 0));
+        world.store().slow(null);
+        world.runS(10);
+        assertEquals(22, world.starts());
+    }
 }
--- a/src/test/java/org/meadowhollow/story/Trouble.java
+++ b/src/test/java/org/meadowhollow/story/Trouble.java
@@ -17,10 +17,10 @@
     MACHINES_BEGIN_ANEW, SERVED_FOR_INSTANTS,
     MUTE_MACHINES, MUTE_ZONE, ANSWERS_OF_WRITES_LOST, REPORTS_FOR_NEXT, CANCEL_NOW, CANCEL_AT_END, ODD_REQUESTS, CLOSE_LOOKS,
     QUICK_BOOTS, DEPOSED_BY_A_HINT, ALL_AWAY, ZONE_APART_WITH_A_NODE, LEADER_AFTER_LEADER,
-    CLOUD_OUT, FEW_CHANGES;
+    CLOUD_OUT, FEW_CHANGES, SLOW_FOR_ALL;
 
     private static final List<Trouble> FIRST = List.copyOf(EnumSet.range(REFUSED_ALONE, SERVED_FOR_INSTANTS));
-    private static final List<Trouble> FURTHER = List.copyOf(EnumSet.range(MUTE_MACHINES, FEW_CHANGES));
+    private static final List<Trouble> FURTHER = List.copyOf(EnumSet.range(MUTE_MACHINES, SLOW_FOR_ALL));
 
     /** Begins one of the first list, mostly at the leader; what is returned ends it. */
     static Runnable begin(World world, Random random) {
@@ -233,6 +233,10 @@
                 }
                 return () -> { };
             }
+            case SLOW_FOR_ALL -> {
+                world.store().slow(Duration.ofMillis(200 + random.nextInt(1100)));
+                return () -> world.store().slow(null);
+            }
             case FEW_CHANGES -> {
                 world.store().limit(4 + random.nextInt(12));
                 return () -> world.store().limit(0);
