--- a/src/test/java/org/meadowhollow/story/RandomTroubleTest.java
+++ b/src/test/java/org/meadowhollow/story/RandomTroubleTest.java
@@ -155,27 +155,37 @@
             List<Runnable> ends = new ArrayList<>();
             for (int each = 0; each < 2; each++) {
                 ends.add(Trouble.begin(world, random));
-                for (int step = random.nextInt(6); step >= 0; step--) {
-                    JobSpec job = jobs.get(random.nextInt(jobs.size()));
-                    if (random.nextInt(3) == 0) {
-                        world.poll(random.nextInt(3), job.id());
-                    } else {
-                        world.cancel(random.nextInt(3), job.id());
-                    }
-                    world.runS(random.nextInt(4));
-                }
-            }
-            world.runS(random.nextInt(90));
-            Collections.shuffle(ends, random);
-            for (Runnable end : ends) {
-                end.run();
-                world.runS(random.nextInt(10));
+                askOrCancel(world, random, jobs, 6);
             }
+            endAll(world, random, ends);
         }
         // The longest tasks take five minutes, and may have to begin anew.
         ends(world, jobs, 60, 1000);
     }
 
+    /** Users ask about some jobs, and call some off. */
+    private static void askOrCancel(World world, Random random, List<JobSpec> jobs, int most) {
+        for (int step = random.nextInt(most); step >= 0; step--) {
+            JobSpec job = jobs.get(random.nextInt(jobs.size()));
+            if (random.nextInt(3) == 0) {
+                world.poll(random.nextInt(3), job.id());
+            } else {
+                world.cancel(random.nextInt(3), job.id());
+            }
+            world.runS(random.nextInt(4));
+        }
+    }
+
+    /** After a time the troubles end, one after the other in any order. */
+    private static void endAll(World world, Random random, List<Runnable> ends) {
+        world.runS(random.nextInt(90));
+        Collections.shuffle(ends, random);
+        for (Runnable end : ends) {
+            end.run();
+            world.runS(random.nextInt(10));
+        }
+    }
+
     private static LongStream furtherSeeds() {
         return LongStream.rangeClosed(Long.getLong("further.first", 1), Long.getLong("further.seeds", 40));
     }
@@ -205,21 +215,8 @@
             ends.add(Trouble.beginFurther(world, random));
             world.run(Duration.ofMillis(250 * random.nextInt(16)));
             ends.add(random.nextBoolean() ? Trouble.begin(world, random) : Trouble.beginFurther(world, random));
-            for (int step = random.nextInt(5); step >= 0; step--) {
-                JobSpec job = jobs.get(random.nextInt(jobs.size()));
-                if (random.nextInt(3) == 0) {
-                    world.poll(random.nextInt(3), job.id());
-                } else {
-                    world.cancel(random.nextInt(3), job.id());
-                }
-                world.runS(random.nextInt(4));
-            }
-            world.runS(random.nextInt(90));
-            Collections.shuffle(ends, random);
-            for (Runnable end : ends) {
-                end.run();
-                world.runS(random.nextInt(10));
-            }
+            askOrCancel(world, random, jobs, 5);
+            endAll(world, random, ends);
         }
         calm(world);
         world.calm();
