Stories and troubles share what they wrote again: types of a job, hours, ways out of reach

Change: Story.withTypes and HOURS; OutOfReach holds its trouble; Trouble.on and onLines. The draws from the random source keep their order, assertions and bounds are as they were.

--- a/src/test/java/org/meadowhollow/story/CloseLookStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/CloseLookStoriesTest.java
@@ -22,8 +22,6 @@
  * what they wrote. The judge of {@link World} holds each answer against what was told before its question was sent.
  */
 class CloseLookStoriesTest extends Story {
-    private static final Duration HOURS = Duration.ofHours(2);
-
     /** Answers that were told, after the hard moment, by all nodes. */
     private void everyNodeSays(Phase phase, JobSpec job) {
         for (int node = 0; node < 3; node++) {
--- a/src/test/java/org/meadowhollow/story/JobStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/JobStoriesTest.java
@@ -185,16 +185,10 @@
             body.remove("loaners");
             assertEquals(400, world.posts(node, body), "lacks a field");
             assertEquals(422, world.posts(node, SubmissionCodec.encode(World.spec(9, Kind.ARRAY, 1, 9))), "fits no machine");
-            assertEquals(422, world.posts(node, SubmissionCodec.encode(noTypes(World.spec(10, Kind.ARRAY, 1, 1)))));
+            assertEquals(422, world.posts(node, SubmissionCodec.encode(withTypes(World.spec(10, Kind.ARRAY, 1, 1), List.of()))));
         }
     }
 
-    private static JobSpec noTypes(JobSpec spec) {
-        return new JobSpec(spec.id(), spec.jobClass(), spec.team(), spec.kind(), spec.priority(), spec.tasks(), spec.perTask(),
-                List.of(), spec.zone(), spec.oneZone(), spec.spread(), spec.spot(), spec.image(), spec.imageGb(),
-                spec.estimateS(), spec.checkpointS(), spec.saveS(), spec.deadlineS());
-    }
-
     /** What is accepted stays so, also where it would be refused today. */
     @Test
     void aRepeatOfAnAcceptedJobIsNeverRefusedAlsoAfterTeamsLookDifferent() {
--- a/src/test/java/org/meadowhollow/story/LimitStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/LimitStoriesTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BiConsumer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -22,38 +23,22 @@
  * work changes hands. The judge of {@link World} watches limits, zones and the time that a cancellation has.
  */
 class LimitStoriesTest extends Story {
-    private static final Duration HOURS = Duration.ofHours(2);
-
     /** Why a machine cannot be asked. */
     enum OutOfReach {
-        HUNG {
-            @Override
-            void set(World world, FakeWorker worker, boolean now) {
-                worker.hang(now);
-            }
-        },
-        CUT {
-            @Override
-            void set(World world, FakeWorker worker, boolean now) {
-                for (int node = 0; node < 3; node++) {
-                    worker.cannotReach(node, now);
-                }
-            }
-        },
-        MUTE {
-            @Override
-            void set(World world, FakeWorker worker, boolean now) {
-                worker.mute(now);
+        HUNG(FakeWorker::hang),
+        CUT((worker, now) -> {
+            for (int node = 0; node < 3; node++) {
+                worker.cannotReach(node, now);
             }
-        },
-        DEAF {
-            @Override
-            void set(World world, FakeWorker worker, boolean now) {
-                worker.deaf(now);
-            }
-        };
+        }),
+        MUTE(FakeWorker::mute),
+        DEAF(FakeWorker::deaf);
+
+        private final BiConsumer<FakeWorker, Boolean> trouble;
 
-        abstract void set(World world, FakeWorker worker, boolean now);
+        OutOfReach(BiConsumer<FakeWorker, Boolean> trouble) {
+            this.trouble = trouble;
+        }
     }
 
     private JobSpec filling(int number, String team, int tasks) {
@@ -77,7 +62,7 @@
         List<JobSpec> running = bothTeamsAtTheirLimits();
         world.cloudOut(true);
         List<FakeWorker> lost = world.workers().subList(0, 2);
-        lost.forEach(worker -> how.set(world, worker, true));
+        lost.forEach(worker -> how.trouble.accept(worker, true));
         running.forEach(job -> assertTrue(world.cancel(other(world.leader(), 1), job.id())));
         List<JobSpec> next = List.of(withTeam(array(3, 12), "team"), withTeam(array(4, 8), "other"));
         next.forEach(job -> assertTrue(world.submit(other(world.leader(), 1), job, HOURS)));
@@ -95,7 +80,7 @@
         // Direct commands reach a mute machine, so there its tasks are gone at once.
         assertEquals(how != OutOfReach.MUTE, still, "a task that was called off was there while the next one led");
         world.runS(60);
-        lost.forEach(worker -> how.set(world, worker, false));
+        lost.forEach(worker -> how.trouble.accept(worker, false));
         world.cloudOut(false);
         world.calm();
         world.runS(60);
--- a/src/test/java/org/meadowhollow/story/MeetingStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/MeetingStoriesTest.java
@@ -20,8 +20,6 @@
  * node confirms them, and then it is down for all. docs/meetings.md has what each party believes at each step.
  */
 class MeetingStoriesTest extends Story {
-    private static final Duration HOURS = Duration.ofHours(2);
-
     private List<JobSpec> longJobs() {
         List<JobSpec> jobs = List.of(array(1, 12), World.spec(2, Kind.GANG, 4, 2), World.spec(3, Kind.SERVICE, 3, 1));
         for (JobSpec job : jobs) {
--- a/src/test/java/org/meadowhollow/story/MuteMachineStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/MuteMachineStoriesTest.java
@@ -19,8 +19,6 @@
  * lost or held up. Their reports are missing though they live, and a direct answer renews no lease.
  */
 class MuteMachineStoriesTest extends Story {
-    private static final Duration HOURS = Duration.ofHours(2);
-
     private List<FakeWorker> muteZone(String zone) {
         List<FakeWorker> mute = world.workers().stream().filter(worker -> worker.zone().equals(zone)).toList();
         mute.forEach(worker -> worker.mute(true));
--- a/src/test/java/org/meadowhollow/story/OldReportStoriesTest.java
+++ b/src/test/java/org/meadowhollow/story/OldReportStoriesTest.java
@@ -18,8 +18,6 @@
 
 /** What a new leader may conclude from the first report that it hears of a machine, which may be old or of another session. */
 class OldReportStoriesTest extends Story {
-    private static final Duration HOURS = Duration.ofHours(2);
-
     /** Without a check of the session each task was started by the first answer, and stopped as a stray by the next. */
     @Test
     void allNodesAreAwayForLongerThanTheLeaseAndNothingStartsInASessionThatItWasNotPlacedIn() {
@@ -134,17 +132,11 @@
         assertTrue(allRun(array(2, 12)));
     }
 
-    private static JobSpec onSmall(JobSpec spec) {
-        return new JobSpec(spec.id(), spec.jobClass(), spec.team(), spec.kind(), spec.priority(), spec.tasks(), spec.perTask(),
-                List.of("small"), spec.zone(), spec.oneZone(), spec.spread(), spec.spot(), spec.image(), spec.imageGb(),
-                spec.estimateS(), spec.checkpointS(), spec.saveS(), spec.deadlineS());
-    }
-
     /** The machine is back with its sessions begun anew, and a report of a higher session of its former life comes late. */
     @Test
     void aHigherSessionOfAFormerLifeDoesNotProveTheSessionOverInWhichATaskRuns() {
         FakeWorker first = world.machine(World.SMALL, "a");
-        JobSpec fills = onSmall(withTeam(World.spec(2, Kind.SERVICE, 1, 2), "other"));
+        JobSpec fills = withTypes(withTeam(World.spec(2, Kind.SERVICE, 1, 2), "other"), List.of("small"));
         assertTrue(world.submit(0, fills, null));
         world.runS(10);
         assertEquals(first, placeOf(fills, 0));
@@ -159,7 +151,7 @@
         worker.reboot();
         world.crash(leader);
         world.runS(12);
-        JobSpec job = onSmall(World.spec(1, Kind.SERVICE, 1, 1));
+        JobSpec job = withTypes(World.spec(1, Kind.SERVICE, 1, 1), List.of("small"));
         assertTrue(world.submit(world.leader(), job, null));
         world.runS(8);
         assertEquals(worker, placeOf(job, 0), "in the first session of its new life");
--- a/src/test/java/org/meadowhollow/story/Story.java
+++ b/src/test/java/org/meadowhollow/story/Story.java
@@ -13,6 +13,7 @@
 abstract class Story {
     static final Duration SHORT = Duration.ofSeconds(10);
     static final Duration LONG = Duration.ofMinutes(5);
+    static final Duration HOURS = Duration.ofHours(2);
 
     World world;
 
@@ -63,6 +64,12 @@
                 spec.imageGb(), spec.estimateS(), spec.checkpointS(), spec.saveS(), spec.deadlineS());
     }
 
+    static JobSpec withTypes(JobSpec spec, List<String> types) {
+        return new JobSpec(spec.id(), spec.jobClass(), spec.team(), spec.kind(), spec.priority(), spec.tasks(), spec.perTask(),
+                types, spec.zone(), spec.oneZone(), spec.spread(), spec.spot(), spec.image(), spec.imageGb(), spec.estimateS(),
+                spec.checkpointS(), spec.saveS(), spec.deadlineS());
+    }
+
     boolean allRun(JobSpec job) {
         for (int task = 0; task < job.tasks(); task++) {
             if (placeOf(job, task) == null) {
--- a/src/test/java/org/meadowhollow/story/Trouble.java
+++ b/src/test/java/org/meadowhollow/story/Trouble.java
@@ -6,6 +6,7 @@
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Random;
+import java.util.function.BiConsumer;
 import org.meadowhollow.bookkeeping.JobSpec;
 import org.meadowhollow.bookkeeping.Records;
 import org.meadowhollow.bookkeeping.Term;
@@ -50,29 +51,17 @@
                 return () -> world.apart(node, false);
             }
             case LATE_WRITES -> {
-                double share = 0.2 + 0.6 * random.nextDouble();
-                for (int each = 0; each < 3; each++) {
-                    world.line(each).lateWrites(share, random.nextLong());
-                }
-                return () -> {
-                    for (int each = 0; each < 3; each++) {
-                        world.line(each).lateWrites(0, 0);
-                    }
-                };
+                return onLines(world, random, FakeStore.Line::lateWrites);
             }
             case LATE_REPORTS -> {
                 world.lateReports(0.2 + 0.6 * random.nextDouble(), random.nextLong());
                 return () -> world.lateReports(0, 0);
             }
             case DEAF_MACHINES -> {
-                List<FakeWorker> some = some(world, random);
-                some.forEach(worker -> worker.deaf(true));
-                return () -> some.forEach(worker -> worker.deaf(false));
+                return on(some(world, random), FakeWorker::deaf);
             }
             case HUNG_MACHINES -> {
-                List<FakeWorker> some = some(world, random);
-                some.forEach(worker -> worker.hang(true));
-                return () -> some.forEach(worker -> worker.hang(false));
+                return on(some(world, random), FakeWorker::hang);
             }
             case ENDED -> {
                 world.thaw(node);
@@ -143,26 +132,14 @@
                 return () -> { };
             }
             case MUTE_MACHINES -> {
-                List<FakeWorker> some = some(world, random);
-                some.forEach(worker -> worker.mute(true));
-                return () -> some.forEach(worker -> worker.mute(false));
+                return on(some(world, random), FakeWorker::mute);
             }
             case MUTE_ZONE -> {
                 String zone = random.nextBoolean() ? "a" : "b";
-                List<FakeWorker> some = world.workers().stream().filter(worker -> worker.zone().equals(zone)).toList();
-                some.forEach(worker -> worker.mute(true));
-                return () -> some.forEach(worker -> worker.mute(false));
+                return on(world.workers().stream().filter(worker -> worker.zone().equals(zone)).toList(), FakeWorker::mute);
             }
             case ANSWERS_OF_WRITES_LOST -> {
-                double share = 0.2 + 0.6 * random.nextDouble();
-                for (int each = 0; each < 3; each++) {
-                    world.line(each).loseCommitAnswers(share, random.nextLong());
-                }
-                return () -> {
-                    for (int each = 0; each < 3; each++) {
-                        world.line(each).loseCommitAnswers(0, 0);
-                    }
-                };
+                return onLines(world, random, FakeStore.Line::loseCommitAnswers);
             }
             case REPORTS_FOR_NEXT -> {
                 world.keepReportsForNext(0.2 + 0.6 * random.nextDouble(), random.nextLong());
@@ -262,6 +239,28 @@
         }
     }
 
+    private interface LineTrouble {
+        void set(FakeStore.Line line, double share, long seed);
+    }
+
+    /** A trouble of a share of what goes to the state service from every node. */
+    private static Runnable onLines(World world, Random random, LineTrouble trouble) {
+        double share = 0.2 + 0.6 * random.nextDouble();
+        for (int each = 0; each < 3; each++) {
+            trouble.set(world.line(each), share, random.nextLong());
+        }
+        return () -> {
+            for (int each = 0; each < 3; each++) {
+                trouble.set(world.line(each), 0, 0);
+            }
+        };
+    }
+
+    private static Runnable on(List<FakeWorker> workers, BiConsumer<FakeWorker, Boolean> trouble) {
+        workers.forEach(worker -> trouble.accept(worker, true));
+        return () -> workers.forEach(worker -> trouble.accept(worker, false));
+    }
+
     private static List<FakeWorker> some(World world, Random random) {
         List<FakeWorker> all = new ArrayList<>(world.workers());
         List<FakeWorker> some = new ArrayList<>();
