--- a/review/standin/CaseRun.java
+++ b/review/standin/CaseRun.java
@@ -34,7 +34,7 @@
     static void main(String[] arguments, Body body) throws Exception {
         int code;
         try (CaseRun run = new CaseRun(Path.of(arguments[0]), Path.of(arguments[1]))) {
-            run.limitTime(112);
+            run.limitTime(117);
             run.recorder.log("TROUBLE=%d", run.trouble ? 1 : 0);
             code = run.guarded(body);
             run.recorder.log("exit code %d", code);
--- a/review/standin/StandIn.java
+++ b/review/standin/StandIn.java
@@ -818,6 +818,17 @@
             }
         }
 
+        synchronized void fail(String task) {
+            Task running = tasks.get(task);
+            if (running != null && running.state.equals("running")) {
+                exit(running, "error");
+            }
+        }
+
+        synchronized boolean isEmpty() {
+            return tasks.values().stream().allMatch(task -> task.state.equals("ended"));
+        }
+
         synchronized boolean has(String task, String state) {
             Task held = tasks.get(task);
             return held != null && held.state.equals(state);
@@ -1050,7 +1061,12 @@
             if (!text.gang()) {
                 plant.begin(task);
                 become(task, "running");
-                later(text.runS(), () -> finishRun(task));
+                if (text.runS() < 0) {
+                    // A job with a mistake fails as soon as it runs.
+                    exit(task, "error");
+                } else {
+                    later(text.runS(), () -> finishRun(task));
+                }
                 return;
             }
             become(task, "waiting");
