Review: scripts name the record they write, and never end with 1 when not built

Cause: run.sh left the file's name to its program; Java ends with 1 where a class is missing, which says "broken"; and runs beside one another could take one another's ports, so that a controller could not listen. The checks and bounds of the cases are as they were.

--- a/review/standin/CaseRun.java
+++ b/review/standin/CaseRun.java
@@ -3,7 +3,7 @@
 import java.util.Comparator;
 import java.util.stream.Stream;
 
-/** What all cases share: arguments, the record, a time limit, and the exit code. */
+/** What all cases share: arguments (root, record file), a time limit, and the exit code. */
 final class CaseRun implements AutoCloseable {
     static final int BROKEN = 1;
     static final int HELD = 0;
@@ -25,19 +25,23 @@
         }
     }
 
-    private CaseRun(Path root, Path caseFolder) throws Exception {
+    private CaseRun(Path root, Path record) throws Exception {
         this.root = root;
         this.folder = Files.createTempDirectory("review");
-        this.recorder = new StandIn.Recorder(caseFolder.resolve("record.txt"));
+        this.recorder = new StandIn.Recorder(record);
     }
 
     static void main(String[] arguments, Body body) throws Exception {
-        int code;
+        int code = COULD_NOT_RUN;
         try (CaseRun run = new CaseRun(Path.of(arguments[0]), Path.of(arguments[1]))) {
             run.limitTime(117);
             run.recorder.log("TROUBLE=%d", run.trouble ? 1 : 0);
             code = run.guarded(body);
             run.recorder.log("exit code %d", code);
+        } catch (Exception failure) {
+            // Java would exit with 1, which says that the rule was broken.
+            failure.printStackTrace();
+            code = COULD_NOT_RUN;
         }
         Runtime.getRuntime().halt(code);
     }
@@ -48,6 +52,9 @@
         } catch (CannotRun cannot) {
             recorder.log("the case could not run: %s", cannot.getMessage());
             System.err.println("could not run: " + cannot.getMessage());
+            if (controllers != null) {
+                controllers.recordLogs("");
+            }
         } catch (Exception failure) {
             recorder.log("the case could not run: %s", failure);
             failure.printStackTrace();
--- a/review/standin/StandIn.java
+++ b/review/standin/StandIn.java
@@ -267,12 +267,26 @@
         return new Answer(response.statusCode(), unpack(response.body()));
     }
 
-    static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+    /**
+     * The next free port of this run's own block of 20, below the range from which the system takes
+     * ports for outgoing connections. Runs beside one another have different process ids, so none
+     * takes a port of another one before its controller does.
+     */
+    static synchronized int freePort() throws IOException {
+        int block = 12_000 + 20 * (int) (ProcessHandle.current().pid() % 900);
+        while (nextPort < 20) {
+            int port = block + nextPort++;
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return socket.getLocalPort();
+            } catch (IOException taken) {
+                // The next one is tried.
+            }
         }
+        throw new IOException("no free port");
     }
 
+    private static int nextPort;
+
     static void sleep(double seconds) {
         try {
             Thread.sleep((long) (seconds * 1000));
