--- a/review/standin/WentBackCase.java
+++ b/review/standin/WentBackCase.java
@@ -84,10 +84,13 @@
 
         int askedNode = asked;
         double spellFrom = recorder.seconds();
-        if (run.trouble) {
-            store.delays =
+        CountDownLatch readings = new CountDownLatch(jobs.size());
+        store.delays =
                     (at, method, path, query) -> {
-                        if (at != askedNode || recorder.seconds() > spellFrom + SPELL_S) {
+                        if (at == askedNode && path.startsWith("/kv/job/")) {
+                            readings.countDown();
+                        }
+                        if (!run.trouble || at != askedNode || recorder.seconds() > spellFrom + SPELL_S) {
                             return new double[2];
                         }
                         // A reading of one key is carried out at once and answered late; a listing
@@ -105,7 +108,6 @@
                         }
                         return slow;
                     };
-        }
         CountDownLatch firstAnswers = new CountDownLatch(jobs.size());
         for (String job : jobs) {
             inBackground(
@@ -114,7 +116,9 @@
                         firstAnswers.countDown();
                     });
         }
-        StandIn.sleep(0.03);
+        // The jobs end and the cancellation is sent once the questions have reached the state service.
+        readings.await(1, TimeUnit.SECONDS);
+        StandIn.sleep(0.01);
         for (StandIn.Worker worker : workers) {
             for (String job : jobs.subList(1, jobs.size())) {
                 worker.finish(job + "/0");
