Only a later request of the worker proves that a start was executed or dropped

Cause: an exit for want of the gang counted as final if the heartbeat's sequence number was above that of the heartbeat whose response held the start. The answer to a direct command takes a higher number while that response is on its way. Change: a Heartbeat tells whether it is a request or the response to a command, and Placement.isStartSettledBy owns the proof: once this leader has sent a start, only a later request settles it. A worker has one request in flight at a time, so it has dealt with the response by then. Both places of HeartbeatReconciler that end a placement for want of a start ask it.

--- a/src/main/java/org/meadowhollow/coordination/reconciliation/HeartbeatHandler.java
+++ b/src/main/java/org/meadowhollow/coordination/reconciliation/HeartbeatHandler.java
@@ -268,7 +268,7 @@
         synchronized (context.lock()) {
             for (Placement placement : job.placements()) {
                 DeferredHeartbeat deferred =
-                        placement.startSentSequenceNumber() < 0 && placement.isPersisted()
+                        !placement.isStartSent() && placement.isPersisted()
                                 ? awaitingCommands.take(placement.machineId())
                                 : null;
                 if (deferred != null) {
--- a/src/main/java/org/meadowhollow/coordination/reconciliation/HeartbeatReconciler.java
+++ b/src/main/java/org/meadowhollow/coordination/reconciliation/HeartbeatReconciler.java
@@ -155,6 +155,15 @@
             MonotonicTime now) {
         if (status.state() == TaskState.EXITED
                 && isFinalExit(placement, status.exitReason(), heartbeat)) {
+            LOG.debug(
+                    "task exit applied task={} attempt={} machine={} reason={} origin={} sequence_number={} start_sent_sequence_number={}",
+                    status.taskId(),
+                    status.attemptNumber(),
+                    machine.id(),
+                    status.exitReason(),
+                    heartbeat.origin(),
+                    heartbeat.sequenceNumber(),
+                    placement.startSentSequenceNumber());
             placementEvents.onTaskExited(machine, placement, status.exitReason(), now);
             return;
         }
@@ -273,17 +282,21 @@
     }
 
     /**
-     * Whether a placement that a heartbeat does not list can no longer start. A start is sent only
-     * in the response to a heartbeat, and a worker has one heartbeat in flight at a time. A later
-     * heartbeat without the task therefore proves that the worker will not obey any response that
-     * contains its start. The heartbeat must carry this leader's fencing token, because a worker
-     * that has seen the token rejects the responses of earlier leaders.
+     * Whether a placement that a heartbeat does not list can no longer start: no response that
+     * contains its start can be executed any more.
      */
     private boolean canNeverStart(Placement placement, Machine machine, Heartbeat heartbeat) {
+        return areAllStartsSettled(placement, heartbeat) && machine.lastContactAt() != null;
+    }
+
+    /**
+     * Whether a heartbeat proves that the worker will execute no start of a placement that any
+     * leader has sent. The heartbeat must carry this leader's fencing token, because a worker that
+     * has seen the token rejects the responses of earlier leaders.
+     */
+    private boolean areAllStartsSettled(Placement placement, Heartbeat heartbeat) {
         return heartbeat.fencingToken().equals(fencingToken)
-                && heartbeat.incarnation().equals(placement.incarnation())
-                && heartbeat.sequenceNumber() > placement.startSentSequenceNumber()
-                && machine.lastContactAt() != null;
+                && placement.isStartSettledBy(heartbeat);
     }
 
     /**
@@ -305,16 +318,17 @@
      * only timed out waiting for its gang is started again in the same attempt: the durations of
      * image pulls differ by more than that timeout, and ending the attempt would abandon the pulls
      * of all its other tasks. If the task is being stopped or its job is cancelled, its exit is
-     * final only if no leader can have restarted it since. Otherwise an old heartbeat that reaches
-     * the next leader first would let a cancelled gang end while it still runs.
+     * final only if no start of any leader can be executed after it. Otherwise an old heartbeat
+     * that reaches the next leader first would let a cancelled gang end while it still runs, and a
+     * response to a direct command would let a task be placed elsewhere while the response that
+     * restarts it here is still on its way.
      */
     private boolean isFinalExit(Placement placement, ExitReason exitReason, Heartbeat heartbeat) {
         if (exitReason != ExitReason.ALONE) {
             return true;
         }
         return (placement.isStopping() || placement.job().isCancelled())
-                && heartbeat.fencingToken().equals(fencingToken)
-                && heartbeat.sequenceNumber() > placement.startSentSequenceNumber();
+                && areAllStartsSettled(placement, heartbeat);
     }
 
     private static boolean isWholeGangCommitted(Placement placement) {
--- a/src/main/java/org/meadowhollow/model/Heartbeat.java
+++ b/src/main/java/org/meadowhollow/model/Heartbeat.java
@@ -3,8 +3,9 @@
 import java.util.List;
 
 /**
- * A worker's periodic status message.
+ * A worker's status message: a request that the worker sends, or its response to a direct command.
  *
+ * @param origin whether the worker sent it as a request or as a response
  * @param address the network address of the worker
  * @param sequenceNumber a number that increases with each heartbeat of an incarnation
  * @param fencingToken the highest fencing token that the worker has accepted
@@ -13,6 +14,7 @@
  * @param tasks the status of every task on the machine, running or exited
  */
 public record Heartbeat(
+        Origin origin,
         MachineId machineId,
         String address,
         String machineType,
@@ -24,6 +26,21 @@
         double preemptionNoticeSeconds,
         List<TaskStatus> tasks) {
 
+    /** How a worker came to send a heartbeat, which decides what its sequence number proves. */
+    public enum Origin {
+        /**
+         * A request of the worker. A worker has one request in flight at a time, so it has executed
+         * or dropped the responses to all requests with a lower sequence number.
+         */
+        REQUEST,
+
+        /**
+         * The response to a direct command. It takes a sequence number of its own while a request
+         * may be in flight, so it proves nothing about the responses to earlier requests.
+         */
+        COMMAND_RESPONSE
+    }
+
     /**
      * The status of a task on the machine.
      *
--- a/src/main/java/org/meadowhollow/model/Placement.java
+++ b/src/main/java/org/meadowhollow/model/Placement.java
@@ -116,6 +116,27 @@
         return startSentSequenceNumber;
     }
 
+    /** Whether this leader has sent a command to start the task. */
+    public boolean isStartSent() {
+        return startSentSequenceNumber != NO_START_SENT;
+    }
+
+    /**
+     * Whether a heartbeat proves that the worker has executed or dropped every start of this
+     * placement that this leader sent. Starts are sent only in the responses to the worker's
+     * requests, so only a later request proves it: the response to a direct command may overtake
+     * the response that contains the start. The caller makes sure that the worker rejects the
+     * starts of earlier leaders.
+     */
+    public boolean isStartSettledBy(Heartbeat heartbeat) {
+        if (!heartbeat.incarnation().equals(incarnation)) {
+            return false;
+        }
+        return !isStartSent()
+                || (heartbeat.origin() == Heartbeat.Origin.REQUEST
+                        && heartbeat.sequenceNumber() > startSentSequenceNumber);
+    }
+
     /** Whether the attempt is being stopped. */
     public boolean isStopping() {
         return isStopping;
--- a/src/main/java/org/meadowhollow/protocol/workers/HeartbeatApi.java
+++ b/src/main/java/org/meadowhollow/protocol/workers/HeartbeatApi.java
@@ -26,7 +26,7 @@
     public CompletableFuture<Http.Reply> receiveHeartbeat(byte[] body) {
         Heartbeat heartbeat;
         try {
-            heartbeat = WorkerCodec.decodeHeartbeat(body);
+            heartbeat = WorkerCodec.decodeHeartbeat(body, Heartbeat.Origin.REQUEST);
         } catch (MalformedMessageException malformed) {
             return CompletableFuture.completedFuture(Http.Reply.error(400, malformed.getMessage()));
         }
--- a/src/main/java/org/meadowhollow/protocol/workers/WorkerClient.java
+++ b/src/main/java/org/meadowhollow/protocol/workers/WorkerClient.java
@@ -46,7 +46,7 @@
             if (reply.status() != 200 && reply.status() != 409) {
                 throw new MalformedMessageException("the worker answered " + reply.status());
             }
-            return WorkerCodec.decodeHeartbeat(reply.body());
+            return WorkerCodec.decodeHeartbeat(reply.body(), Heartbeat.Origin.COMMAND_RESPONSE);
         } catch (MalformedMessageException malformed) {
             throw new CompletionException(malformed);
         }
--- a/src/main/java/org/meadowhollow/protocol/workers/WorkerCodec.java
+++ b/src/main/java/org/meadowhollow/protocol/workers/WorkerCodec.java
@@ -60,13 +60,20 @@
 
     private WorkerCodec() {}
 
-    static Heartbeat decodeHeartbeat(byte[] bytes) throws MalformedMessageException {
+    /**
+     * Decodes a heartbeat.
+     *
+     * @param origin how the worker sent the bytes; both kinds have the same format
+     */
+    static Heartbeat decodeHeartbeat(byte[] bytes, Heartbeat.Origin origin)
+            throws MalformedMessageException {
         MessageReader body = MessageReader.decode(bytes);
         List<Heartbeat.TaskStatus> tasks = new ArrayList<>();
         for (MessageReader item : body.nestedList(TASKS)) {
             tasks.add(decodeTaskStatus(item));
         }
         return new Heartbeat(
+                origin,
                 new MachineId(body.string(MACHINE_ID)),
                 body.string(ADDRESS),
                 body.string(MACHINE_TYPE),
--- a/src/test/java/org/meadowhollow/coordination/failover/RiskTableReplicationTest.java
+++ b/src/test/java/org/meadowhollow/coordination/failover/RiskTableReplicationTest.java
@@ -80,6 +80,7 @@
             Machine machine, WorkerIncarnation workerIncarnation, long sequenceNumber) {
         machine.recordHeartbeat(
                 new Heartbeat(
+                        Heartbeat.Origin.REQUEST,
                         machine.id(),
                         null,
                         "large",
--- a/src/test/java/org/meadowhollow/coordination/heartbeat/DeferredHeartbeatsTest.java
+++ b/src/test/java/org/meadowhollow/coordination/heartbeat/DeferredHeartbeatsTest.java
@@ -24,6 +24,7 @@
 
     private static Heartbeat heartbeat(String machine, long sequenceNumber) {
         return new Heartbeat(
+                Heartbeat.Origin.REQUEST,
                 new MachineId(machine),
                 machine + ":1",
                 "type",
--- a/src/test/java/org/meadowhollow/coordination/lifecycle/LifecycleFixture.java
+++ b/src/test/java/org/meadowhollow/coordination/lifecycle/LifecycleFixture.java
@@ -119,6 +119,7 @@
     /** The first heartbeat of a machine, without tasks. */
     public static Heartbeat firstHeartbeat(String machine, String type) {
         return new Heartbeat(
+                Heartbeat.Origin.REQUEST,
                 new MachineId(machine),
                 machine + ":1",
                 type,
--- a/src/test/java/org/meadowhollow/simulation/ClusterTestBase.java
+++ b/src/test/java/org/meadowhollow/simulation/ClusterTestBase.java
@@ -49,6 +49,14 @@
         return machines.isEmpty() ? null : machines.get(0);
     }
 
+    /** Returns the first machine that holds a task, in any state. */
+    FakeWorker machineWith(TaskId task) {
+        return cluster.workers().stream()
+                .filter(worker -> worker.hasTask(task))
+                .findFirst()
+                .orElseThrow();
+    }
+
     static JobSpec withZonePolicy(JobSpec spec, boolean singleZone, boolean spreadAcrossZones) {
         return JobSpecBuilder.from(spec)
                 .priority(Priority.HIGH)
--- a/src/test/java/org/meadowhollow/simulation/FakeWorker.java
+++ b/src/test/java/org/meadowhollow/simulation/FakeWorker.java
@@ -283,8 +283,11 @@
             task.start(inGang, now);
             cluster.onTaskStarted(this, taskId);
         }
-        if (inGang) {
+        if (inGang && !task.hasExited()) {
             task.advanceInGang(cluster.isGangComplete(taskId.jobId(), task.attempt()), now);
+            if (task.exitReason() == ExitReason.ALONE) {
+                cluster.onGangTimeout(taskId);
+            }
         }
         Duration runtime = cluster.runtimeOf(taskId.jobId());
         if (task.hasFinished(runtime, now) && cluster.mayComplete(taskId.jobId())) {
@@ -306,8 +309,12 @@
         }
     }
 
-    /** Returns a heartbeat with the current state; each has a number of its own. */
+    /** Returns a request with the current state; each heartbeat has a number of its own. */
     Heartbeat snapshot() {
+        return snapshot(Heartbeat.Origin.REQUEST);
+    }
+
+    private Heartbeat snapshot(Heartbeat.Origin origin) {
         List<Heartbeat.TaskStatus> statuses = new ArrayList<>();
         tasks.forEach(
                 (task, state) ->
@@ -315,6 +322,7 @@
                                 new Heartbeat.TaskStatus(
                                         task, state.attempt(), state.state(), state.exitReason())));
         return new Heartbeat(
+                origin,
                 id,
                 id.value() + ":9000",
                 type,
@@ -431,7 +439,7 @@
                 execute(commands);
             }
         }
-        return snapshot();
+        return snapshot(Heartbeat.Origin.COMMAND_RESPONSE);
     }
 
     private void execute(List<WorkerCommand> commands) {
@@ -464,7 +472,7 @@
                     "started " + command + " while another attempt is on the machine");
         }
         cluster.onStartCommand(command.taskId());
-        MonotonicTime imagePulledAt = cluster.loop().now().plus(cluster.imagePullTime());
+        MonotonicTime imagePulledAt = cluster.imagePulledAt(id, command.taskId().jobId());
         tasks.put(command.taskId(), new FakeTask(command.attemptNumber(), imagePulledAt));
     }
 }
--- a/src/test/java/org/meadowhollow/simulation/JobSpecBuilder.java
+++ b/src/test/java/org/meadowhollow/simulation/JobSpecBuilder.java
@@ -11,6 +11,7 @@
     private String jobClass;
     private String team;
     private Priority priority;
+    private String image;
     private Resources resourcesPerTask;
     private List<String> machineTypes;
     private String zone;
@@ -26,6 +27,7 @@
         jobClass = base.jobClass();
         team = base.team();
         priority = base.priority();
+        image = base.image();
         resourcesPerTask = base.resourcesPerTask();
         machineTypes = base.allowedMachineTypes();
         zone = base.requiredZone();
@@ -51,6 +53,11 @@
         return this;
     }
 
+    JobSpecBuilder image(String value) {
+        image = value;
+        return this;
+    }
+
     JobSpecBuilder priority(Priority value) {
         priority = value;
         return this;
@@ -116,7 +123,7 @@
                 singleZone,
                 spreadAcrossZones,
                 base.allowsSpot(),
-                base.image(),
+                image,
                 base.imageSizeGb(),
                 estimatedRuntimeSeconds,
                 checkpointIntervalSeconds,
--- a/src/test/java/org/meadowhollow/simulation/MachineFailureScenarioTest.java
+++ b/src/test/java/org/meadowhollow/simulation/MachineFailureScenarioTest.java
@@ -106,6 +106,7 @@
         Heartbeat now = worker.snapshot();
         Heartbeat late =
                 new Heartbeat(
+                        Heartbeat.Origin.REQUEST,
                         now.machineId(),
                         now.address(),
                         now.machineType(),
--- a/src/test/java/org/meadowhollow/simulation/RandomFaultsTest.java
+++ b/src/test/java/org/meadowhollow/simulation/RandomFaultsTest.java
@@ -50,7 +50,7 @@
         }
     }
 
-    private static void addSixMachines(SimulatedCluster cluster) {
+    static void addSixMachines(SimulatedCluster cluster) {
         for (int at = 0; at < 6; at++) {
             cluster.addMachine(
                     at % 2 == 0 ? SimulatedCluster.LARGE : SimulatedCluster.SMALL,
@@ -64,7 +64,7 @@
      * @param settleSeconds time after which no submission can arrive any more
      * @param runSeconds further time, in which jobs that waited for their team's quota must end
      */
-    private static void assertAllJobsTerminate(
+    static void assertAllJobsTerminate(
             SimulatedCluster cluster, List<JobSpec> jobs, double settleSeconds, double runSeconds) {
         endAllFaults(cluster);
         cluster.runSeconds(settleSeconds);
@@ -194,7 +194,7 @@
     }
 
     /** Polls some jobs, and cancels some. */
-    private static void pollOrCancelJobs(
+    static void pollOrCancelJobs(
             SimulatedCluster cluster, Random random, List<JobSpec> jobs, int maxRequests) {
         for (int step = random.nextInt(maxRequests); step >= 0; step--) {
             JobSpec job = jobs.get(random.nextInt(jobs.size()));
@@ -208,7 +208,7 @@
     }
 
     /** Ends the faults after a random time, one after the other in random order. */
-    private static void endFaultsInRandomOrder(
+    static void endFaultsInRandomOrder(
             SimulatedCluster cluster, Random random, List<Runnable> ends) {
         cluster.runSeconds(random.nextInt(90));
         Collections.shuffle(ends, random);
@@ -266,7 +266,7 @@
         }
     }
 
-    private static JobSpec submitJobOfAnyTeam(SimulatedCluster cluster, Random random, int number) {
+    static JobSpec submitJobOfAnyTeam(SimulatedCluster cluster, Random random, int number) {
         JobKind kind = JOB_KINDS.get(random.nextInt(3));
         JobSpec plain =
                 SimulatedCluster.spec(number, kind, 1 + random.nextInt(4), 1 + random.nextInt(2));
@@ -340,8 +340,9 @@
         }
     }
 
-    private static void endAllFaults(SimulatedCluster cluster) {
+    static void endAllFaults(SimulatedCluster cluster) {
         cluster.network().stopDuplicatingMessages();
+        cluster.network().delayHeartbeatResponses(0, 0);
         cluster.store().setOutage(false);
         cluster.cloud().setOutage(false);
         for (int node = 0; node < 3; node++) {
--- /dev/null
+++ b/src/test/java/org/meadowhollow/simulation/RandomOvertakingTest.java
@@ -0,0 +1,93 @@
+package org.meadowhollow.simulation;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.LongStream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.meadowhollow.model.JobKind;
+import org.meadowhollow.model.JobSpec;
+import org.meadowhollow.model.Priority;
+
+/**
+ * Random days on which messages overtake one another, from fixed seeds; {@link SimulatedCluster}
+ * checks the protocol's rules at every step.
+ */
+class RandomOvertakingTest {
+    private static final int MACHINE_COUNT = 6;
+    private static final int ROUNDS = 10;
+    private static final int JOBS_PER_ROUND = 8;
+
+    /** Three times the time for which a gang's task waits for the others. */
+    private static final Duration MAX_IMAGE_PULL_TIME = Duration.ofSeconds(90);
+
+    private static LongStream seeds() {
+        // The system properties allow single runs with thousands of seeds.
+        return LongStream.rangeClosed(
+                Long.getLong("overtaking.first", 1), Long.getLong("overtaking.seeds", 40));
+    }
+
+    /**
+     * Heartbeat responses are late by up to 3.9 s, so that answers to direct commands overtake
+     * them, while gangs time out during image pulls, are preempted and cancelled.
+     */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void invariantsHoldWhenResponsesOvertakeOneAnother(long seed) {
+        Random random = new Random(seed);
+        SimulatedCluster cluster =
+                new SimulatedCluster().withTeam("team", 4, 16).withTeam("other", 4, 12);
+        if (seed % 3 == 0) {
+            cluster.enableStandbys();
+        }
+        for (int at = 0; at < MACHINE_COUNT; at++) {
+            cluster.addMachine(SimulatedCluster.LARGE, at % 2 == 0 ? "a" : "b");
+        }
+        cluster.runSeconds(10);
+        cluster.cloud().setOutage(true);
+        cluster.randomizeImagePulls(MAX_IMAGE_PULL_TIME, random.nextLong());
+        cluster.network()
+                .delayHeartbeatResponses(0.5 + 0.5 * random.nextDouble(), random.nextLong());
+        List<JobSpec> jobs = new ArrayList<>();
+        cluster.onGangTimeout(new GangDisturbance(cluster, random, jobs)::onGangTimeout);
+        for (int round = 0; round < ROUNDS; round++) {
+            for (int at = 0; at < JOBS_PER_ROUND; at++) {
+                JobSpec job = drawJob(random, jobs.size());
+                jobs.add(job);
+                cluster.users().submit(random.nextInt(3), job, drawRuntime(random, job));
+                cluster.runSeconds(random.nextInt(10));
+            }
+            List<Runnable> ends = new ArrayList<>();
+            if (random.nextInt(3) == 0) {
+                ends.add(Fault.injectBasic(cluster, random));
+            }
+            RandomFaultsTest.pollOrCancelJobs(cluster, random, jobs, 6);
+            RandomFaultsTest.endFaultsInRandomOrder(cluster, random, ends);
+        }
+        RandomFaultsTest.endAllFaults(cluster);
+        cluster.setImagePullTime(Duration.ofSeconds(2));
+        cluster.beginFaultFreePhase();
+        RandomFaultsTest.assertAllJobsTerminate(cluster, jobs, 60, 1200);
+    }
+
+    private static Duration drawRuntime(Random random, JobSpec job) {
+        return job.kind() == JobKind.SERVICE ? null : Duration.ofSeconds(5 + random.nextInt(60));
+    }
+
+    /** Draws a job, in most cases a gang of tasks that need a large part of a machine. */
+    private static JobSpec drawJob(Random random, int number) {
+        JobKind kind =
+                random.nextInt(3) > 0
+                        ? JobKind.GANG
+                        : random.nextBoolean() ? JobKind.ARRAY : JobKind.SERVICE;
+        int tasks = kind == JobKind.GANG ? 2 + random.nextInt(2) : 1;
+        return JobSpecBuilder.from(
+                        SimulatedCluster.spec(number, kind, tasks, 2 + random.nextInt(4)))
+                .team(random.nextBoolean() ? "other" : "team")
+                .priority(random.nextBoolean() ? Priority.NORMAL : Priority.LOW)
+                .image("image-" + number)
+                .build();
+    }
+}
--- a/src/test/java/org/meadowhollow/simulation/SimulatedCluster.java
+++ b/src/test/java/org/meadowhollow/simulation/SimulatedCluster.java
@@ -6,8 +6,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import org.meadowhollow.coordination.ControllerNode;
 import org.meadowhollow.coordination.api.DeploymentSettings;
 import org.meadowhollow.coordination.failover.StandbySettings;
@@ -20,6 +22,7 @@
 import org.meadowhollow.model.JobSpec;
 import org.meadowhollow.model.MachineId;
 import org.meadowhollow.model.MachineType;
+import org.meadowhollow.model.MonotonicTime;
 import org.meadowhollow.model.Priority;
 import org.meadowhollow.model.Resources;
 import org.meadowhollow.model.Revision;
@@ -80,6 +83,11 @@
     private AssertionError violation;
 
     private Duration imagePullTime = Duration.ofSeconds(2);
+
+    /** Draws the durations of image pulls; null while all pulls take the same time. */
+    private RandomImagePulls imagePulls;
+
+    private Consumer<JobSpec> gangTimeoutAction = gang -> {};
     private ReservationSettings reservationSettings = ReservationSettings.OFF;
     private StandbySettings standbySettings = StandbySettings.DISABLED;
     private int lastMachineNumber;
@@ -209,15 +217,38 @@
         return nextSeed++;
     }
 
-    /** Sets how long every image pull takes. */
+    /** Sets how long every image pull takes, and disables the image caches of the machines. */
     void setImagePullTime(Duration time) {
         imagePullTime = time;
+        imagePulls = null;
     }
 
     Duration imagePullTime() {
         return imagePullTime;
     }
 
+    /** Draws the duration of each image pull, up to a maximum; machines cache their images. */
+    void randomizeImagePulls(Duration max, long seed) {
+        imagePulls = new RandomImagePulls(max, new Random(seed));
+    }
+
+    /** Returns when a machine has the image of a job that is started on it now. */
+    MonotonicTime imagePulledAt(MachineId machine, JobId job) {
+        return imagePulls == null
+                ? loop.now().plus(imagePullTime)
+                : imagePulls.pulledAt(machine, spec(job).image(), loop.now());
+    }
+
+    /** Sets an action that runs when a gang's task times out waiting for the others. */
+    void onGangTimeout(Consumer<JobSpec> action) {
+        gangTimeoutAction = action;
+    }
+
+    /** Called when a gang's task has timed out waiting for the others. */
+    void onGangTimeout(TaskId task) {
+        gangTimeoutAction.accept(spec(task.jobId()));
+    }
+
     // ---- nodes ----
 
     List<SimulatedNode> nodes() {
--- a/src/test/java/org/meadowhollow/simulation/SimulatedNetwork.java
+++ b/src/test/java/org/meadowhollow/simulation/SimulatedNetwork.java
@@ -10,6 +10,7 @@
 import org.meadowhollow.coordination.api.HeartbeatResponse;
 import org.meadowhollow.coordination.api.RiskTableDelta;
 import org.meadowhollow.model.Heartbeat;
+import org.meadowhollow.model.MachineId;
 
 /**
  * Delivers heartbeats, and holds the faults of messages between nodes and workers: duplicates,
@@ -28,6 +29,9 @@
     private static final int LATE_HEARTBEAT_RANGE_MILLIS = 40_000;
     private static final int MAX_KEPT_HEARTBEATS = 1000;
 
+    /** Longest delay of a heartbeat response: below the 4 s after which workers drop it. */
+    private static final Duration MAX_RESPONSE_DELAY = Duration.ofMillis(3900);
+
     private final SimulatedCluster cluster;
 
     /** Chooses the messages that are duplicated; null if none are. */
@@ -45,6 +49,14 @@
     private final List<Heartbeat> keptHeartbeats = new ArrayList<>();
     private int deliveredToNextLeaderCount;
 
+    /** Chooses the heartbeats whose responses are delayed; null if none are. */
+    private Random responseDelayRandom;
+
+    private double delayedResponseShare;
+
+    /** The only machine whose responses are delayed; null if it can be any. */
+    private MachineId delayedMachine;
+
     /** Direct commands that are held back; null if they are delivered normally. */
     private List<Runnable> heldCommands;
 
@@ -53,6 +65,7 @@
     private Duration riskTableDelay = Duration.ofMillis(5);
     private int directMessageCount;
     private int heartbeatCount;
+    private int delayedResponseCount;
 
     SimulatedNetwork(SimulatedCluster cluster) {
         this.cluster = cluster;
@@ -111,13 +124,55 @@
                                             response -> {
                                                 if (node.controller() == process
                                                         && node.reachesZone(heartbeat.zone())) {
-                                                    answer.complete(response);
+                                                    deliverResponse(heartbeat, response, answer);
                                                 }
                                             });
                 });
         return answer;
     }
 
+    private void deliverResponse(
+            Heartbeat heartbeat,
+            HeartbeatResponse response,
+            CompletableFuture<HeartbeatResponse> answer) {
+        boolean isDelayed =
+                responseDelayRandom != null
+                        && (delayedMachine == null || delayedMachine.equals(heartbeat.machineId()))
+                        && responseDelayRandom.nextDouble() < delayedResponseShare;
+        if (!isDelayed) {
+            answer.complete(response);
+            return;
+        }
+        Duration delay =
+                delayedMachine != null
+                        ? MAX_RESPONSE_DELAY
+                        : Duration.ofMillis(
+                                responseDelayRandom.nextInt((int) MAX_RESPONSE_DELAY.toMillis()));
+        delayedResponseCount++;
+        cluster.loop().schedule(delay, () -> answer.complete(response));
+    }
+
+    /**
+     * Delays a share of the heartbeat responses by up to 3.9 s, so that the answers to direct
+     * commands overtake them; share 0 ends it.
+     */
+    void delayHeartbeatResponses(double share, long seed) {
+        responseDelayRandom = share == 0 ? null : new Random(seed);
+        delayedResponseShare = share;
+        delayedMachine = null;
+    }
+
+    /** Delays all heartbeat responses to one machine by 3.9 s; null ends it. */
+    void delayHeartbeatResponsesTo(MachineId machine) {
+        delayHeartbeatResponses(machine == null ? 0 : 1, 0);
+        delayedMachine = machine;
+    }
+
+    /** Returns the number of heartbeat responses that were delayed. */
+    int delayedResponseCount() {
+        return delayedResponseCount;
+    }
+
     private static boolean deliverWithoutAnswer(SimulatedNode node, Heartbeat heartbeat) {
         if (!node.isResponsive()) {
             return false;
--- a/src/test/java/org/meadowhollow/simulation/StaleHeartbeatScenarioTest.java
+++ b/src/test/java/org/meadowhollow/simulation/StaleHeartbeatScenarioTest.java
@@ -63,11 +63,7 @@
         assertTrue(cluster.users().submit(0, gang, HOURS_RUNTIME));
         cluster.runSeconds(10);
         TaskId first = new TaskId(gang.id(), 0);
-        FakeWorker worker =
-                cluster.workers().stream()
-                        .filter(one -> one.hasTask(first))
-                        .findFirst()
-                        .orElseThrow();
+        FakeWorker worker = machineWith(first);
         assertTrue(
                 cluster.users()
                         .submit(
@@ -112,11 +108,7 @@
         cluster.runSeconds(8);
         cluster.cloud().setOutage(true);
         TaskId first = new TaskId(gang.id(), 0);
-        FakeWorker worker =
-                cluster.workers().stream()
-                        .filter(one -> one.hasTask(first))
-                        .findFirst()
-                        .orElseThrow();
+        FakeWorker worker = machineWith(first);
         worker.failTask(first);
         cluster.network().keepHeartbeatForNextLeader(worker);
         worker.setHung(true);
