Cache a job's status only from reads sent after changes were followed

Cause: JobStatusCache kept what a read found although the read was sent before the revision was known from which changes are followed. The read could be older than that revision, and the job's end between the two was never applied. Change: CacheVersion, which each read carries, tells whether changes were followed when it was sent; what an earlier read found is not cached, and the job is read once more for the cache. In a strongly consistent store a read that was sent after a revision was received is not older than it.

--- a/src/main/java/org/meadowhollow/coordination/admission/JobRecordReader.java
+++ b/src/main/java/org/meadowhollow/coordination/admission/JobRecordReader.java
@@ -49,12 +49,35 @@
                                 return readFinished(id);
                             }
                             StoredJob job = toStoredJob(live.get(), false);
-                            statusCache.recordRead(
-                                    id, job.revision(), job.isCancelled(), versionAtRead);
+                            if (cache(id, job, versionAtRead)) {
+                                readAgainToCache(id);
+                            }
                             return CompletableFuture.completedFuture(Optional.of(job));
                         });
     }
 
+    private boolean cache(JobId id, StoredJob job, JobStatusCache.CacheVersion versionAtRead) {
+        return statusCache.recordRead(id, job.revision(), job.isCancelled(), versionAtRead);
+    }
+
+    /**
+     * Reads a live job for the cache alone. The users that ask about it at the same time would
+     * otherwise cause a read each, until one that was sent later is answered.
+     */
+    private void readAgainToCache(JobId id) {
+        JobStatusCache.CacheVersion versionAtRead = statusCache.beginRead();
+        CompletableFuture<Void> unusedResult =
+                store.get(RecordKeys.job(id), RequestPriority.BACKGROUND)
+                        .thenAccept(
+                                live ->
+                                        live.ifPresent(
+                                                entry ->
+                                                        cache(
+                                                                id,
+                                                                toStoredJob(entry, false),
+                                                                versionAtRead)));
+    }
+
     /** Reads a job that is known to have finished; empty if its record is gone. */
     CompletableFuture<Optional<StoredJob>> readFinished(JobId id) {
         return store.get(RecordKeys.endedJob(id), RequestPriority.USER)
--- a/src/main/java/org/meadowhollow/coordination/admission/JobStatusCache.java
+++ b/src/main/java/org/meadowhollow/coordination/admission/JobStatusCache.java
@@ -16,6 +16,8 @@
 import org.meadowhollow.storage.KeyValueStoreException;
 import org.meadowhollow.storage.KeyValueStoreException.Outcome;
 import org.meadowhollow.storage.RecordKeys;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Caches the states of live jobs as this node last saw them, for users who poll. A cached state may
@@ -31,6 +33,8 @@
  * <p>Thread-safe: guarded by its own monitor. Requests are sent and readers completed outside it.
  */
 final class JobStatusCache {
+    private static final Logger LOG = LoggerFactory.getLogger(JobStatusCache.class);
+
     /**
      * The minimum time between the starts of two syncs of a node: too short for a user to notice,
      * and long enough that syncs take only a few requests per second of the key-value store's
@@ -75,9 +79,13 @@
 
     /**
      * Identifies the contents of the cache when a read was sent. The result of the read is not
-     * cached if anything was dropped from the cache in the meantime.
+     * cached if anything was dropped from the cache in the meantime, or if changes were not
+     * followed yet.
+     *
+     * @param isFollowed whether all changes after the read are going to be applied: the store
+     *     executes the read after it returned the revision from which changes are followed
      */
-    record CacheVersion(int generation, long evictions) {}
+    record CacheVersion(int generation, long evictions, boolean isFollowed) {}
 
     /**
      * One request to the change feed.
@@ -171,7 +179,7 @@
                 reset();
             }
             shouldStartFollowing = syncedRevision == null && isFollowingChanges();
-            version = entries.version();
+            version = version();
         }
         if (shouldStartFollowing) {
             scheduleSync();
@@ -186,18 +194,38 @@
                 && loop.now().elapsedSince(lastSyncStartedAt).compareTo(IDLE_RESET_INTERVAL) > 0;
     }
 
+    @GuardedBy("this")
+    private CacheVersion version() {
+        return new CacheVersion(
+                entries.generation(),
+                entries.evictions(),
+                syncedRevision != null && isFollowingChanges());
+    }
+
     /**
-     * Caches the state of a live job that a read found, unless anything was dropped from the cache
-     * since the read was sent: that may have been a later state of the same job.
+     * Caches the state of a live job that a read found. The state is not cached if anything was
+     * dropped from the cache since the read was sent, which may have been a later state of the same
+     * job; nor if changes were not followed when the read was sent. Such a read may be older than
+     * the revision from which changes are followed, and a change in between, such as the job's end,
+     * would never be applied.
+     *
+     * @return whether the job should be read again to be cached: changes are followed by now, but
+     *     were not when the read was sent
      */
-    synchronized void recordRead(
+    synchronized boolean recordRead(
             JobId id, Revision revision, boolean cancelled, CacheVersion versionAtRead) {
-        if (syncedRevision != null
-                && isFollowingChanges()
-                && versionAtRead.equals(entries.version())) {
+        CacheVersion current = version();
+        if (versionAtRead.isFollowed() && versionAtRead.equals(current)) {
             CachedStatus status = cancelled ? CachedStatus.CANCELLED : CachedStatus.LIVE;
+            LOG.debug(
+                    "job status cached job={} status={} revision={} followed_revision={}",
+                    id,
+                    status,
+                    revision.value(),
+                    syncedRevision.value());
             entries.update(id, status, revision);
         }
+        return current.isFollowed() && !versionAtRead.isFollowed();
     }
 
     /**
@@ -339,6 +367,9 @@
         if (syncedRevision != null && !changes.revision().isAfter(syncedRevision)) {
             return;
         }
+        if (syncedRevision == null) {
+            LOG.debug("job changes followed from_revision={}", changes.revision().value());
+        }
         for (KeyValueStore.Change change : changes.changes()) {
             entries.update(
                     RecordKeys.jobIdOfKey(change.key()), statusAfter(change), change.revision());
--- a/src/main/java/org/meadowhollow/coordination/admission/JobStatusEntries.java
+++ b/src/main/java/org/meadowhollow/coordination/admission/JobStatusEntries.java
@@ -10,8 +10,8 @@
 /**
  * The bounded table of job states in a {@link JobStatusCache}, which guards it by its monitor. The
  * job that was added first is evicted first. A cached state is only replaced by that of a later
- * revision; since the revision is lost when an entry is evicted, {@link #version} shows whether
- * that has happened.
+ * revision; since the revision is lost when an entry is dropped, {@link #generation} and {@link
+ * #evictions} show whether that has happened.
  */
 final class JobStatusEntries {
     /**
@@ -57,8 +57,8 @@
         return generation;
     }
 
-    /** The version of the table, which changes whenever an entry is dropped. */
-    JobStatusCache.CacheVersion version() {
-        return new JobStatusCache.CacheVersion(generation, evictions);
+    /** The number of entries that were evicted one by one. */
+    long evictions() {
+        return evictions;
     }
 }
--- a/src/test/java/org/meadowhollow/coordination/admission/JobStatusCacheTest.java
+++ b/src/test/java/org/meadowhollow/coordination/admission/JobStatusCacheTest.java
@@ -1,6 +1,7 @@
 package org.meadowhollow.coordination.admission;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.lang.reflect.Proxy;
@@ -17,7 +18,7 @@
 import org.meadowhollow.storage.KeyValueStore;
 import org.meadowhollow.storage.RecordKeys;
 
-/** Tests that the cache restores no stale state when syncs are answered out of order. */
+/** Tests that the cache keeps no stale state when requests are answered out of order. */
 class JobStatusCacheTest {
     private static final JobId JOB = new JobId("req-1");
 
@@ -25,10 +26,11 @@
     private final List<CompletableFuture<KeyValueStore.ChangeBatch>> watchRequests =
             new ArrayList<>();
 
-    /**
-     * Answers list requests at once with an empty page; the test completes the watch requests
-     * itself.
-     */
+    /** The answer to list requests: an empty page, at once unless a test replaces it. */
+    private CompletableFuture<KeyValueStore.Page> firstPage =
+            CompletableFuture.completedFuture(emptyPageAt(10));
+
+    /** The test completes the watch requests itself. */
     private final KeyValueStore store =
             (KeyValueStore)
                     Proxy.newProxyInstance(
@@ -36,12 +38,7 @@
                             new Class<?>[] {KeyValueStore.class},
                             (proxy, method, arguments) ->
                                     switch (method.getName()) {
-                                        case "list" ->
-                                                CompletableFuture.completedFuture(
-                                                        new KeyValueStore.Page(
-                                                                List.of(),
-                                                                false,
-                                                                new Revision(10)));
+                                        case "list" -> firstPage;
                                         case "watch" -> {
                                             watchRequests.add(new CompletableFuture<>());
                                             yield watchRequests.get(watchRequests.size() - 1);
@@ -53,6 +50,10 @@
 
     private final JobStatusCache cache = new JobStatusCache(store, loop);
 
+    private static KeyValueStore.Page emptyPageAt(long revision) {
+        return new KeyValueStore.Page(List.of(), false, new Revision(revision));
+    }
+
     private static KeyValueStore.Change change(boolean cancelled, long revision) {
         return new KeyValueStore.Change(
                 RecordKeys.job(JOB), Map.of("cancelled", cancelled), new Revision(revision));
@@ -63,6 +64,23 @@
         return new KeyValueStore.ChangeBatch(new Revision(revision), List.of(changes));
     }
 
+    /**
+     * Guards against a finished job that stays live in the cache: it was read before the revision
+     * from which changes are followed was known, so its end may be among the changes before it.
+     */
+    @Test
+    void readSentBeforeChangesAreFollowedIsNotCached() {
+        firstPage = new CompletableFuture<>();
+        JobStatusCache.CacheVersion versionAtRead = cache.beginRead();
+        firstPage.complete(emptyPageAt(10));
+        assertTrue(
+                cache.recordRead(JOB, new Revision(5), false, versionAtRead),
+                "it has to be read again");
+        assertEquals(Optional.empty(), cache.cachedStatus(JOB));
+        assertFalse(cache.recordRead(JOB, new Revision(5), false, cache.beginRead()));
+        assertEquals(Optional.of(JobStatusCache.CachedStatus.LIVE), cache.cachedStatus(JOB));
+    }
+
     /**
      * The sync sent first is answered last, after the state that the second one returned has been
      * evicted.
--- a/src/test/java/org/meadowhollow/simulation/FakeStoreConnection.java
+++ b/src/test/java/org/meadowhollow/simulation/FakeStoreConnection.java
@@ -32,8 +32,12 @@
     private static final int MIN_COMMIT_DELAY_MILLIS = 2000;
     private static final int COMMIT_DELAY_RANGE_MILLIS = 10_000;
 
+    /** Stands for the key of a request that concerns no single key or prefix. */
+    private static final String NO_KEY = "";
+
     private final FakeKeyValueStore store;
     private final EventLoop loop;
+    private final MessageDelays messageDelays = new MessageDelays();
 
     /** Delivers responses to the client's process, which may be paused. */
     private Executor responseExecutor = Runnable::run;
@@ -181,6 +185,11 @@
         lostResponseShare = share;
     }
 
+    /** Returns the delays with which messages overtake one another; none at first. */
+    MessageDelays messageDelays() {
+        return messageDelays;
+    }
+
     /** Closes the connection when the client's process ends: no response is delivered any more. */
     void close() {
         isClosed = true;
@@ -234,7 +243,7 @@
     @Override
     public CompletableFuture<Optional<Entry>> get(String key, RequestPriority requestPriority) {
         readCount++;
-        return call(() -> store.get(key));
+        return call(key, () -> store.get(key));
     }
 
     @Override
@@ -242,6 +251,7 @@
             String prefix, String after, int limit, RequestPriority requestPriority) {
         pageReadCount += prefix.equals(RecordKeys.LEADER_KEY) ? 0 : 1;
         return call(
+                prefix,
                 () -> {
                     if (prefix.startsWith(hiddenPrefix)) {
                         throw new RequestRejectedException("listing of a hidden prefix");
@@ -264,7 +274,7 @@
         boolean previouslyHeld = holdsRequests;
         holdsRequests |= holdsCommits;
         try {
-            return call(() -> store.commit(transaction));
+            return call(NO_KEY, () -> store.commit(transaction));
         } finally {
             holdsRequests = previouslyHeld;
         }
@@ -297,7 +307,7 @@
     private CompletableFuture<CommitResult> commitWithoutResponse(Transaction transaction) {
         CompletableFuture<CommitResult> answer = new CompletableFuture<>();
         CompletableFuture<Void> unused =
-                call(() -> store.commit(transaction))
+                call(NO_KEY, () -> store.commit(transaction))
                         .thenAccept(result -> lostCommitCount += result.isApplied() ? 1 : 0);
         loop.schedule(store.requestTimeout(), () -> fail(answer, Outcome.INDETERMINATE));
         return answer;
@@ -305,12 +315,13 @@
 
     @Override
     public CompletableFuture<LeaseId> grantLease(Duration ttl) {
-        return call(() -> store.grantLease(ttl));
+        return call(NO_KEY, () -> store.grantLease(ttl));
     }
 
     @Override
     public CompletableFuture<Void> renewLease(LeaseId lease) {
         return call(
+                NO_KEY,
                 () -> {
                     store.renewLease(lease);
                     return null;
@@ -320,6 +331,7 @@
     @Override
     public CompletableFuture<Void> revokeLease(LeaseId lease) {
         return call(
+                NO_KEY,
                 () -> {
                     store.revokeLease(lease);
                     return null;
@@ -333,30 +345,43 @@
         if (seemsUnavailable()) {
             loop.schedule(store.latency(), () -> fail(answer, Outcome.REJECTED));
         } else {
-            pollChanges(answer, prefix, after, loop.now().plus(maxWait));
+            openWatch(answer, prefix, after, maxWait);
         }
         return answer;
     }
 
+    private void openWatch(
+            CompletableFuture<ChangeBatch> answer,
+            String prefix,
+            Revision after,
+            Duration maxWait) {
+        Duration delay = messageDelays.nextRequestDelay(prefix);
+        if (delay.isZero()) {
+            pollChanges(answer, prefix, after, loop.now().plus(maxWait));
+            return;
+        }
+        loop.schedule(delay, () -> pollChanges(answer, prefix, after, loop.now().plus(maxWait)));
+    }
+
     @Override
     public boolean seemsUnavailable() {
         return store.hasOutage() || refusesRequests;
     }
 
-    private <T> CompletableFuture<T> call(Supplier<T> operation) {
+    private <T> CompletableFuture<T> call(String key, Supplier<T> operation) {
         CompletableFuture<T> answer = new CompletableFuture<>();
-        Runnable request = () -> execute(operation, answer);
+        Runnable request = () -> execute(key, operation, answer);
         if (holdsRequests) {
             heldRequests.add(request);
         } else {
-            loop.schedule(store.latency(), request);
+            loop.schedule(store.latency().plus(messageDelays.nextRequestDelay(key)), request);
         }
         requestDuplicator.accept(() -> executeDuplicate(operation));
         loop.schedule(store.requestTimeout(), () -> fail(answer, Outcome.INDETERMINATE));
         return answer;
     }
 
-    private <T> void execute(Supplier<T> operation, CompletableFuture<T> answer) {
+    private <T> void execute(String key, Supplier<T> operation, CompletableFuture<T> answer) {
         store.expireLeases();
         if (seemsUnavailable()) {
             fail(answer, Outcome.REJECTED);
@@ -365,13 +390,17 @@
         try {
             T result = operation.get();
             if (!losesResponses) {
-                loop.schedule(store.latency(), () -> complete(answer, result));
+                loop.schedule(responseDelay(key), () -> complete(answer, result));
             }
         } catch (KeyValueStoreException failure) {
             fail(answer, failure.outcome());
         }
     }
 
+    private Duration responseDelay(String key) {
+        return store.latency().plus(messageDelays.nextResponseDelay(key));
+    }
+
     private <T> void executeDuplicate(Supplier<T> operation) {
         store.expireLeases();
         if (seemsUnavailable()) {
@@ -431,7 +460,7 @@
         if (!changes.isEmpty() || deadline.isBefore(loop.now())) {
             // A client whose changes are hidden does not learn the store's revision either.
             ChangeBatch batch = new ChangeBatch(hidesChanges ? after : store.revision(), changes);
-            loop.schedule(store.latency(), () -> complete(answer, batch));
+            loop.schedule(responseDelay(prefix), () -> complete(answer, batch));
         } else if (!isClosed) {
             loop.schedule(WATCH_POLL_INTERVAL, () -> pollChanges(answer, prefix, after, deadline));
         }
--- a/src/test/java/org/meadowhollow/simulation/RandomFaultsTest.java
+++ b/src/test/java/org/meadowhollow/simulation/RandomFaultsTest.java
@@ -349,6 +349,7 @@
             cluster.storeConnection(node).refuseRequests(false);
             cluster.storeConnection(node).loseResponses(false);
             cluster.storeConnection(node).holdRequests(false);
+            cluster.storeConnection(node).messageDelays().clear();
             cluster.cutFromWorkers(node, false);
             cluster.restart(node);
         }
--- a/src/test/java/org/meadowhollow/simulation/RandomOvertakingTest.java
+++ b/src/test/java/org/meadowhollow/simulation/RandomOvertakingTest.java
@@ -19,6 +19,8 @@
     private static final int MACHINE_COUNT = 6;
     private static final int ROUNDS = 10;
     private static final int JOBS_PER_ROUND = 8;
+    private static final int QUIET_ROUNDS = 12;
+    private static final int JOBS_PER_QUIET_ROUND = 6;
 
     /** Three times the time for which a gang's task waits for the others. */
     private static final Duration MAX_IMAGE_PULL_TIME = Duration.ofSeconds(90);
@@ -31,7 +33,8 @@
 
     /**
      * Heartbeat responses are late by up to 3.9 s, so that answers to direct commands overtake
-     * them, while gangs time out during image pulls, are preempted and cancelled.
+     * them, and messages of the store by up to 400 ms, while gangs time out during image pulls, are
+     * preempted and cancelled.
      */
     @ParameterizedTest
     @MethodSource("seeds")
@@ -50,6 +53,7 @@
         cluster.randomizeImagePulls(MAX_IMAGE_PULL_TIME, random.nextLong());
         cluster.network()
                 .delayHeartbeatResponses(0.5 + 0.5 * random.nextDouble(), random.nextLong());
+        delayStoreMessages(cluster, random);
         List<JobSpec> jobs = new ArrayList<>();
         cluster.onGangTimeout(new GangDisturbance(cluster, random, jobs)::onGangTimeout);
         for (int round = 0; round < ROUNDS; round++) {
@@ -68,6 +72,8 @@
         }
         RandomFaultsTest.endAllFaults(cluster);
         cluster.setImagePullTime(Duration.ofSeconds(2));
+        // Tasks that still pull images use their teams' quotas, but are not on their machines yet.
+        cluster.run(MAX_IMAGE_PULL_TIME);
         cluster.beginFaultFreePhase();
         RandomFaultsTest.assertAllJobsTerminate(cluster, jobs, 60, 1200);
     }
@@ -76,6 +82,61 @@
         return job.kind() == JobKind.SERVICE ? null : Duration.ofSeconds(5 + random.nextInt(60));
     }
 
+    /**
+     * Messages to and from the store are late by up to 400 ms at all nodes, and users first poll a
+     * job as it ends, at nodes that nobody has asked for a while.
+     */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void answersNeverGoBackWhenStoreMessagesOvertakeOneAnother(long seed) {
+        Random random = new Random(seed);
+        SimulatedCluster cluster = new SimulatedCluster();
+        if (seed % 3 == 0) {
+            cluster.enableStandbys();
+        }
+        RandomFaultsTest.addSixMachines(cluster);
+        cluster.runSeconds(10);
+        cluster.users().pollAtReportedCompletion(random.nextLong());
+        List<JobSpec> jobs = new ArrayList<>();
+        for (int round = 0; round < QUIET_ROUNDS; round++) {
+            delayStoreMessages(cluster, random);
+            int node = random.nextInt(cluster.nodeCount());
+            for (int at = 0; at < JOBS_PER_QUIET_ROUND; at++) {
+                JobSpec job = SimulatedCluster.spec(jobs.size(), JobKind.ARRAY, 1, 1);
+                jobs.add(job);
+                cluster.users().submit(node, job, Duration.ofSeconds(25 + random.nextInt(10)));
+            }
+            List<Runnable> ends = new ArrayList<>();
+            if (random.nextInt(4) == 0) {
+                ends.add(Fault.injectBasic(cluster, random));
+            }
+            cluster.runSeconds(45);
+            ends.forEach(Runnable::run);
+            pollAllJobs(cluster, jobs.subList(jobs.size() - JOBS_PER_QUIET_ROUND, jobs.size()));
+            cluster.runSeconds(25);
+        }
+        RandomFaultsTest.endAllFaults(cluster);
+        cluster.beginFaultFreePhase();
+        RandomFaultsTest.assertAllJobsTerminate(cluster, jobs, 30, 300);
+    }
+
+    private static void delayStoreMessages(SimulatedCluster cluster, Random random) {
+        for (int node = 0; node < cluster.nodeCount(); node++) {
+            cluster.storeConnection(node)
+                    .messageDelays()
+                    .delayRandomly(0.3 + 0.5 * random.nextDouble(), random.nextLong());
+        }
+    }
+
+    /** Polls jobs at all nodes; the history checker compares the answers. */
+    private static void pollAllJobs(SimulatedCluster cluster, List<JobSpec> jobs) {
+        for (JobSpec job : jobs) {
+            for (int node = 0; node < cluster.nodeCount(); node++) {
+                cluster.users().poll(node, job.id());
+            }
+        }
+    }
+
     /** Draws a job, in most cases a gang of tasks that need a large part of a machine. */
     private static JobSpec drawJob(Random random, int number) {
         JobKind kind =
--- a/src/test/java/org/meadowhollow/simulation/ReadYourWritesScenarioTest.java
+++ b/src/test/java/org/meadowhollow/simulation/ReadYourWritesScenarioTest.java
@@ -16,6 +16,8 @@
 import org.meadowhollow.coordination.admission.AdmissionService.Phase;
 import org.meadowhollow.model.JobKind;
 import org.meadowhollow.model.JobSpec;
+import org.meadowhollow.model.TaskId;
+import org.meadowhollow.storage.RecordKeys;
 
 /**
  * Users who poll all controllers within milliseconds, and transactions of which only the response
@@ -224,6 +226,51 @@
                 "polled each millisecond until it was done");
     }
 
+    /**
+     * Guards against a finished job that a controller calls live for good: it is first asked as the
+     * job ends, reads the record before the end, and learns from which revision on it follows the
+     * changes only after it.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void jobFirstPolledAsItEndsIsNotCachedAsLive(boolean cancelled) {
+        JobSpec job = SimulatedCluster.spec(1, JobKind.ARRAY, 1, 1);
+        int leader = cluster.leader();
+        int node = nodeAfter(leader, 1);
+        assertTrue(cluster.users().submit(leader, job, cancelled ? HOURS_RUNTIME : SHORT_RUNTIME));
+        for (int step = 0; step < 60 && !isAboutToEnd(job, cancelled); step++) {
+            cluster.run(Duration.ofMillis(250));
+        }
+        MessageDelays delays = cluster.storeConnection(node).messageDelays();
+        delays.delayRequests(RecordKeys.LEADER_KEY, Duration.ofMillis(300));
+        delays.delayResponses(RecordKeys.job(job.id()), Duration.ofMillis(400));
+        if (cancelled) {
+            cluster.users().pollAsync(node, job.id());
+            assertTrue(cluster.users().cancel(leader, job.id()));
+        } else {
+            // The worker reports the completion half a second after it has connected.
+            machineWith(new TaskId(job.id(), 0)).connectTo(leader);
+            cluster.loop()
+                    .schedule(
+                            Duration.ofMillis(450),
+                            () -> cluster.users().pollAsync(node, job.id()));
+        }
+        cluster.runSeconds(3);
+        delays.clear();
+        assertEquals(0, cluster.store().recordCount("job/"), "the job has ended");
+        for (int poll = 0; poll < 4; poll++) {
+            assertEveryControllerReports(cancelled ? Phase.CANCELLED : Phase.DONE, job);
+            cluster.runSeconds(4);
+        }
+    }
+
+    /** Whether a job's task has completed, or runs if it is going to be cancelled. */
+    private boolean isAboutToEnd(JobSpec job, boolean cancelled) {
+        return cancelled
+                ? allTasksRunning(job)
+                : cluster.historyChecker().isCompleted(new TaskId(job.id(), 0));
+    }
+
     /** A cancellation has read the live record, and its write arrives after the job's end. */
     @Test
     void delayedCancellationAfterCompletionHasNoEffect() {
--- a/src/test/java/org/meadowhollow/simulation/SimulatedNetwork.java
+++ b/src/test/java/org/meadowhollow/simulation/SimulatedNetwork.java
@@ -9,6 +9,7 @@
 import org.meadowhollow.coordination.ControllerNode;
 import org.meadowhollow.coordination.api.HeartbeatResponse;
 import org.meadowhollow.coordination.api.RiskTableDelta;
+import org.meadowhollow.model.ExitReason;
 import org.meadowhollow.model.Heartbeat;
 import org.meadowhollow.model.MachineId;
 
@@ -112,6 +113,7 @@
             return answer;
         }
         heartbeatCount++;
+        notifyUsersOfCompletions(heartbeat);
         keepForNextLeader(heartbeat);
         duplicateLate(node, heartbeat);
         maybeDuplicate(() -> deliverWithoutAnswer(node, heartbeat));
@@ -131,6 +133,14 @@
         return answer;
     }
 
+    private void notifyUsersOfCompletions(Heartbeat heartbeat) {
+        for (Heartbeat.TaskStatus status : heartbeat.tasks()) {
+            if (status.exitReason() == ExitReason.DONE) {
+                cluster.users().onCompletionReported(status.taskId().jobId());
+            }
+        }
+    }
+
     private void deliverResponse(
             Heartbeat heartbeat,
             HeartbeatResponse response,
--- a/src/test/java/org/meadowhollow/simulation/SimulatedUsers.java
+++ b/src/test/java/org/meadowhollow/simulation/SimulatedUsers.java
@@ -41,6 +41,9 @@
         CompletableFuture<T> send(AdmissionService admissionService);
     }
 
+    /** About the time until the leader has written the end of a job. */
+    private static final int MAX_COMPLETION_POLL_DELAY_MILLIS = 100;
+
     private final SimulatedCluster cluster;
     private final HistoryChecker historyChecker;
 
@@ -53,6 +56,12 @@
     private Random cancelRandom;
 
     private double cancelledShare;
+
+    /** Chooses when and where completed jobs are polled; null if they are not polled then. */
+    private Random completionPollRandom;
+
+    private final Set<JobId> polledAtCompletion = new HashSet<>();
+
     private int asyncAnswerCount;
     private int pollCount;
 
@@ -220,6 +229,22 @@
         }
     }
 
+    /** Makes users poll each job at one node when a worker reports its completion. */
+    void pollAtReportedCompletion(long seed) {
+        completionPollRandom = new Random(seed);
+    }
+
+    /** Called when a heartbeat reports a completed task; users may poll its job just then. */
+    void onCompletionReported(JobId id) {
+        if (completionPollRandom == null || !polledAtCompletion.add(id)) {
+            return;
+        }
+        int node = completionPollRandom.nextInt(cluster.nodeCount());
+        Duration delay =
+                Duration.ofMillis(completionPollRandom.nextInt(MAX_COMPLETION_POLL_DELAY_MILLIS));
+        cluster.loop().schedule(delay, () -> pollAsync(node, id));
+    }
+
     /** Returns the jobs with running tasks that were not reported to any user as ended. */
     List<JobSpec> runningJobs() {
         return cluster.knownJobs().stream()
