Split the planning of worker commands from HeartbeatReconciler

Change: WorkerCommandPlanner determines the commands of a response; Placement.isStartSettledBy includes the fencing token; the lookups of listed tasks and placements move to Heartbeat and Machine. No change of behaviour.

--- a/src/main/java/org/meadowhollow/coordination/LeaderParts.java
+++ b/src/main/java/org/meadowhollow/coordination/LeaderParts.java
@@ -18,6 +18,7 @@
 import org.meadowhollow.coordination.reconciliation.HeartbeatHandler;
 import org.meadowhollow.coordination.reconciliation.HeartbeatReconciler;
 import org.meadowhollow.coordination.reconciliation.RiskTableUpdater;
+import org.meadowhollow.coordination.reconciliation.WorkerCommandPlanner;
 import org.meadowhollow.coordination.recovery.JobRecordApplier;
 import org.meadowhollow.coordination.recovery.RecordRestorer;
 import org.meadowhollow.coordination.recovery.RecoveryContext;
@@ -215,7 +216,6 @@
                                 clusterState,
                                 term.handoverState(),
                                 standbySupport.riskTablePublisher()),
-                        leadership,
                         term.fencingToken(),
                         stateRecovery::isComplete);
         return new HeartbeatHandler(
@@ -224,6 +224,7 @@
                 clusterState,
                 machineRegistry,
                 heartbeatReconciler,
+                new WorkerCommandPlanner(taskLifecycle, leadership, term.fencingToken()),
                 unreachableReturnPolicy,
                 recordWriter);
     }
--- a/src/main/java/org/meadowhollow/coordination/reconciliation/HeartbeatHandler.java
+++ b/src/main/java/org/meadowhollow/coordination/reconciliation/HeartbeatHandler.java
@@ -61,6 +61,7 @@
     private final ClusterState clusterState;
     private final MachineRegistry machineRegistry;
     private final HeartbeatReconciler heartbeatReconciler;
+    private final WorkerCommandPlanner commandPlanner;
     private final UnreachableMachineReturnPolicy unreachableReturnPolicy;
     private final RecordWriter recordWriter;
 
@@ -82,6 +83,7 @@
             ClusterState clusterState,
             MachineRegistry machineRegistry,
             HeartbeatReconciler heartbeatReconciler,
+            WorkerCommandPlanner commandPlanner,
             UnreachableMachineReturnPolicy unreachableReturnPolicy,
             RecordWriter recordWriter) {
         this.context = context;
@@ -92,6 +94,7 @@
         this.clusterState = clusterState;
         this.machineRegistry = machineRegistry;
         this.heartbeatReconciler = heartbeatReconciler;
+        this.commandPlanner = commandPlanner;
         this.unreachableReturnPolicy = unreachableReturnPolicy;
         this.recordWriter = recordWriter;
     }
@@ -140,7 +143,7 @@
         awaitingCommands.redirectEarlier(heartbeat.machineId());
         unreachableReturnPolicy.onHeartbeat(machine, now);
         machine.recordAnsweredHeartbeat(now);
-        List<WorkerCommand> commands = heartbeatReconciler.commandsFor(machine, heartbeat, now);
+        List<WorkerCommand> commands = commandPlanner.commandsFor(machine, heartbeat, now);
         recordWriter.flush();
         if (commands.isEmpty()
                 && leadership.canDecide()
@@ -251,8 +254,7 @@
             List<WorkerCommand> commands =
                     context.isClosed().getAsBoolean() || machine == null
                             ? List.of()
-                            : heartbeatReconciler.commandsFor(
-                                    machine, deferred.heartbeat(), loop.now());
+                            : commandPlanner.commandsFor(machine, deferred.heartbeat(), loop.now());
             response = new HeartbeatResponse.Commands(fencingToken, commands);
             recordWriter.flush();
         }
--- a/src/main/java/org/meadowhollow/coordination/reconciliation/HeartbeatReconciler.java
+++ b/src/main/java/org/meadowhollow/coordination/reconciliation/HeartbeatReconciler.java
@@ -1,46 +1,35 @@
 package org.meadowhollow.coordination.reconciliation;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
-import org.meadowhollow.coordination.leadership.Leadership;
 import org.meadowhollow.coordination.lifecycle.ImageCacheRecorder;
 import org.meadowhollow.coordination.lifecycle.PlacementEvents;
 import org.meadowhollow.model.ExitReason;
 import org.meadowhollow.model.FencingToken;
 import org.meadowhollow.model.Heartbeat;
-import org.meadowhollow.model.JobKind;
 import org.meadowhollow.model.Machine;
 import org.meadowhollow.model.MonotonicTime;
 import org.meadowhollow.model.Placement;
 import org.meadowhollow.model.TaskId;
 import org.meadowhollow.model.TaskState;
-import org.meadowhollow.model.WorkerCommand;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Reconciles the tasks that a worker's heartbeat lists with the recorded placements, and determines
- * the commands that resolve the differences. Guarded by the leader's lock.
+ * Applies a worker's heartbeat to its machine: reconciles the tasks that it lists with the recorded
+ * placements. {@link WorkerCommandPlanner} determines the commands that resolve the remaining
+ * differences. Guarded by the leader's lock.
  */
 public final class HeartbeatReconciler {
     private static final Logger LOG = LoggerFactory.getLogger(HeartbeatReconciler.class);
 
-    /**
-     * Maximum number of commands in one response, which keeps it below the protocol's limit of 64
-     * KiB.
-     */
-    private static final int MAX_COMMANDS = 400;
-
     private static final double MILLIS_PER_SECOND = 1000;
 
     private final PlacementEvents placementEvents;
     private final ImageCacheRecorder imageCacheRecorder;
     private final RiskTableUpdater riskTableUpdater;
-    private final Leadership leadership;
     private final FencingToken fencingToken;
     private final BooleanSupplier isStateRecovered;
 
@@ -54,13 +43,11 @@
             PlacementEvents placementEvents,
             ImageCacheRecorder imageCacheRecorder,
             RiskTableUpdater riskTableUpdater,
-            Leadership leadership,
             FencingToken fencingToken,
             BooleanSupplier isStateRecovered) {
         this.placementEvents = placementEvents;
         this.imageCacheRecorder = imageCacheRecorder;
         this.riskTableUpdater = riskTableUpdater;
-        this.leadership = leadership;
         this.fencingToken = fencingToken;
         this.isStateRecovered = isStateRecovered;
     }
@@ -83,7 +70,7 @@
             return true;
         }
         recordPreemptionNotice(machine, heartbeat, now);
-        Map<TaskId, Heartbeat.TaskStatus> listedTasks = statusByTask(heartbeat);
+        Map<TaskId, Heartbeat.TaskStatus> listedTasks = heartbeat.statusByTask();
         for (Placement placement : List.copyOf(machine.placements())) {
             reconcilePlacement(
                     machine, placement, heartbeat, listedTasks.get(placement.taskId()), now);
@@ -94,12 +81,6 @@
         return true;
     }
 
-    private static Map<TaskId, Heartbeat.TaskStatus> statusByTask(Heartbeat heartbeat) {
-        Map<TaskId, Heartbeat.TaskStatus> listedTasks = new HashMap<>();
-        heartbeat.tasks().forEach(status -> listedTasks.put(status.taskId(), status));
-        return listedTasks;
-    }
-
     private static void recordPreemptionNotice(
             Machine machine, Heartbeat heartbeat, MonotonicTime now) {
         double noticeSeconds = heartbeat.preemptionNoticeSeconds();
@@ -187,132 +168,12 @@
     private static void recordOrphanedTasks(Machine machine, Heartbeat heartbeat) {
         machine.orphanedTasks().clear();
         for (Heartbeat.TaskStatus status : heartbeat.tasks()) {
-            if (status.state() != TaskState.EXITED && placementOf(machine, status) == null) {
+            if (status.state() != TaskState.EXITED && machine.placementOf(status) == null) {
                 machine.orphanedTasks().add(status.taskId());
             }
         }
     }
 
-    private static Placement placementOf(Machine machine, Heartbeat.TaskStatus status) {
-        for (Placement placement : machine.placements()) {
-            if (placement.taskId().equals(status.taskId())
-                    && placement.attemptNumber().equals(status.attemptNumber())) {
-                return placement;
-            }
-        }
-        return null;
-    }
-
-    /**
-     * Returns the commands for the response to a heartbeat that was applied by {@link
-     * #applyHeartbeat}.
-     */
-    public List<WorkerCommand> commandsFor(
-            Machine machine, Heartbeat heartbeat, MonotonicTime now) {
-        List<WorkerCommand> commands = new ArrayList<>();
-        for (Heartbeat.TaskStatus status : heartbeat.tasks()) {
-            if (commands.size() >= MAX_COMMANDS) {
-                break;
-            }
-            addCommandsForListedTask(machine, heartbeat, status, commands);
-        }
-        // Includes the listed tasks whose commands did not fit into the response: a placement that
-        // is wrongly taken for unlisted may be removed.
-        Map<TaskId, Heartbeat.TaskStatus> listedTasks = statusByTask(heartbeat);
-        for (Placement placement : List.copyOf(machine.placements())) {
-            Heartbeat.TaskStatus status = listedTasks.get(placement.taskId());
-            if (status == null || !status.attemptNumber().equals(placement.attemptNumber())) {
-                startOrRemoveUnlisted(machine, heartbeat, placement, commands, now);
-            }
-        }
-        return commands;
-    }
-
-    private void addCommandsForListedTask(
-            Machine machine,
-            Heartbeat heartbeat,
-            Heartbeat.TaskStatus status,
-            List<WorkerCommand> commands) {
-        Placement placement = placementOf(machine, status);
-        if (placement != null) {
-            if (placement.isStopping()
-                    && (status.state() != TaskState.CHECKPOINTING
-                            || placement.graceSeconds() == 0)) {
-                commands.add(
-                        WorkerCommand.stop(
-                                status.taskId(), status.attemptNumber(), placement.graceSeconds()));
-            } else if (status.state() == TaskState.EXITED
-                    && mayStart(placement, machine, heartbeat)) {
-                // The task timed out waiting for its gang, whose image pulls continue. Its record
-                // still stands, so the task may wait again.
-                placement.recordStartSent(heartbeat.sequenceNumber());
-                commands.add(WorkerCommand.forget(status.taskId(), status.attemptNumber()));
-                commands.add(WorkerCommand.start(status.taskId(), status.attemptNumber()));
-            }
-        } else if (status.state() != TaskState.EXITED) {
-            // No record names this task, so nothing else would ever stop it or account for it.
-            commands.add(WorkerCommand.stop(status.taskId(), status.attemptNumber(), 0));
-        } else if (!isExitUnpersisted(machine, status)) {
-            commands.add(WorkerCommand.forget(status.taskId(), status.attemptNumber()));
-        }
-    }
-
-    /** Whether the exit of a listed task is applied in memory but not persisted yet. */
-    private static boolean isExitUnpersisted(Machine machine, Heartbeat.TaskStatus status) {
-        Machine.UnpersistedExit exit = machine.unpersistedExits().get(status.taskId());
-        return exit != null
-                && exit.attemptNumber().equals(status.attemptNumber())
-                && !exit.isPersisted();
-    }
-
-    private void startOrRemoveUnlisted(
-            Machine machine,
-            Heartbeat heartbeat,
-            Placement placement,
-            List<WorkerCommand> commands,
-            MonotonicTime now) {
-        if (placement.isStopping() || placement.job().isCancelled()) {
-            if (canNeverStart(placement, machine, heartbeat)) {
-                placementEvents.removePlacement(machine, placement, now, true);
-            }
-        } else if (commands.size() < MAX_COMMANDS && mayStart(placement, machine, heartbeat)) {
-            placement.recordStartSent(heartbeat.sequenceNumber());
-            commands.add(WorkerCommand.start(placement.taskId(), placement.attemptNumber()));
-        }
-    }
-
-    /**
-     * Whether a placement that a heartbeat does not list can no longer start: no response that
-     * contains its start can be executed any more.
-     */
-    private boolean canNeverStart(Placement placement, Machine machine, Heartbeat heartbeat) {
-        return areAllStartsSettled(placement, heartbeat) && machine.lastContactAt() != null;
-    }
-
-    /**
-     * Whether a heartbeat proves that the worker will execute no start of a placement that any
-     * leader has sent. The heartbeat must carry this leader's fencing token, because a worker that
-     * has seen the token rejects the responses of earlier leaders.
-     */
-    private boolean areAllStartsSettled(Placement placement, Heartbeat heartbeat) {
-        return heartbeat.fencingToken().equals(fencingToken)
-                && placement.isStartSettledBy(heartbeat);
-    }
-
-    /**
-     * Whether the response to a heartbeat may start a placement. It may not if the worker is in
-     * another incarnation than the one for which the task was placed: the next heartbeat would
-     * prove that the recorded incarnation has ended, the placement would be removed, and no record
-     * would name the task just started.
-     */
-    private boolean mayStart(Placement placement, Machine machine, Heartbeat heartbeat) {
-        return leadership.canStartTasks()
-                && placement.isPersisted()
-                && !machine.isReleasing()
-                && placement.incarnation().equals(heartbeat.incarnation())
-                && isWholeGangCommitted(placement);
-    }
-
     /**
      * Whether an exit listed by a heartbeat of the placement's incarnation is final. A task that
      * only timed out waiting for its gang is started again in the same attempt: the durations of
@@ -328,18 +189,6 @@
             return true;
         }
         return (placement.isStopping() || placement.job().isCancelled())
-                && areAllStartsSettled(placement, heartbeat);
-    }
-
-    private static boolean isWholeGangCommitted(Placement placement) {
-        if (placement.job().spec().kind() != JobKind.GANG) {
-            return true;
-        }
-        for (Placement other : placement.job().placements()) {
-            if (!other.isPersisted()) {
-                return false;
-            }
-        }
-        return placement.job().placements().size() == placement.job().spec().taskCount();
+                && placement.isStartSettledBy(heartbeat, fencingToken);
     }
 }
--- a/src/main/java/org/meadowhollow/model/Heartbeat.java
+++ b/src/main/java/org/meadowhollow/model/Heartbeat.java
@@ -1,6 +1,8 @@
 package org.meadowhollow.model;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * A worker's status message: a request that the worker sends, or its response to a direct command.
@@ -49,6 +51,13 @@
     public record TaskStatus(
             TaskId taskId, AttemptNumber attemptNumber, TaskState state, ExitReason exitReason) {}
 
+    /** The status of each listed task. */
+    public Map<TaskId, TaskStatus> statusByTask() {
+        Map<TaskId, TaskStatus> listedTasks = new HashMap<>();
+        tasks.forEach(status -> listedTasks.put(status.taskId(), status));
+        return listedTasks;
+    }
+
     /** Whether the worker sent this heartbeat after the one with the given numbers. */
     public boolean isNewerThan(WorkerIncarnation otherIncarnation, long otherSequenceNumber) {
         return incarnation.isAfter(otherIncarnation)
--- a/src/main/java/org/meadowhollow/model/Machine.java
+++ b/src/main/java/org/meadowhollow/model/Machine.java
@@ -260,6 +260,17 @@
         return placements;
     }
 
+    /** The placement of the attempt that a heartbeat lists, or null if there is none. */
+    public Placement placementOf(Heartbeat.TaskStatus status) {
+        for (Placement placement : placements) {
+            if (placement.taskId().equals(status.taskId())
+                    && placement.attemptNumber().equals(status.attemptNumber())) {
+                return placement;
+            }
+        }
+        return null;
+    }
+
     /** The exits that the worker reported and that are not persisted yet. */
     public Map<TaskId, UnpersistedExit> unpersistedExits() {
         return unpersistedExits;
--- a/src/main/java/org/meadowhollow/model/Placement.java
+++ b/src/main/java/org/meadowhollow/model/Placement.java
@@ -123,13 +123,15 @@
 
     /**
      * Whether a heartbeat proves that the worker has executed or dropped every start of this
-     * placement that this leader sent. Starts are sent only in the responses to the worker's
-     * requests, so only a later request proves it: the response to a direct command may overtake
-     * the response that contains the start. The caller makes sure that the worker rejects the
-     * starts of earlier leaders.
+     * placement that any leader has sent. It must carry this leader's fencing token, because a
+     * worker that has seen the token rejects the responses of earlier leaders. This leader sends
+     * starts only in the responses to the worker's requests, so if it has sent one, only a later
+     * request proves it: the response to a direct command may overtake the response that contains
+     * the start.
      */
-    public boolean isStartSettledBy(Heartbeat heartbeat) {
-        if (!heartbeat.incarnation().equals(incarnation)) {
+    public boolean isStartSettledBy(Heartbeat heartbeat, FencingToken leaderToken) {
+        if (!heartbeat.fencingToken().equals(leaderToken)
+                || !heartbeat.incarnation().equals(incarnation)) {
             return false;
         }
         return !isStartSent()
