--- a/src/test/java/org/meadowhollow/simulation/MessageDelays.java
+++ b/src/test/java/org/meadowhollow/simulation/MessageDelays.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Random;
 
 /**
  * Additional delays of the messages on one connection to the key-value store, which make requests
@@ -11,15 +10,12 @@
  */
 final class MessageDelays {
     /** The protocol expects responses to take a few hundred milliseconds occasionally. */
-    private static final int MAX_DELAY_MILLIS = 400;
+    private static final Duration MAX_RANDOM_DELAY = Duration.ofMillis(400);
 
     private final Map<String, Duration> requestDelays = new HashMap<>();
     private final Map<String, Duration> responseDelays = new HashMap<>();
 
-    /** Draws the messages that are delayed; null if none are drawn. */
-    private Random random;
-
-    private double delayedShare;
+    private final RandomDelays randomDelays = new RandomDelays(MAX_RANDOM_DELAY);
 
     /** Delays all requests for a key or prefix. */
     void delayRequests(String key, Duration delay) {
@@ -33,30 +29,23 @@
 
     /** Delays a share of all messages by up to 400 ms; share 0 ends it. */
     void delayRandomly(double share, long seed) {
-        random = share == 0 ? null : new Random(seed);
-        delayedShare = share;
+        randomDelays.start(share, seed);
     }
 
     /** Ends all delays. */
     void clear() {
         requestDelays.clear();
         responseDelays.clear();
-        random = null;
+        randomDelays.stop();
     }
 
     /** Returns the additional delay of the next request for a key or prefix. */
     Duration nextRequestDelay(String key) {
-        return requestDelays.getOrDefault(key, drawDelay());
+        return requestDelays.getOrDefault(key, randomDelays.next());
     }
 
     /** Returns the additional delay of the response to a request for a key or prefix. */
     Duration nextResponseDelay(String key) {
-        return responseDelays.getOrDefault(key, drawDelay());
-    }
-
-    private Duration drawDelay() {
-        return random != null && random.nextDouble() < delayedShare
-                ? Duration.ofMillis(random.nextInt(MAX_DELAY_MILLIS))
-                : Duration.ZERO;
+        return responseDelays.getOrDefault(key, randomDelays.next());
     }
 }
--- a/src/test/java/org/meadowhollow/simulation/RandomFaultsTest.java
+++ b/src/test/java/org/meadowhollow/simulation/RandomFaultsTest.java
@@ -342,7 +342,7 @@
 
     static void endAllFaults(SimulatedCluster cluster) {
         cluster.network().stopDuplicatingMessages();
-        cluster.network().delayHeartbeatResponses(0, 0);
+        cluster.network().delayWorkerMessages(0, 0);
         cluster.store().setOutage(false);
         cluster.cloud().setOutage(false);
         for (int node = 0; node < 3; node++) {
--- a/src/test/java/org/meadowhollow/simulation/RandomOvertakingTest.java
+++ b/src/test/java/org/meadowhollow/simulation/RandomOvertakingTest.java
@@ -32,9 +32,9 @@
     }
 
     /**
-     * Heartbeat responses are late by up to 3.9 s, so that answers to direct commands overtake
-     * them, and messages of the store by up to 400 ms, while gangs time out during image pulls, are
-     * preempted and cancelled.
+     * Heartbeat responses are late by up to 3.9 s, heartbeats, direct commands and the answers to
+     * them by up to 1.5 s, and messages of the store by up to 400 ms, while gangs time out during
+     * image pulls, are preempted and cancelled.
      */
     @ParameterizedTest
     @MethodSource("seeds")
@@ -51,8 +51,7 @@
         cluster.runSeconds(10);
         cluster.cloud().setOutage(true);
         cluster.randomizeImagePulls(MAX_IMAGE_PULL_TIME, random.nextLong());
-        cluster.network()
-                .delayHeartbeatResponses(0.5 + 0.5 * random.nextDouble(), random.nextLong());
+        cluster.network().delayWorkerMessages(0.5 + 0.5 * random.nextDouble(), random.nextLong());
         delayStoreMessages(cluster, random);
         List<JobSpec> jobs = new ArrayList<>();
         cluster.onGangTimeout(new GangDisturbance(cluster, random, jobs)::onGangTimeout);
--- a/src/test/java/org/meadowhollow/simulation/SimulatedNetwork.java
+++ b/src/test/java/org/meadowhollow/simulation/SimulatedNetwork.java
@@ -30,9 +30,14 @@
     private static final int LATE_HEARTBEAT_RANGE_MILLIS = 40_000;
     private static final int MAX_KEPT_HEARTBEATS = 1000;
 
-    /** Longest delay of a heartbeat response: below the 4 s after which workers drop it. */
+    /** Maximum delay of a heartbeat response: below the 4 s after which workers drop it. */
     private static final Duration MAX_RESPONSE_DELAY = Duration.ofMillis(3900);
 
+    private static final Duration MAX_REQUEST_DELAY = Duration.ofMillis(1500);
+
+    /** Maximum delay of a direct command and of its answer, each below the caller's timeout. */
+    private static final Duration MAX_COMMAND_DELAY = Duration.ofMillis(1400);
+
     private final SimulatedCluster cluster;
 
     /** Chooses the messages that are duplicated; null if none are. */
@@ -50,12 +55,11 @@
     private final List<Heartbeat> keptHeartbeats = new ArrayList<>();
     private int deliveredToNextLeaderCount;
 
-    /** Chooses the heartbeats whose responses are delayed; null if none are. */
-    private Random responseDelayRandom;
+    private final RandomDelays requestDelays = new RandomDelays(MAX_REQUEST_DELAY);
+    private final RandomDelays responseDelays = new RandomDelays(MAX_RESPONSE_DELAY);
+    private final RandomDelays commandDelays = new RandomDelays(MAX_COMMAND_DELAY);
 
-    private double delayedResponseShare;
-
-    /** The only machine whose responses are delayed; null if it can be any. */
+    /** The machine whose heartbeat responses are all delayed; null if there is none. */
     private MachineId delayedMachine;
 
     /** Direct commands that are held back; null if they are delivered normally. */
@@ -118,21 +122,42 @@
         duplicateLate(node, heartbeat);
         maybeDuplicate(() -> deliverWithoutAnswer(node, heartbeat));
         ControllerNode process = node.controller();
-        node.runWhenResumed(
+        runAfter(
+                requestDelays.next(),
                 () -> {
-                    CompletableFuture<Void> unused =
-                            process.handleHeartbeat(heartbeat)
-                                    .thenAccept(
-                                            response -> {
-                                                if (node.controller() == process
-                                                        && node.reachesZone(heartbeat.zone())) {
-                                                    deliverResponse(heartbeat, response, answer);
-                                                }
-                                            });
+                    if (node.controller() == process) {
+                        node.runWhenResumed(
+                                () -> handleHeartbeat(node, process, heartbeat, answer));
+                    }
                 });
         return answer;
     }
 
+    private void handleHeartbeat(
+            SimulatedNode node,
+            ControllerNode process,
+            Heartbeat heartbeat,
+            CompletableFuture<HeartbeatResponse> answer) {
+        CompletableFuture<Void> unused =
+                process.handleHeartbeat(heartbeat)
+                        .thenAccept(
+                                response -> {
+                                    if (node.controller() == process
+                                            && node.reachesZone(heartbeat.zone())) {
+                                        deliverResponse(heartbeat, response, answer);
+                                    }
+                                });
+    }
+
+    /** Runs an action after a delay, and at once if the delay is zero. */
+    void runAfter(Duration delay, Runnable action) {
+        if (delay.isZero()) {
+            action.run();
+        } else {
+            cluster.loop().schedule(delay, action);
+        }
+    }
+
     private void notifyUsersOfCompletions(Heartbeat heartbeat) {
         for (Heartbeat.TaskStatus status : heartbeat.tasks()) {
             if (status.exitReason() == ExitReason.DONE) {
@@ -145,39 +170,34 @@
             Heartbeat heartbeat,
             HeartbeatResponse response,
             CompletableFuture<HeartbeatResponse> answer) {
-        boolean isDelayed =
-                responseDelayRandom != null
-                        && (delayedMachine == null || delayedMachine.equals(heartbeat.machineId()))
-                        && responseDelayRandom.nextDouble() < delayedResponseShare;
-        if (!isDelayed) {
-            answer.complete(response);
-            return;
-        }
         Duration delay =
-                delayedMachine != null
+                heartbeat.machineId().equals(delayedMachine)
                         ? MAX_RESPONSE_DELAY
-                        : Duration.ofMillis(
-                                responseDelayRandom.nextInt((int) MAX_RESPONSE_DELAY.toMillis()));
-        delayedResponseCount++;
-        cluster.loop().schedule(delay, () -> answer.complete(response));
+                        : responseDelays.next();
+        delayedResponseCount += delay.isZero() ? 0 : 1;
+        runAfter(delay, () -> answer.complete(response));
     }
 
     /**
-     * Delays a share of the heartbeat responses by up to 3.9 s, so that the answers to direct
-     * commands overtake them; share 0 ends it.
+     * Delays a share of the heartbeat responses, and a tenth of that share of the heartbeats,
+     * direct commands and answers to them, so that they overtake one another; share 0 ends it.
      */
-    void delayHeartbeatResponses(double share, long seed) {
-        responseDelayRandom = share == 0 ? null : new Random(seed);
-        delayedResponseShare = share;
-        delayedMachine = null;
+    void delayWorkerMessages(double share, long seed) {
+        requestDelays.start(share / 10, seed);
+        responseDelays.start(share, seed + 1);
+        commandDelays.start(share / 10, seed + 2);
     }
 
     /** Delays all heartbeat responses to one machine by 3.9 s; null ends it. */
     void delayHeartbeatResponsesTo(MachineId machine) {
-        delayHeartbeatResponses(machine == null ? 0 : 1, 0);
         delayedMachine = machine;
     }
 
+    /** Returns the additional delay of the next direct command or answer to one. */
+    Duration nextCommandDelay() {
+        return commandDelays.next();
+    }
+
     /** Returns the number of heartbeat responses that were delayed. */
     int delayedResponseCount() {
         return delayedResponseCount;
--- a/src/test/java/org/meadowhollow/simulation/SimulatedWorkerGateway.java
+++ b/src/test/java/org/meadowhollow/simulation/SimulatedWorkerGateway.java
@@ -55,11 +55,18 @@
         }
         cluster.loop()
                 .schedule(
-                        ROUND_TRIP,
+                        ROUND_TRIP.plus(network.nextCommandDelay()),
                         () -> {
                             Heartbeat heartbeat = deliver(machine, token, incarnation, commands);
-                            sender.runWhenResumed(
-                                    () -> complete(answer, heartbeat, sendingProcess));
+                            network.runAfter(
+                                    network.nextCommandDelay(),
+                                    () ->
+                                            sender.runWhenResumed(
+                                                    () ->
+                                                            complete(
+                                                                    answer,
+                                                                    heartbeat,
+                                                                    sendingProcess)));
                         });
         return answer;
     }
