--- a/src/test/java/org/meadowhollow/simulation/FakeWorker.java
+++ b/src/test/java/org/meadowhollow/simulation/FakeWorker.java
@@ -472,7 +472,12 @@
                     "started " + command + " while another attempt is on the machine");
         }
         cluster.onStartCommand(command.taskId());
-        MonotonicTime imagePulledAt = cluster.imagePulledAt(id, command.taskId().jobId());
+        MonotonicTime imagePulledAt =
+                cluster.imagePulls()
+                        .pulledAt(
+                                id,
+                                () -> cluster.spec(command.taskId().jobId()).image(),
+                                cluster.loop().now());
         tasks.put(command.taskId(), new FakeTask(command.attemptNumber(), imagePulledAt));
     }
 }
--- a/src/test/java/org/meadowhollow/simulation/RandomOvertakingTest.java
+++ b/src/test/java/org/meadowhollow/simulation/RandomOvertakingTest.java
@@ -50,7 +50,7 @@
         }
         cluster.runSeconds(10);
         cluster.cloud().setOutage(true);
-        cluster.randomizeImagePulls(MAX_IMAGE_PULL_TIME, random.nextLong());
+        cluster.imagePulls().randomizeDurations(MAX_IMAGE_PULL_TIME, random.nextLong());
         cluster.network().delayWorkerMessages(0.5 + 0.5 * random.nextDouble(), random.nextLong());
         delayStoreMessages(cluster, random);
         List<JobSpec> jobs = new ArrayList<>();
--- a/src/test/java/org/meadowhollow/simulation/SimulatedCluster.java
+++ b/src/test/java/org/meadowhollow/simulation/SimulatedCluster.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -22,7 +21,6 @@
 import org.meadowhollow.model.JobSpec;
 import org.meadowhollow.model.MachineId;
 import org.meadowhollow.model.MachineType;
-import org.meadowhollow.model.MonotonicTime;
 import org.meadowhollow.model.Priority;
 import org.meadowhollow.model.Resources;
 import org.meadowhollow.model.Revision;
@@ -82,11 +80,7 @@
      */
     private AssertionError violation;
 
-    private Duration imagePullTime = Duration.ofSeconds(2);
-
-    /** Draws the durations of image pulls; null while all pulls take the same time. */
-    private RandomImagePulls imagePulls;
-
+    private final ImagePulls imagePulls = new ImagePulls();
     private Consumer<JobSpec> gangTimeoutAction = gang -> {};
     private ReservationSettings reservationSettings = ReservationSettings.OFF;
     private StandbySettings standbySettings = StandbySettings.DISABLED;
@@ -217,26 +211,14 @@
         return nextSeed++;
     }
 
-    /** Sets how long every image pull takes, and disables the image caches of the machines. */
-    void setImagePullTime(Duration time) {
-        imagePullTime = time;
-        imagePulls = null;
-    }
-
-    Duration imagePullTime() {
-        return imagePullTime;
-    }
-
-    /** Draws the duration of each image pull, up to a maximum; machines cache their images. */
-    void randomizeImagePulls(Duration max, long seed) {
-        imagePulls = new RandomImagePulls(max, new Random(seed));
+    /** Returns the durations of image pulls. */
+    ImagePulls imagePulls() {
+        return imagePulls;
     }
 
-    /** Returns when a machine has the image of a job that is started on it now. */
-    MonotonicTime imagePulledAt(MachineId machine, JobId job) {
-        return imagePulls == null
-                ? loop.now().plus(imagePullTime)
-                : imagePulls.pulledAt(machine, spec(job).image(), loop.now());
+    /** Sets how long every image pull takes. */
+    void setImagePullTime(Duration time) {
+        imagePulls.fixDuration(time);
     }
 
     /** Sets an action that runs when a gang's task times out waiting for the others. */
--- a/src/test/java/org/meadowhollow/simulation/TesScenarioTest.java
+++ b/src/test/java/org/meadowhollow/simulation/TesScenarioTest.java
@@ -98,7 +98,8 @@
                                 !worker.isHung()
                                         && worker.hasTask(taskId(id))
                                         && (worker.runningTasks().contains(taskId(id))
-                                                || cluster.imagePullTime().toSeconds() > 30));
+                                                || cluster.imagePulls().fixedDuration().toSeconds()
+                                                        > 30));
     }
 
     @Test
