--- a/src/test/java/org/meadowhollow/simulation/RandomFaultsTest.java
+++ b/src/test/java/org/meadowhollow/simulation/RandomFaultsTest.java
@@ -266,7 +266,7 @@
         }
     }
 
-    static JobSpec submitJobOfAnyTeam(SimulatedCluster cluster, Random random, int number) {
+    private static JobSpec submitJobOfAnyTeam(SimulatedCluster cluster, Random random, int number) {
         JobKind kind = JOB_KINDS.get(random.nextInt(3));
         JobSpec plain =
                 SimulatedCluster.spec(number, kind, 1 + random.nextInt(4), 1 + random.nextInt(2));
