Measure the longest pause of the event loop and name its step

Cause: a leader that is busy for seconds or minutes answers nobody, and no log line or figure says in which step. Change: XnioEventLoop times every timer, request and response, and the steps of a round within them; it warns of a pause over 1 s (the timeout of a health probe) and logs the longest pause of each minute with the step that took longest by itself.

--- a/src/main/java/org/meadowhollow/coordination/LeaderService.java
+++ b/src/main/java/org/meadowhollow/coordination/LeaderService.java
@@ -16,6 +16,7 @@
 import org.meadowhollow.coordination.recovery.RecoveryListener;
 import org.meadowhollow.coordination.rounds.RoundScheduler;
 import org.meadowhollow.model.EventLoop;
+import org.meadowhollow.model.EventLoopStep;
 import org.meadowhollow.model.Heartbeat;
 import org.meadowhollow.model.Job;
 import org.meadowhollow.model.JobId;
@@ -105,13 +106,17 @@
             }
             MonotonicTime now = loop.now();
             leadership.renewIfDue();
-            parts.failureDetector.evaluate(now);
-            parts.heartbeatTimeoutMonitor.checkAllMachines(now);
+            loop.runStep(
+                    EventLoopStep.FAILURE_DETECTION,
+                    () -> {
+                        parts.failureDetector.evaluate(now);
+                        parts.heartbeatTimeoutMonitor.checkAllMachines(now);
+                    });
             if (parts.firstRoundGate.maySchedule(now)) {
                 parts.roundScheduler.runRound(now);
             }
             parts.jobTracker.reportMetricsIfDue(now);
-            parts.recordWriter.flush();
+            loop.runStep(EventLoopStep.RECORD_WRITE, parts.recordWriter::flush);
             parts.imageCacheRecorder.writeIfDue(parts.clusterState.machines().values(), now);
             if (parts.riskTableRestorer.isComplete() && leadership.canDecide()) {
                 parts.standbySupport.writeSnapshotIfDue(
--- a/src/main/java/org/meadowhollow/coordination/fleet/Autoscaler.java
+++ b/src/main/java/org/meadowhollow/coordination/fleet/Autoscaler.java
@@ -11,6 +11,7 @@
 import org.meadowhollow.coordination.api.CloudProvider;
 import org.meadowhollow.coordination.api.DeploymentSettings;
 import org.meadowhollow.model.EventLoop;
+import org.meadowhollow.model.EventLoopStep;
 import org.meadowhollow.model.FencingToken;
 import org.meadowhollow.model.JobSpec;
 import org.meadowhollow.model.Machine;
@@ -213,7 +214,8 @@
             return;
         }
         MonotonicTime now = loop.now();
-        Optional<RoundPlan> decided = planRound(machines, now);
+        Optional<RoundPlan> decided =
+                loop.callStep(EventLoopStep.SCALE_OUT, () -> planRound(machines, now));
         if (decided.isEmpty()) {
             return;
         }
--- a/src/main/java/org/meadowhollow/coordination/recovery/PageReader.java
+++ b/src/main/java/org/meadowhollow/coordination/recovery/PageReader.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.Consumer;
+import org.meadowhollow.model.EventLoopStep;
 import org.meadowhollow.model.Revision;
 import org.meadowhollow.storage.KeyValueStore;
 import org.meadowhollow.storage.KeyValueStore.RequestPriority;
@@ -74,7 +75,7 @@
 
         private void applyPage(KeyValueStore.Page page, Revision firstRevision) {
             recordCount += page.entries().size();
-            onPage.accept(page.entries());
+            context.loop().runStep(EventLoopStep.RECOVERY, () -> onPage.accept(page.entries()));
             context.listener().renewLeadershipIfDue();
             Revision watchFrom = firstRevision == null ? page.revision() : firstRevision;
             if (page.hasMore()) {
--- a/src/main/java/org/meadowhollow/coordination/rounds/RoundScheduler.java
+++ b/src/main/java/org/meadowhollow/coordination/rounds/RoundScheduler.java
@@ -10,6 +10,7 @@
 import org.meadowhollow.coordination.scheduling.ArrivalForecast;
 import org.meadowhollow.coordination.scheduling.PlacementRound;
 import org.meadowhollow.coordination.scheduling.SchedulingSnapshot;
+import org.meadowhollow.model.EventLoopStep;
 import org.meadowhollow.model.JobId;
 import org.meadowhollow.model.MachineId;
 import org.meadowhollow.model.MonotonicTime;
@@ -58,22 +59,18 @@
         boolean full = firstRoundGate.hasGatheredFullRound(now);
         reservationEnforcer.refreshView(now);
         SchedulingSnapshot snapshot =
-                new SchedulingSnapshot(
-                        context.clusterState(),
-                        context.deploymentSettings(),
-                        context.objectives(),
-                        now);
+                context.loop().callStep(EventLoopStep.SNAPSHOT, () -> takeSnapshot(now));
         Map<Boolean, List<PlacementRound.PendingJob>> byBestEffort =
                 snapshot.pendingJobs().stream()
                         .collect(Collectors.partitioningBy(RoundScheduler::isBestEffort));
         PlacementRound.Outcome regular =
-                place(snapshot, byBestEffort.get(false), maxJobsPerRound(), now);
+                placeMeasured(snapshot, byBestEffort.get(false), maxJobsPerRound(), now);
         PredictedJobPlanner.Plan predicted =
                 full ? predictedJobPlanner.plan(snapshot, now) : PredictedJobPlanner.Plan.empty();
         // Best-effort jobs get only capacity that neither other jobs nor predicted ones need;
         // elsewhere they would soon be preempted again.
         PlacementRound.Outcome bestEffort =
-                place(snapshot, byBestEffort.get(true), maxBestEffortJobsPerRound(), now);
+                placeMeasured(snapshot, byBestEffort.get(true), maxBestEffortJobsPerRound(), now);
         firstRoundGate.recordRound(regular.decisions().size() + bestEffort.decisions().size(), now);
         if (!full) {
             // While only some of the machines have reported, it is not known which capacity is
@@ -84,15 +81,33 @@
         Map<JobId, Integer> unplacedTasks = new HashMap<>(regular.unplacedTasksByJob());
         unplacedTasks.putAll(bestEffort.unplacedTasksByJob());
         List<Autoscaler.CapacityDemand> demands =
-                unplacedJobHandler.handle(snapshot, unplacedTasks, now);
+                context.loop()
+                        .callStep(
+                                EventLoopStep.UNPLACED_JOBS,
+                                () -> unplacedJobHandler.handle(snapshot, unplacedTasks, now));
         reservationEnforcer.enforce(now);
         demandCapacity(demands, predicted);
     }
 
+    private SchedulingSnapshot takeSnapshot(MonotonicTime now) {
+        return new SchedulingSnapshot(
+                context.clusterState(), context.deploymentSettings(), context.objectives(), now);
+    }
+
     private static boolean isBestEffort(PlacementRound.PendingJob pendingJob) {
         return pendingJob.spec().priority() == Priority.LOW;
     }
 
+    private PlacementRound.Outcome placeMeasured(
+            SchedulingSnapshot snapshot,
+            List<PlacementRound.PendingJob> pendingJobs,
+            int maxJobs,
+            MonotonicTime now) {
+        return context.loop()
+                .callStep(
+                        EventLoopStep.PLACEMENT, () -> place(snapshot, pendingJobs, maxJobs, now));
+    }
+
     private PlacementRound.Outcome place(
             SchedulingSnapshot snapshot,
             List<PlacementRound.PendingJob> pendingJobs,
--- a/src/main/java/org/meadowhollow/model/EventLoop.java
+++ b/src/main/java/org/meadowhollow/model/EventLoop.java
@@ -1,6 +1,7 @@
 package org.meadowhollow.model;
 
 import java.time.Duration;
+import java.util.function.Supplier;
 
 /** Provides the clocks and timers of a process; tests use an implementation with virtual time. */
 public interface EventLoop {
@@ -12,4 +13,16 @@
 
     /** Runs a task once after a delay, on the loop's thread. */
     void schedule(Duration delay, Runnable task);
+
+    /**
+     * Runs part of a callback now, as a step that the loop may measure. Steps may contain others.
+     */
+    default void runStep(EventLoopStep step, Runnable work) {
+        work.run();
+    }
+
+    /** Like {@link #runStep}, for work with a result. */
+    default <T> T callStep(EventLoopStep step, Supplier<T> work) {
+        return work.get();
+    }
 }
--- a/src/main/java/org/meadowhollow/transport/HttpClient.java
+++ b/src/main/java/org/meadowhollow/transport/HttpClient.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.meadowhollow.model.EventLoopStep;
 import org.meadowhollow.protocol.Http;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
@@ -349,7 +350,9 @@
             } else {
                 IoUtils.safeClose(connection);
             }
-            reply.complete(new Http.Reply(exchange.getResponse().getResponseCode(), bytes, 0));
+            Http.Reply received =
+                    new Http.Reply(exchange.getResponse().getResponseCode(), bytes, 0);
+            loop.runStep(EventLoopStep.RESPONSE, () -> reply.complete(received));
         }
 
         /**
--- a/src/main/java/org/meadowhollow/transport/HttpServer.java
+++ b/src/main/java/org/meadowhollow/transport/HttpServer.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import javax.net.ssl.SSLContext;
+import org.meadowhollow.model.EventLoopStep;
 import org.meadowhollow.protocol.Http;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -78,7 +79,7 @@
             Http.RequestHandler requestHandler) {
         connectionLimiter = new ConnectionLimiter<>(options.maxConnections(), IoUtils::safeClose);
         int idleMillis = (int) options.idleTimeout().toMillis();
-        HttpHandler handler = exchange -> receive(exchange, requestHandler);
+        HttpHandler handler = exchange -> receive(loop, exchange, requestHandler);
         Undertow.Builder builder =
                 Undertow.builder()
                         .setWorker(loop.worker())
@@ -101,7 +102,8 @@
         return ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
     }
 
-    private void receive(HttpServerExchange exchange, Http.RequestHandler requestHandler) {
+    private void receive(
+            XnioEventLoop loop, HttpServerExchange exchange, Http.RequestHandler requestHandler) {
         ServerConnection connection = exchange.getConnection();
         if (connectionLimiter.requestStarted(connection)) {
             connection.addCloseListener(connectionLimiter::connectionClosed);
@@ -121,7 +123,10 @@
                 (unused, body) ->
                         exchange.dispatch(
                                 SameThreadExecutor.INSTANCE,
-                                () -> handle(exchange, requestHandler, body)),
+                                () ->
+                                        loop.runStep(
+                                                EventLoopStep.REQUEST,
+                                                () -> handle(exchange, requestHandler, body))),
                 (unused, failure) -> rejectBody(exchange, requestHandler));
     }
 
--- a/src/main/java/org/meadowhollow/transport/XnioEventLoop.java
+++ b/src/main/java/org/meadowhollow/transport/XnioEventLoop.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.meadowhollow.model.EventLoop;
+import org.meadowhollow.model.EventLoopStep;
 import org.meadowhollow.model.MonotonicTime;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -25,6 +26,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(XnioEventLoop.class);
     private final XnioWorker worker;
     private final XnioIoThread ioThread;
+    private final EventLoopMonitor monitor = new EventLoopMonitor(System::nanoTime);
     private volatile boolean closed;
 
     /**
@@ -44,6 +46,12 @@
                                         .set(Options.THREAD_DAEMON, false)
                                         .getMap());
         ioThread = worker.getIoThread();
+        schedule(EventLoopMonitor.REPORT_INTERVAL, this::reportPauses);
+    }
+
+    private void reportPauses() {
+        monitor.report();
+        schedule(EventLoopMonitor.REPORT_INTERVAL, this::reportPauses);
     }
 
     XnioWorker worker() {
@@ -96,7 +104,7 @@
         ioThread.executeAfter(
                 () -> {
                     try {
-                        work.run();
+                        runStep(EventLoopStep.TIMER, work);
                     } catch (RejectedExecutionException closing) {
                         LOG.debug("timer ran while the event loop was being closed", closing);
                     } catch (RuntimeException defect) {
@@ -108,6 +116,22 @@
                 TimeUnit.NANOSECONDS);
     }
 
+    /** Runs a step and measures it if it is called on the loop's thread, as all callbacks are. */
+    @Override
+    public void runStep(EventLoopStep step, Runnable work) {
+        callStep(
+                step,
+                () -> {
+                    work.run();
+                    return null;
+                });
+    }
+
+    @Override
+    public <T> T callStep(EventLoopStep step, Supplier<T> work) {
+        return Thread.currentThread() == ioThread ? monitor.call(step, work) : work.get();
+    }
+
     @Override
     public void close() {
         closed = true;
