Count tasks instead of visiting them when planning which machines to rent

What callers saw: one accepted gang of 100,000 tasks and no controller answered any more. Cause: ScaleOutPlanner looked through all planned machines once for each task, so a job whose tasks need a machine each cost tasks * tasks / 2 steps in one callback of the event loop. Change: the plan counts tasks and groups equal machines, plans no more machines of a pool than one request may rent, rents nothing for a gang that its pools can't complete before the first machine is returned as idle, and goes on at the next job in the next round when a budget of steps is used up. Releases of capacity are counted too.

--- a/src/main/java/org/meadowhollow/coordination/fleet/Autoscaler.java
+++ b/src/main/java/org/meadowhollow/coordination/fleet/Autoscaler.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.meadowhollow.coordination.api.CloudProvider;
 import org.meadowhollow.coordination.api.DeploymentSettings;
+import org.meadowhollow.coordination.scheduling.StepBudget;
 import org.meadowhollow.model.EventLoop;
 import org.meadowhollow.model.EventLoopStep;
 import org.meadowhollow.model.FencingToken;
@@ -47,6 +48,12 @@
             List<MachineId> abandonedRentals,
             Set<MachineId> retainedMachines) {}
 
+    /**
+     * The steps of one round of planning after which no further job is begun. The plan of a full
+     * cluster with hundreds of waiting jobs takes fewer.
+     */
+    static final long MAX_PLANNING_STEPS = 500_000;
+
     private final Object lock = new Object();
     private final LeadershipContext leader;
     private final CloudProvider cloudProvider;
@@ -65,6 +72,10 @@
     @GuardedBy("lock")
     private List<CapacityDemand> currentDemand = List.of();
 
+    /** The index of the demand at which planning continues if the last round could not finish. */
+    @GuardedBy("lock")
+    private int nextDemandIndex;
+
     @GuardedBy("lock")
     private Set<MachineId> retainedMachines = Set.of();
 
@@ -267,7 +278,9 @@
                         poolSelector,
                         machines,
                         pendingRentals.expectedRentals(now),
+                        new StepBudget(MAX_PLANNING_STEPS),
                         now);
-        return planner.plan(currentDemand);
+        nextDemandIndex = planner.plan(currentDemand, nextDemandIndex);
+        return planner.machinesToRent();
     }
 }
--- a/src/main/java/org/meadowhollow/coordination/fleet/PoolSelector.java
+++ b/src/main/java/org/meadowhollow/coordination/fleet/PoolSelector.java
@@ -1,9 +1,12 @@
 package org.meadowhollow.coordination.fleet;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.meadowhollow.model.JobKind;
 import org.meadowhollow.model.JobSpec;
+import org.meadowhollow.model.Machine;
 import org.meadowhollow.model.MachineType;
 import org.meadowhollow.model.MachineTypeCatalog;
 import org.meadowhollow.model.MonotonicTime;
@@ -48,6 +51,7 @@
      * @param requiredZone the only zone allowed, or null for any
      * @param tasksByZone how many of the job's tasks the plan has put into each zone
      * @param machinesByZone how many machines each zone has, planned ones included
+     * @param excluded pools that are left out
      * @return the pool, or null if none is available
      */
     CapacityPool findCheapest(
@@ -55,6 +59,7 @@
             String requiredZone,
             Map<String, Integer> tasksByZone,
             Map<String, Integer> machinesByZone,
+            Predicate<CapacityPool> excluded,
             MonotonicTime now) {
         CapacityPool cheapest = null;
         double lowestCost = 0;
@@ -62,8 +67,9 @@
             for (String zone : type.zones()) {
                 for (boolean spot : spec.allowsSpot() ? SPOT_THEN_ON_DEMAND : ON_DEMAND_ONLY) {
                     CapacityPool pool = new CapacityPool(type.name(), zone, spot);
-                    if (!canHost(spec, pool, requiredZone)
+                    if (!canHost(spec, pool, type, requiredZone)
                             || !isAvailable(pool, now)
+                            || excluded.test(pool)
                             || tasksByZone.getOrDefault(zone, 0) >= spec.maxTasksPerZone()) {
                         continue;
                     }
@@ -87,14 +93,55 @@
     /**
      * Whether an empty machine of a pool could run a task.
      *
+     * @param type the machine type of the pool
      * @param requiredZone the only zone allowed, or null for any
      */
-    boolean canHost(JobSpec spec, CapacityPool pool, String requiredZone) {
+    static boolean canHost(JobSpec spec, CapacityPool pool, MachineType type, String requiredZone) {
         return spec.allowsMachineType(pool.type())
                 && (!pool.spot() || spec.allowsSpot())
                 && (requiredZone == null || requiredZone.equals(pool.zone()))
-                && spec.resourcesPerTask()
-                        .fitsIn(machineTypeCatalog.typeNamed(pool.type()).capacity());
+                && spec.resourcesPerTask().fitsIn(type.capacity());
+    }
+
+    /** The number of pools, which is the number of steps of {@link #findCheapest}. */
+    int poolCount() {
+        int count = 0;
+        for (MachineType type : machineTypeCatalog.types()) {
+            count += type.zones().size() * SPOT_THEN_ON_DEMAND.size();
+        }
+        return count;
+    }
+
+    /**
+     * Counts the tasks of a job that could run on a number of new machines from each pool that is
+     * available, by zone.
+     *
+     * @param requiredZone the only zone allowed, or null for any
+     */
+    Map<String, Long> countTasksOnNewMachines(
+            JobSpec spec, String requiredZone, int machinesPerPool, MonotonicTime now) {
+        Map<String, Long> tasksByZone = new HashMap<>();
+        for (MachineType type : machineTypeCatalog.types()) {
+            long tasksPerPool = (long) machinesPerPool * Machine.maxTasksIn(type.capacity(), spec);
+            for (String zone : type.zones()) {
+                for (boolean spot : spec.allowsSpot() ? SPOT_THEN_ON_DEMAND : ON_DEMAND_ONLY) {
+                    CapacityPool pool = new CapacityPool(type.name(), zone, spot);
+                    if (canHost(spec, pool, type, requiredZone) && isAvailable(pool, now)) {
+                        tasksByZone.merge(zone, tasksPerPool, Long::sum);
+                    }
+                }
+            }
+        }
+        return tasksByZone;
+    }
+
+    /** Whether a task costs the same in two pools. */
+    boolean isEquallyExpensive(JobSpec spec, CapacityPool one, CapacityPool other) {
+        return hourlyCostPerTask(spec, one) == hourlyCostPerTask(spec, other);
+    }
+
+    private double hourlyCostPerTask(JobSpec spec, CapacityPool pool) {
+        return hourlyCostPerTask(spec, machineTypeCatalog.typeNamed(pool.type()), pool.spot());
     }
 
     /**
@@ -110,8 +157,7 @@
                 lowestCost = Math.min(lowestCost, hourlyCostPerTask(spec, type, spec.allowsSpot()));
             }
         }
-        MachineType type = machineTypeCatalog.typeNamed(pool.type());
-        return hourlyCostPerTask(spec, type, pool.spot()) > lowestCost * EXPENSIVE_COST_RATIO;
+        return hourlyCostPerTask(spec, pool) > lowestCost * EXPENSIVE_COST_RATIO;
     }
 
     /**
--- a/src/main/java/org/meadowhollow/coordination/fleet/ScaleInPolicy.java
+++ b/src/main/java/org/meadowhollow/coordination/fleet/ScaleInPolicy.java
@@ -18,7 +18,7 @@
      * image takes to pull. A machine is charged for a minute in any case, and its return takes some
      * seconds: the wait for the next round, and the retries of failed calls.
      */
-    private static final double MIN_IDLE_RETENTION_SECONDS = 50;
+    static final double MIN_IDLE_RETENTION_SECONDS = 50;
 
     /** Silence past the preemption deadline after which a preempted machine counts as ended. */
     private static final double PREEMPTED_SILENCE_SECONDS = 1;
--- a/src/main/java/org/meadowhollow/coordination/scheduling/ReleaseForecast.java
+++ b/src/main/java/org/meadowhollow/coordination/scheduling/ReleaseForecast.java
@@ -38,8 +38,9 @@
     /** Divides the pull time: a pull whose progress is unknown is half done on average. */
     private static final double PULL_PROGRESS_DIVISOR = 2;
 
-    /** The capacity that the end of one task releases. */
+    /** The capacity that tasks release which end at the same time on machines of one pool. */
     private record ExpectedRelease(
+            int tasks,
             double releasedInSeconds,
             Resources resources,
             MachineType type,
@@ -52,15 +53,22 @@
                     && (spec.allowsSpot() || !spot);
         }
 
-        /** Returns the release by a task that runs on this capacity next. */
-        ExpectedRelease followUpRelease(JobSpec spec) {
+        /** Returns the release by tasks that run on this capacity next. */
+        ExpectedRelease followUpRelease(JobSpec spec, int followUpTasks) {
             return new ExpectedRelease(
+                    followUpTasks,
                     releasedInSeconds + expectedRuntimeSeconds(spec),
                     spec.resourcesPerTask(),
                     type,
                     zone,
                     spot);
         }
+
+        /** Returns the rest of this release after some of its capacity was claimed. */
+        ExpectedRelease without(int claimedTasks) {
+            return new ExpectedRelease(
+                    tasks - claimedTasks, releasedInSeconds, resources, type, zone, spot);
+        }
     }
 
     private final PriorityQueue<ExpectedRelease> releases =
@@ -77,6 +85,7 @@
                 if (spec.kind() == JobKind.ARRAY) {
                     releases.add(
                             new ExpectedRelease(
+                                    1,
                                     remainingSeconds(placement, machine, now),
                                     spec.resourcesPerTask(),
                                     machine.type(),
@@ -105,11 +114,21 @@
         return spec.estimatedRuntimeSeconds() * RUNTIME_ESTIMATE_MARGIN;
     }
 
-    /** Adds the release by a pending task that is expected to run first on a booting machine. */
-    public void addReleaseOnBootingMachine(
-            JobSpec spec, MachineType type, String zone, boolean spot, double readyInSeconds) {
+    /**
+     * Adds the releases by pending tasks that are expected to run first on booting machines.
+     *
+     * @param tasks the number of tasks, all of which start once their machine is ready
+     */
+    public void addReleasesOnBootingMachines(
+            JobSpec spec,
+            int tasks,
+            MachineType type,
+            String zone,
+            boolean spot,
+            double readyInSeconds) {
         releases.add(
                 new ExpectedRelease(
+                        tasks,
                         readyInSeconds + expectedRuntimeSeconds(spec),
                         spec.resourcesPerTask(),
                         type,
@@ -135,8 +154,12 @@
         while (claimed < maxTasks && hasReleaseWithin(latestStart)) {
             ExpectedRelease release = releases.poll();
             if (release.canRun(spec)) {
-                followUps.add(release.followUpRelease(spec));
-                claimed++;
+                int tasks = Math.min(release.tasks(), maxTasks - claimed);
+                followUps.add(release.followUpRelease(spec, tasks));
+                claimed += tasks;
+                if (tasks < release.tasks()) {
+                    releases.add(release.without(tasks));
+                }
             } else {
                 unsuitable.add(release);
             }
@@ -151,6 +174,11 @@
         return claimed;
     }
 
+    /** The number of entries that a claim may examine; tasks that end together share one. */
+    public int size() {
+        return releases.size();
+    }
+
     private boolean hasReleaseWithin(double seconds) {
         return !releases.isEmpty() && releases.peek().releasedInSeconds() <= seconds;
     }
--- a/src/main/java/org/meadowhollow/model/JobSpec.java
+++ b/src/main/java/org/meadowhollow/model/JobSpec.java
@@ -59,4 +59,20 @@
     public int maxTasksPerZone() {
         return spreadsAcrossZones ? (taskCount + 1) / 2 : taskCount;
     }
+
+    /**
+     * Whether free capacity covers a number of the job's tasks at the same time. The tasks must fit
+     * into one zone if the job requires that, and no zone counts for more than {@link
+     * #maxTasksPerZone}.
+     *
+     * @param capacityByZone the number of tasks that fit into each zone
+     */
+    public boolean isCoveredBy(Iterable<Long> capacityByZone, int tasks) {
+        long covered = 0;
+        for (long capacity : capacityByZone) {
+            long usable = Math.min(capacity, maxTasksPerZone());
+            covered = requiresSingleZone ? Math.max(covered, usable) : covered + usable;
+        }
+        return covered >= tasks;
+    }
 }
--- a/src/main/java/org/meadowhollow/model/Machine.java
+++ b/src/main/java/org/meadowhollow/model/Machine.java
@@ -25,6 +25,12 @@
         }
     }
 
+    /**
+     * The maximum number of tasks on a machine: a heartbeat has at most 64 KiB, and lists exited
+     * tasks as well until they are forgotten.
+     */
+    public static final int MAX_TASKS = 500;
+
     /** Lower than every sequence number that a worker sends. */
     private static final long NO_SEQUENCE_NUMBER = -1;
 
@@ -303,6 +309,14 @@
 
     // ---- resources ----
 
+    /**
+     * The number of tasks of a job that fit into a free capacity of a machine with no other tasks,
+     * at most {@link #MAX_TASKS}.
+     */
+    public static int maxTasksIn(Resources free, JobSpec spec) {
+        return spec.resourcesPerTask().maxCopiesIn(free, MAX_TASKS);
+    }
+
     /** The resources allocated to the placements on the machine. */
     public Resources allocated() {
         Resources sum = Resources.NONE;
--- a/src/test/java/org/meadowhollow/coordination/scheduling/ReleaseForecastTest.java
+++ b/src/test/java/org/meadowhollow/coordination/scheduling/ReleaseForecastTest.java
@@ -45,8 +45,12 @@
     }
 
     private void addRelease(double releasedInSeconds, boolean spot) {
-        releaseForecast.addReleaseOnBootingMachine(
-                array(Double.NaN, spot), TYPE, "a", spot, releasedInSeconds - 13);
+        addReleases(1, releasedInSeconds, spot);
+    }
+
+    private void addReleases(int tasks, double releasedInSeconds, boolean spot) {
+        releaseForecast.addReleasesOnBootingMachines(
+                array(Double.NaN, spot), tasks, TYPE, "a", spot, releasedInSeconds - 13);
     }
 
     @Test
@@ -61,6 +65,19 @@
                 "the next task would start at 70 s");
     }
 
+    @Test
+    void capacityThatIsReleasedTogetherIsClaimedInPartsLikeSingleReleases() {
+        addReleases(3, 5, false);
+        assertEquals(
+                2, releaseForecast.claimReleases(array(80, false), 2, 0, STARTUP_DELAY_SECONDS));
+        // One release is left at 5 s, and two follow at 18 s; the latest start is at 32 - 13 = 19
+        // s.
+        assertEquals(
+                4,
+                releaseForecast.claimReleases(array(32, false), 9, 0, 18),
+                "one task starts at 5 s, and three at 18 s");
+    }
+
     @Test
     void lateTaskWaitsForReleaseUpToStartupDelay() {
         addRelease(35, false);
