Bound the steps of a scheduling round by jobs and machines instead of tasks

Change: PlacementRound counts the free capacity before it places a gang, asks for the indices of as many tasks as it places, and begins no further job when its budget of steps is used up; JobPass continues with the jobs left out. Preemption and predicted jobs have budgets as well.

--- a/src/main/java/org/meadowhollow/coordination/rounds/PredictedJobPlanner.java
+++ b/src/main/java/org/meadowhollow/coordination/rounds/PredictedJobPlanner.java
@@ -1,6 +1,6 @@
 package org.meadowhollow.coordination.rounds;
 
-import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Object2IntMaps;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -9,6 +9,8 @@
 import org.meadowhollow.coordination.scheduling.ArrivalForecast;
 import org.meadowhollow.coordination.scheduling.PlacementRound;
 import org.meadowhollow.coordination.scheduling.SchedulingSnapshot;
+import org.meadowhollow.coordination.scheduling.StepBudget;
+import org.meadowhollow.model.JobKind;
 import org.meadowhollow.model.JobSpec;
 import org.meadowhollow.model.MachineId;
 import org.meadowhollow.model.MonotonicTime;
@@ -31,6 +33,9 @@
         }
     }
 
+    /** The steps after which the plan of a round begins no further predicted job. */
+    private static final long MAX_STEPS = 1_000_000;
+
     private final ArrivalForecast arrivalForecast;
 
     PredictedJobPlanner(ArrivalForecast arrivalForecast) {
@@ -44,17 +49,15 @@
     Plan plan(SchedulingSnapshot remaining, MonotonicTime now) {
         List<PlacementRound.PendingJob> predicted = new ArrayList<>();
         for (JobSpec spec : arrivalForecast.predictedJobs(now)) {
-            int[] tasks = new int[spec.taskCount()];
-            predicted.add(
-                    new PlacementRound.PendingJob(
-                            spec, tasks, new Object2IntOpenHashMap<>(), true));
+            predicted.add(createPendingJob(spec));
         }
         PlacementRound.Outcome outcome =
                 PlacementRound.run(
                         remaining.candidates(),
                         remaining.usageByTeam(),
                         predicted,
-                        predicted.size());
+                        new PlacementRound.Limits(
+                                predicted.size(), Integer.MAX_VALUE, new StepBudget(MAX_STEPS)));
         Set<MachineId> machines = new HashSet<>();
         outcome.decisions().forEach(decision -> machines.add(decision.machine()));
         List<Autoscaler.CapacityDemand> demands = new ArrayList<>();
@@ -68,4 +71,14 @@
         }
         return new Plan(machines, demands);
     }
+
+    /** Creates a job whose tasks need no indices, since none of them is started. */
+    private static PlacementRound.PendingJob createPendingJob(JobSpec spec) {
+        int tasks =
+                spec.kind() == JobKind.GANG
+                        ? spec.taskCount()
+                        : Math.min(spec.taskCount(), SchedulingSnapshot.MAX_TASKS_PER_JOB);
+        return new PlacementRound.PendingJob(
+                spec, tasks, count -> new int[count], Object2IntMaps.emptyMap(), true);
+    }
 }
--- a/src/main/java/org/meadowhollow/coordination/rounds/RoundScheduler.java
+++ b/src/main/java/org/meadowhollow/coordination/rounds/RoundScheduler.java
@@ -10,6 +10,7 @@
 import org.meadowhollow.coordination.scheduling.ArrivalForecast;
 import org.meadowhollow.coordination.scheduling.PlacementRound;
 import org.meadowhollow.coordination.scheduling.SchedulingSnapshot;
+import org.meadowhollow.coordination.scheduling.StepBudget;
 import org.meadowhollow.model.EventLoopStep;
 import org.meadowhollow.model.JobId;
 import org.meadowhollow.model.MachineId;
@@ -26,6 +27,12 @@
     /** The time from one round to the next. */
     public static final Duration ROUND_INTERVAL = Duration.ofSeconds(1);
 
+    /**
+     * The steps after which a round begins to place no further job. A round with hundreds of
+     * waiting jobs and a thousand machines takes fewer.
+     */
+    private static final long MAX_PLACEMENT_STEPS = 1_000_000;
+
     private final RoundContext context;
     private final FirstRoundGate firstRoundGate;
     private final ReservationEnforcer reservationEnforcer;
@@ -33,6 +40,8 @@
     private final CapacityDemandSink capacityDemandSink;
     private final PlacementApplier placementApplier;
     private final PredictedJobPlanner predictedJobPlanner;
+    private final JobPass regularPass = new JobPass();
+    private final JobPass bestEffortPass = new JobPass();
 
     /** Creates the scheduler of one leadership's rounds. */
     public RoundScheduler(
@@ -63,23 +72,40 @@
         Map<Boolean, List<PlacementRound.PendingJob>> byBestEffort =
                 snapshot.pendingJobs().stream()
                         .collect(Collectors.partitioningBy(RoundScheduler::isBestEffort));
+        List<PlacementRound.PendingJob> regularJobs = byBestEffort.get(false);
+        List<PlacementRound.PendingJob> remainingRegular = regularPass.remaining(regularJobs);
         PlacementRound.Outcome regular =
-                placeMeasured(snapshot, byBestEffort.get(false), maxJobsPerRound(), now);
+                placeMeasured(
+                        snapshot,
+                        remainingRegular,
+                        limits(maxJobsPerRound(), snapshot.maxMorePlacements()),
+                        now);
         PredictedJobPlanner.Plan predicted =
                 full ? predictedJobPlanner.plan(snapshot, now) : PredictedJobPlanner.Plan.empty();
         // Best-effort jobs get only capacity that neither other jobs nor predicted ones need;
         // elsewhere they would soon be preempted again.
+        List<PlacementRound.PendingJob> bestEffortJobs = byBestEffort.get(true);
+        List<PlacementRound.PendingJob> remainingBestEffort =
+                bestEffortPass.remaining(bestEffortJobs);
         PlacementRound.Outcome bestEffort =
-                placeMeasured(snapshot, byBestEffort.get(true), maxBestEffortJobsPerRound(), now);
+                placeMeasured(
+                        snapshot,
+                        remainingBestEffort,
+                        limits(
+                                maxBestEffortJobsPerRound(),
+                                snapshot.maxMorePlacements() - regular.decisions().size()),
+                        now);
         firstRoundGate.recordRound(regular.decisions().size() + bestEffort.decisions().size(), now);
+        Map<JobId, Integer> unplacedTasks =
+                new HashMap<>(regularPass.recordRound(regularJobs, remainingRegular, regular));
+        unplacedTasks.putAll(
+                bestEffortPass.recordRound(bestEffortJobs, remainingBestEffort, bestEffort));
         if (!full) {
             // While only some of the machines have reported, it is not known which capacity is
             // lacking, so nothing is rented, stopped or abandoned.
             return;
         }
         firstRoundGate.recordFullRound(now);
-        Map<JobId, Integer> unplacedTasks = new HashMap<>(regular.unplacedTasksByJob());
-        unplacedTasks.putAll(bestEffort.unplacedTasksByJob());
         List<Autoscaler.CapacityDemand> demands =
                 context.loop()
                         .callStep(
@@ -89,6 +115,11 @@
         demandCapacity(demands, predicted);
     }
 
+    private static PlacementRound.Limits limits(int decidedJobs, int placements) {
+        return new PlacementRound.Limits(
+                decidedJobs, placements, new StepBudget(MAX_PLACEMENT_STEPS));
+    }
+
     private SchedulingSnapshot takeSnapshot(MonotonicTime now) {
         return new SchedulingSnapshot(
                 context.clusterState(), context.deploymentSettings(), context.objectives(), now);
@@ -101,21 +132,20 @@
     private PlacementRound.Outcome placeMeasured(
             SchedulingSnapshot snapshot,
             List<PlacementRound.PendingJob> pendingJobs,
-            int maxJobs,
+            PlacementRound.Limits limits,
             MonotonicTime now) {
         return context.loop()
-                .callStep(
-                        EventLoopStep.PLACEMENT, () -> place(snapshot, pendingJobs, maxJobs, now));
+                .callStep(EventLoopStep.PLACEMENT, () -> place(snapshot, pendingJobs, limits, now));
     }
 
     private PlacementRound.Outcome place(
             SchedulingSnapshot snapshot,
             List<PlacementRound.PendingJob> pendingJobs,
-            int maxJobs,
+            PlacementRound.Limits limits,
             MonotonicTime now) {
         PlacementRound.Outcome outcome =
                 PlacementRound.run(
-                        snapshot.candidates(), snapshot.usageByTeam(), pendingJobs, maxJobs);
+                        snapshot.candidates(), snapshot.usageByTeam(), pendingJobs, limits);
         placementApplier.apply(outcome.decisions(), now);
         return outcome;
     }
--- a/src/main/java/org/meadowhollow/coordination/rounds/UnplacedJobHandler.java
+++ b/src/main/java/org/meadowhollow/coordination/rounds/UnplacedJobHandler.java
@@ -1,14 +1,17 @@
 package org.meadowhollow.coordination.rounds;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.meadowhollow.coordination.fleet.Autoscaler;
 import org.meadowhollow.coordination.lifecycle.JobTracker;
 import org.meadowhollow.coordination.lifecycle.TaskLifecycle;
 import org.meadowhollow.coordination.scheduling.PlacementRound;
 import org.meadowhollow.coordination.scheduling.PreemptionPlanner;
 import org.meadowhollow.coordination.scheduling.SchedulingSnapshot;
+import org.meadowhollow.coordination.scheduling.StepBudget;
 import org.meadowhollow.model.Job;
 import org.meadowhollow.model.JobId;
 import org.meadowhollow.model.MonotonicTime;
@@ -17,8 +20,7 @@
 
 /**
  * Obtains capacity for jobs with tasks that a round could not place: preempts best-effort tasks and
- * others, and collects the capacity to rent. Keeps no state between rounds. Guarded by the leader's
- * lock.
+ * others, and collects the capacity to rent. Guarded by the leader's lock.
  */
 public final class UnplacedJobHandler {
     /**
@@ -33,11 +35,20 @@
      */
     private static final int MAX_JOBS_PREEMPTING_BEST_EFFORT = 8;
 
+    /**
+     * The steps after which tasks are preempted for no further job in a round; the next round
+     * continues with the other jobs.
+     */
+    private static final long MAX_PREEMPTION_STEPS = 1_000_000;
+
     private final RoundContext context;
     private final PreemptionPlanner preemptionPlanner;
     private final TaskLifecycle taskLifecycle;
     private final JobTracker jobTracker;
 
+    /** The jobs that preemption was tried for since the budget last sufficed for all jobs. */
+    private final Set<JobId> triedForPreemption = new HashSet<>();
+
     /** Creates a handler that stops tasks through {@code taskLifecycle}. */
     public UnplacedJobHandler(
             RoundContext context,
@@ -65,6 +76,7 @@
                 pass.handleJob(pendingJob, unplaced);
             }
         }
+        pass.end();
         return pass.demands;
     }
 
@@ -73,6 +85,9 @@
         private final SchedulingSnapshot snapshot;
         private final MonotonicTime now;
         private final List<Autoscaler.CapacityDemand> demands = new ArrayList<>();
+        private final StepBudget budget = new StepBudget(MAX_PREEMPTION_STEPS);
+
+        private boolean jobsLeftOut;
         private int preemptingJobs;
         private int bestEffortPreemptingJobs;
         private long bestEffortTasks;
@@ -85,7 +100,10 @@
 
         void handleJob(PlacementRound.PendingJob pendingJob, int unplaced) {
             Job job = context.clusterState().jobs().get(pendingJob.spec().id());
-            preemptBestEffort(job, pendingJob, unplaced);
+            boolean mayPreempt = mayPreemptFor(job);
+            if (mayPreempt) {
+                preemptBestEffort(job, pendingJob, unplaced);
+            }
             demands.add(
                     new Autoscaler.CapacityDemand(
                             job.spec(),
@@ -94,7 +112,29 @@
                             jobTracker.secondsSinceAcceptance(job)));
             taskLifecycle.abandonIncompleteGang(
                     job, context.deploymentSettings().gangStartTimeout(), now);
-            preempt(job, pendingJob);
+            if (mayPreempt) {
+                preempt(job, pendingJob);
+            }
+        }
+
+        /** Whether the budget allows to try preemption for a job, in this round or its turn. */
+        private boolean mayPreemptFor(Job job) {
+            if (triedForPreemption.contains(job.id())) {
+                return false;
+            }
+            if (budget.isExhausted()) {
+                jobsLeftOut = true;
+                return false;
+            }
+            triedForPreemption.add(job.id());
+            return true;
+        }
+
+        /** Begins anew with all jobs in the next round, unless jobs were left out of this one. */
+        void end() {
+            if (!jobsLeftOut) {
+                triedForPreemption.clear();
+            }
         }
 
         private void preemptBestEffort(
@@ -105,7 +145,7 @@
             }
             List<Placement> victims =
                     preemptionPlanner.planBestEffortPreemption(
-                            job, pendingJob.tasksByZone(), unplaced, now);
+                            job, pendingJob.tasksByZone(), unplaced, budget, now);
             if (victims.isEmpty()) {
                 return;
             }
@@ -127,6 +167,7 @@
                             job,
                             pendingJob.tasksByZone(),
                             snapshot.isWithinGuaranteedQuota(job.id()),
+                            budget,
                             now);
             victims.forEach(
                     victim ->
--- a/src/main/java/org/meadowhollow/coordination/scheduling/CandidateQueue.java
+++ b/src/main/java/org/meadowhollow/coordination/scheduling/CandidateQueue.java
@@ -34,7 +34,11 @@
      */
     record Selection(MachineCandidate candidate, boolean byRiskTable) {}
 
+    /** The steps that it takes to score a candidate and to add it to a queue. */
+    private static final int SCORING_STEPS = 8;
+
     private final JobSpec spec;
+    private final StepBudget budget;
     private final RiskPolicy riskPolicy;
     private final Set<MachineId> failedMachines;
     private final Object2IntOpenHashMap<String> tasksByZone;
@@ -52,13 +56,16 @@
      * Creates a queue and scores the candidates for a job.
      *
      * @param onlyZone the zone to use, or empty for all
+     * @param budget counts the candidates that are examined
      */
     CandidateQueue(
             List<MachineCandidate> candidates,
             PlacementRound.PendingJob job,
             RiskPolicy riskPolicy,
-            Optional<String> onlyZone) {
+            Optional<String> onlyZone,
+            StepBudget budget) {
         this.spec = job.spec();
+        this.budget = budget;
         this.riskPolicy = riskPolicy;
         this.failedMachines = job.failedMachines();
         this.tasksByZone = new Object2IntOpenHashMap<>(job.tasksByZone());
@@ -70,9 +77,11 @@
     }
 
     private void addIfUsable(MachineCandidate candidate) {
+        budget.spend(1);
         if (!PlacementConstraints.areSatisfied(spec, tasksByZone, candidate)) {
             return;
         }
+        budget.spend(SCORING_STEPS);
         candidate.updateScore(spec, failedMachines);
         if (PlacementOrder.isRiskAccepted(candidate.score())) {
             acceptedByRisk.add(candidate);
--- a/src/main/java/org/meadowhollow/coordination/scheduling/GangPlanner.java
+++ b/src/main/java/org/meadowhollow/coordination/scheduling/GangPlanner.java
@@ -18,10 +18,13 @@
 
     private final List<MachineCandidate> candidates;
     private final PlacementRound.PendingJob gang;
+    private final StepBudget budget;
 
-    GangPlanner(List<MachineCandidate> candidates, PlacementRound.PendingJob gang) {
+    GangPlanner(
+            List<MachineCandidate> candidates, PlacementRound.PendingJob gang, StepBudget budget) {
         this.candidates = candidates;
         this.gang = gang;
+        this.budget = budget;
     }
 
     /**
@@ -35,7 +38,7 @@
         for (Optional<String> zone : zonesToTry()) {
             List<MachineCandidate> machines = new ArrayList<>();
             double slowestPull = tryZone(zone, riskPolicy, machines);
-            if (machines.size() == gang.tasks().length && slowestPull < bestSlowestPull) {
+            if (machines.size() == gang.taskCount() && slowestPull < bestSlowestPull) {
                 best = machines;
                 bestSlowestPull = slowestPull;
             }
@@ -66,10 +69,10 @@
      */
     private double tryZone(
             Optional<String> zone, RiskPolicy riskPolicy, List<MachineCandidate> machines) {
-        CandidateQueue queue = new CandidateQueue(candidates, gang, riskPolicy, zone);
+        CandidateQueue queue = new CandidateQueue(candidates, gang, riskPolicy, zone, budget);
         List<TrialAssignment> assignments = new ArrayList<>();
         double slowestPull = 0;
-        while (assignments.size() < gang.tasks().length) {
+        while (assignments.size() < gang.taskCount()) {
             Optional<Selection> selection = queue.selectBest();
             if (selection.isEmpty()) {
                 break;
--- a/src/main/java/org/meadowhollow/coordination/scheduling/MachineCandidate.java
+++ b/src/main/java/org/meadowhollow/coordination/scheduling/MachineCandidate.java
@@ -7,6 +7,7 @@
 import org.meadowhollow.model.JobId;
 import org.meadowhollow.model.JobKind;
 import org.meadowhollow.model.JobSpec;
+import org.meadowhollow.model.Machine;
 import org.meadowhollow.model.MachineId;
 import org.meadowhollow.model.Resources;
 
@@ -118,6 +119,16 @@
         return freeCapacity;
     }
 
+    /** The number of tasks of a job for which the machine has free capacity. */
+    int maxMoreTasks(JobSpec spec) {
+        return Math.min(Machine.maxTasksIn(freeCapacity, spec), Machine.MAX_TASKS - taskCount);
+    }
+
+    /** Whether the machine has free capacity for one more task of a job. */
+    boolean fits(JobSpec spec) {
+        return taskCount < Machine.MAX_TASKS && spec.resourcesPerTask().fitsIn(freeCapacity);
+    }
+
     /** The score for the job that was last scored; see {@link #updateScore}. */
     CandidateScore score() {
         return score;
--- a/src/main/java/org/meadowhollow/coordination/scheduling/PlacementConstraints.java
+++ b/src/main/java/org/meadowhollow/coordination/scheduling/PlacementConstraints.java
@@ -23,7 +23,7 @@
 
     private static boolean fits(JobSpec spec, MachineCandidate candidate) {
         MachineCandidate.Profile profile = candidate.profile();
-        return spec.resourcesPerTask().fitsIn(candidate.freeCapacity())
+        return candidate.fits(spec)
                 && spec.allowsMachineType(profile.machineType())
                 && spec.allowsZone(profile.zone())
                 && (!profile.spot() || spec.allowsSpot());
--- a/src/main/java/org/meadowhollow/coordination/scheduling/PreemptionPlanner.java
+++ b/src/main/java/org/meadowhollow/coordination/scheduling/PreemptionPlanner.java
@@ -76,9 +76,14 @@
      *
      * @param tasksByZone the number of tasks of the job that may be running in each zone
      * @param guaranteed whether the job is within the guaranteed quota of its team
+     * @param budget counts the machines and tasks that are examined
      */
     public List<Placement> planPreemption(
-            Job job, Object2IntMap<String> tasksByZone, boolean guaranteed, MonotonicTime now) {
+            Job job,
+            Object2IntMap<String> tasksByZone,
+            boolean guaranteed,
+            StepBudget budget,
+            MonotonicTime now) {
         JobSpec spec = job.spec();
         boolean multiTaskGang = spec.kind() == JobKind.GANG && spec.taskCount() > 1;
         if (multiTaskGang
@@ -90,6 +95,7 @@
         Map<String, Resources> usageByTeam = clusterState.usageByTeam();
         List<PreemptionCandidate<Placement>> candidates = new ArrayList<>();
         for (Machine machine : clusterState.machines().values()) {
+            budget.spend(1 + machine.placements().size());
             if (canPreemptOn(machine, spec, tasksByZone, now) && machine.heldForGang(now) == null) {
                 candidates.add(createCandidate(machine, spec, usageByTeam, now));
             }
@@ -105,20 +111,26 @@
      *
      * @param tasksByZone the number of tasks of the job that may be running in each zone
      * @param count the number of tasks that could not be placed for lack of capacity
+     * @param budget counts the machines and tasks that are examined
      */
     public List<Placement> planBestEffortPreemption(
-            Job job, Object2IntMap<String> tasksByZone, int count, MonotonicTime now) {
+            Job job,
+            Object2IntMap<String> tasksByZone,
+            int count,
+            StepBudget budget,
+            MonotonicTime now) {
         JobSpec spec = job.spec();
         if (!spec.priority().isHigherThan(Priority.LOW) || isCoolingDown(job, now)) {
             return List.of();
         }
-        BestEffortCandidates candidates = findBestEffortCandidates(spec, tasksByZone, now);
+        BestEffortCandidates candidates = findBestEffortCandidates(spec, tasksByZone, budget, now);
         boolean gang = spec.kind() == JobKind.GANG;
         List<FreedSlot<Placement>> slots =
                 spec.requiresSingleZone()
                         ? selectSlotsInBestZone(spec, count, gang, candidates)
                         : VictimSelector.selectBestEffortVictims(
                                 spec, count, gang, candidates.allCandidates());
+        budget.spend(slots.size());
         List<Placement> victims = slots.stream().flatMap(slot -> slot.victims().stream()).toList();
         if (gang && !victims.isEmpty()) {
             // Without the hold, smaller tasks that are placed first would take part of the freed
@@ -135,10 +147,11 @@
     }
 
     private BestEffortCandidates findBestEffortCandidates(
-            JobSpec spec, Object2IntMap<String> tasksByZone, MonotonicTime now) {
+            JobSpec spec, Object2IntMap<String> tasksByZone, StepBudget budget, MonotonicTime now) {
         Map<String, Resources> usageByTeam = clusterState.usageByTeam();
         BestEffortCandidates candidates = new BestEffortCandidates();
         for (Machine machine : clusterState.machines().values()) {
+            budget.spend(1 + machine.placements().size());
             boolean inOtherZone =
                     spec.requiresSingleZone()
                             && !tasksByZone.isEmpty()
--- a/src/main/java/org/meadowhollow/coordination/scheduling/SchedulingSnapshot.java
+++ b/src/main/java/org/meadowhollow/coordination/scheduling/SchedulingSnapshot.java
@@ -1,14 +1,17 @@
 package org.meadowhollow.coordination.scheduling;
 
+import it.unimi.dsi.fastutil.ints.IntOpenHashSet;
+import it.unimi.dsi.fastutil.ints.IntSet;
+import it.unimi.dsi.fastutil.ints.IntSets;
 import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Object2IntMap;
+import it.unimi.dsi.fastutil.objects.Object2IntMaps;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.meadowhollow.coordination.api.DeploymentSettings;
 import org.meadowhollow.model.Job;
 import org.meadowhollow.model.JobId;
@@ -31,7 +34,13 @@
      * The maximum number of tasks of one array or service job that a round considers; more than fit
      * on any cluster. A gang is always considered whole.
      */
-    private static final int MAX_TASKS_PER_JOB = 2000;
+    public static final int MAX_TASKS_PER_JOB = 2000;
+
+    /**
+     * The maximum number of placements on all machines together, which bounds the memory that they
+     * take and the steps of loops over them.
+     */
+    static final int MAX_PLACEMENTS = 100_000;
 
     private final ClusterState clusterState;
     private final DeploymentSettings deploymentSettings;
@@ -40,11 +49,12 @@
     private final List<PlacementRound.PendingJob> pendingJobs = new ArrayList<>();
 
     /**
-     * Tasks that a machine listed in its heartbeat without a recorded placement there. They must
-     * not be placed until they have exited.
+     * Tasks that a machine listed in its heartbeat without a recorded placement there, by job. They
+     * must not be placed until they have exited.
      */
-    private final Set<TaskId> orphanedTasks = new HashSet<>();
+    private final Map<JobId, IntSet> orphanedTasks = new HashMap<>();
 
+    private int placementCount;
     private final Map<JobId, Boolean> withinGuaranteedQuota;
     private final Map<String, TeamUsage> usageByTeam;
 
@@ -89,9 +99,19 @@
         return withinGuaranteedQuota.getOrDefault(job, false);
     }
 
+    /** The number of tasks that may still be placed on all machines together. */
+    public int maxMorePlacements() {
+        return Math.max(0, MAX_PLACEMENTS - placementCount);
+    }
+
     private void addCandidates(ServiceLevelObjectives objectives) {
         for (Machine machine : clusterState.machines().values()) {
-            orphanedTasks.addAll(machine.orphanedTasks());
+            placementCount += machine.placements().size();
+            for (TaskId task : machine.orphanedTasks()) {
+                orphanedTasks
+                        .computeIfAbsent(task.jobId(), unused -> new IntOpenHashSet())
+                        .add(task.index());
+            }
             if (clusterState.isSchedulable(machine, now)) {
                 candidates.add(createCandidate(machine, objectives));
             }
@@ -156,8 +176,8 @@
         }
         jobsToPlace.sort(jobOrder());
         for (Job job : jobsToPlace) {
-            int[] tasks = findPlaceableTasks(job);
-            if (tasks.length > 0) {
+            int tasks = countPlaceableTasks(job);
+            if (tasks > 0) {
                 pendingJobs.add(createPendingJob(job, tasks));
             }
         }
@@ -184,40 +204,62 @@
                 .thenComparing(Job::id);
     }
 
-    private PlacementRound.PendingJob createPendingJob(Job job, int[] tasks) {
+    private PlacementRound.PendingJob createPendingJob(Job job, int taskCount) {
         boolean ignoresRisk =
                 now.elapsedSince(job.pendingSince())
                                 .compareTo(ServiceLevelObjectives.RISK_IGNORED_AFTER)
                         > 0;
         return new PlacementRound.PendingJob(
                 job.spec(),
-                tasks,
-                clusterState.countTasksByZone(job),
+                taskCount,
+                count -> firstPlaceableTasks(job, count),
+                countTasksByZone(job),
                 ignoresRisk,
                 job.recentlyFailedMachines());
     }
 
+    /** Counts the tasks of a job by zone, if the zones of its tasks limit further placements. */
+    private Object2IntMap<String> countTasksByZone(Job job) {
+        return job.spec().requiresSingleZone() || job.spec().spreadsAcrossZones()
+                ? clusterState.countTasksByZone(job)
+                : Object2IntMaps.emptyMap();
+    }
+
     /**
-     * Returns the indices of the waiting tasks that may be placed now; none for a gang that cannot
-     * be placed as a whole now.
+     * Counts the waiting tasks that may be placed now; none for a gang that cannot be placed as a
+     * whole now.
      */
-    private int[] findPlaceableTasks(Job job) {
+    private int countPlaceableTasks(Job job) {
         boolean gang = job.spec().kind() == JobKind.GANG;
         if (gang && (job.hasAttemptStarted() || job.completedTaskCount() > 0)) {
-            return new int[0];
+            return 0;
         }
-        int[] tasks = new int[Math.min(maxPlaceableTasks(job), job.pendingTaskCount())];
-        int count = 0;
+        int waitingOrphans = 0;
+        for (int task : orphanedTasksOf(job)) {
+            waitingOrphans += job.isTaskPending(task) ? 1 : 0;
+        }
+        if (gang && waitingOrphans > 0) {
+            return 0;
+        }
+        return Math.min(maxPlaceableTasks(job), job.pendingTaskCount() - waitingOrphans);
+    }
+
+    private int[] firstPlaceableTasks(Job job, int count) {
+        IntSet orphans = orphanedTasksOf(job);
+        int[] tasks = new int[count];
+        int found = 0;
         for (int task = job.nextPendingTask(0);
-                task >= 0 && count < tasks.length;
+                task >= 0 && found < count;
                 task = job.nextPendingTask(task + 1)) {
-            if (!orphanedTasks.contains(new TaskId(job.id(), task))) {
-                tasks[count++] = task;
-            } else if (gang) {
-                return new int[0];
+            if (!orphans.contains(task)) {
+                tasks[found++] = task;
             }
         }
-        return count == tasks.length ? tasks : Arrays.copyOf(tasks, count);
+        return found == count ? tasks : Arrays.copyOf(tasks, found);
+    }
+
+    private IntSet orphanedTasksOf(Job job) {
+        return orphanedTasks.getOrDefault(job.id(), IntSets.EMPTY_SET);
     }
 
     private static int maxPlaceableTasks(Job job) {
--- a/src/main/java/org/meadowhollow/coordination/scheduling/VictimSelector.java
+++ b/src/main/java/org/meadowhollow/coordination/scheduling/VictimSelector.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.function.Predicate;
 import org.meadowhollow.model.JobSpec;
+import org.meadowhollow.model.Machine;
 import org.meadowhollow.model.Priority;
 import org.meadowhollow.model.Resources;
 
@@ -14,6 +15,9 @@
  * another team that exceeds its own. All functions are pure.
  */
 final class VictimSelector {
+    /** The number of slots, for each one that is needed, above which the worst are dropped. */
+    private static final int PRUNING_FACTOR = 2;
+
     private VictimSelector() {}
 
     /**
@@ -95,13 +99,24 @@
         }
         List<FreedSlot<T>> slots = new ArrayList<>();
         for (PreemptionCandidate<T> candidate : candidates) {
-            addSlots(spec, maxTasks, candidate, slots);
+            addSlots(spec, Math.min(maxTasks, Machine.MAX_TASKS), candidate, slots);
+            if (slots.size() > PRUNING_FACTOR * maxTasks + Machine.MAX_TASKS) {
+                keepBest(slots, maxTasks);
+            }
         }
         if (allOrNothing && slots.size() < maxTasks) {
             return List.of();
         }
+        keepBest(slots, maxTasks);
+        return slots;
+    }
+
+    /** Sorts the slots by the work that is lost, and removes those that are not needed. */
+    private static <T> void keepBest(List<FreedSlot<T>> slots, int maxTasks) {
         slots.sort(Comparator.comparingDouble(FreedSlot::lostWorkSeconds));
-        return slots.subList(0, Math.min(maxTasks, slots.size()));
+        if (slots.size() > maxTasks) {
+            slots.subList(maxTasks, slots.size()).clear();
+        }
     }
 
     /** Adds the slots on one machine, both free ones and those that preemption frees. */
--- a/src/main/java/org/meadowhollow/model/Job.java
+++ b/src/main/java/org/meadowhollow/model/Job.java
@@ -230,6 +230,13 @@
         return false;
     }
 
+    /** Whether a task is neither completed nor placed. */
+    public boolean isTaskPending(int task) {
+        return task < spec.taskCount()
+                && !completedTasks.get(task)
+                && !placements.containsKey(task);
+    }
+
     /** The number of tasks that are waiting to be placed. */
     public int pendingTaskCount() {
         return isCancelled || isEnded || hasExhaustedAttempts()
--- a/src/test/java/org/meadowhollow/coordination/scheduling/PlacementOrderTest.java
+++ b/src/test/java/org/meadowhollow/coordination/scheduling/PlacementOrderTest.java
@@ -123,12 +123,12 @@
                                 candidates(seed),
                                 unlimitedTeam(),
                                 List.of(
-                                        new PlacementRound.PendingJob(
+                                        RoundInputs.pendingJob(
                                                 spec,
                                                 tasks,
                                                 new Object2IntOpenHashMap<>(),
                                                 ignoresRisk)),
-                                1)
+                                RoundInputs.limits(1))
                         .decisions();
 
         List<MachineCandidate> candidates = candidates(seed);
@@ -140,12 +140,12 @@
                                     candidates,
                                     unlimitedTeam(),
                                     List.of(
-                                            new PlacementRound.PendingJob(
+                                            RoundInputs.pendingJob(
                                                     spec,
                                                     new int[] {task},
                                                     tasksByZone,
                                                     ignoresRisk)),
-                                    1)
+                                    RoundInputs.limits(1))
                             .decisions();
             for (PlacementRound.Decision decision : next) {
                 candidates.stream()
@@ -166,24 +166,55 @@
         JobSpec array = spec(seed + 1, JobKind.ARRAY);
         int[] tasksBeyondCapacity = new int[MACHINES * 8 + 1];
         int[] tasks = new int[array.taskCount()];
-        var pendingJob =
-                new PlacementRound.PendingJob(array, tasks, new Object2IntOpenHashMap<>(), false);
+        var pendingJob = RoundInputs.pendingJob(array, tasks, new Object2IntOpenHashMap<>(), false);
         List<PlacementRound.Decision> decisionsWithoutGang =
-                PlacementRound.run(candidates(seed), unlimitedTeam(), List.of(pendingJob), 1)
+                PlacementRound.run(
+                                candidates(seed),
+                                unlimitedTeam(),
+                                List.of(pendingJob),
+                                RoundInputs.limits(1))
                         .decisions();
         var outcome =
                 PlacementRound.run(
                         candidates(seed),
                         unlimitedTeam(),
                         List.of(
-                                new PlacementRound.PendingJob(
+                                RoundInputs.pendingJob(
                                         gang,
                                         tasksBeyondCapacity,
                                         new Object2IntOpenHashMap<>(),
                                         false),
                                 pendingJob),
-                        1);
+                        RoundInputs.limits(1));
         assertEquals(decisionsWithoutGang, outcome.decisions());
         assertTrue(outcome.unplacedTasksByJob().containsKey(gang.id()));
     }
+
+    /** Without the count of free capacity, which keeps such gangs from being planned at all. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void planOfGangWithoutRoomIsUndone(long seed) {
+        JobSpec gang = spec(seed, JobKind.GANG);
+        JobSpec array = spec(seed + 1, JobKind.ARRAY);
+        var pendingGang =
+                RoundInputs.pendingJob(
+                        gang, new int[MACHINES * 8 + 1], new Object2IntOpenHashMap<>(), false);
+        var pendingArray =
+                RoundInputs.pendingJob(
+                        array, new int[array.taskCount()], new Object2IntOpenHashMap<>(), false);
+        List<MachineCandidate> candidates = candidates(seed);
+
+        GangPlanner planner =
+                new GangPlanner(candidates, pendingGang, RoundInputs.limits(1).budget());
+
+        assertTrue(planner.plan(CandidateQueue.RiskPolicy.IGNORED).isEmpty());
+        assertEquals(
+                decisions(candidates(seed), pendingArray), decisions(candidates, pendingArray));
+    }
+
+    private static List<PlacementRound.Decision> decisions(
+            List<MachineCandidate> candidates, PlacementRound.PendingJob job) {
+        return PlacementRound.run(candidates, unlimitedTeam(), List.of(job), RoundInputs.limits(1))
+                .decisions();
+    }
 }
--- a/src/test/java/org/meadowhollow/coordination/scheduling/PlacementRoundTest.java
+++ b/src/test/java/org/meadowhollow/coordination/scheduling/PlacementRoundTest.java
@@ -129,9 +129,9 @@
                         candidates,
                         teams,
                         List.of(
-                                new PlacementRound.PendingJob(
+                                RoundInputs.pendingJob(
                                         spec, tasks, new Object2IntOpenHashMap<>(), ignoresRisk)),
-                        100)
+                        RoundInputs.limits(100))
                 .decisions()
                 .stream()
                 .map(
