--- a/src/main/java/org/meadowhollow/coordination/LeaderParts.java
+++ b/src/main/java/org/meadowhollow/coordination/LeaderParts.java
@@ -156,6 +156,7 @@
 
     private TaskLifecycle createTaskLifecycle() {
         return new TaskLifecycle(
+                leader,
                 loop,
                 recordWriter,
                 machineRegistry,
--- a/src/main/java/org/meadowhollow/coordination/LeaderService.java
+++ b/src/main/java/org/meadowhollow/coordination/LeaderService.java
@@ -25,6 +25,7 @@
 import org.meadowhollow.model.MachineId;
 import org.meadowhollow.model.MonotonicTime;
 import org.meadowhollow.model.Placement;
+import org.meadowhollow.model.TaskShard;
 import org.meadowhollow.model.WorkerCommand;
 import org.meadowhollow.model.WorkerIncarnation;
 import org.meadowhollow.storage.KeyValueStore;
@@ -177,8 +178,8 @@
     }
 
     @Override
-    public void onTasksPersisted(Job job) {
-        parts.heartbeatHandler.onTasksPersisted(job);
+    public void onTasksPersisted(Job job, List<TaskShard> shards) {
+        parts.heartbeatHandler.onTasksPersisted(job, shards);
     }
 
     // A failed read changes nothing: the write is repeated and meets the same conflict again.
--- a/src/main/java/org/meadowhollow/coordination/lifecycle/JobTracker.java
+++ b/src/main/java/org/meadowhollow/coordination/lifecycle/JobTracker.java
@@ -11,7 +11,6 @@
 import org.meadowhollow.model.MonotonicTime;
 import org.meadowhollow.model.Placement;
 import org.meadowhollow.model.SecondaryRecord;
-import org.meadowhollow.model.TaskState;
 import org.meadowhollow.storage.RecordDigests;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -103,12 +102,7 @@
     }
 
     private static AdmissionService.JobStatus statusOf(Job job) {
-        int running = 0;
-        for (Placement placement : job.placements()) {
-            if (placement.reportedState() == TaskState.RUNNING) {
-                running++;
-            }
-        }
+        int running = job.runningTaskCount();
         return new AdmissionService.JobStatus(
                 job.id(),
                 running > 0 ? AdmissionService.Phase.RUNNING : AdmissionService.Phase.QUEUED,
--- a/src/main/java/org/meadowhollow/coordination/lifecycle/TaskLifecycle.java
+++ b/src/main/java/org/meadowhollow/coordination/lifecycle/TaskLifecycle.java
@@ -1,6 +1,7 @@
 package org.meadowhollow.coordination.lifecycle;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import org.meadowhollow.model.EventLoop;
 import org.meadowhollow.model.ExitReason;
@@ -12,7 +13,6 @@
 import org.meadowhollow.model.SecondaryRecord;
 import org.meadowhollow.model.TaskId;
 import org.meadowhollow.model.TaskShard;
-import org.meadowhollow.model.WorkerCommand;
 import org.meadowhollow.storage.RecordWriter;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -39,10 +39,15 @@
     private final MachineRegistry machineRegistry;
     private final JobTracker jobTracker;
     private final RuntimeListener runtimeListener;
-    private final CommandSender commandSender;
+    private final TaskStopQueue stopQueue;
 
-    /** Creates the lifecycle of one leadership's tasks. */
+    /**
+     * Creates the lifecycle of one leadership's tasks.
+     *
+     * @param lock the leader's lock, which all callers hold
+     */
     public TaskLifecycle(
+            Object lock,
             EventLoop loop,
             RecordWriter recordWriter,
             MachineRegistry machineRegistry,
@@ -54,7 +59,14 @@
         this.machineRegistry = machineRegistry;
         this.jobTracker = jobTracker;
         this.runtimeListener = runtimeListener;
-        this.commandSender = commandSender;
+        this.stopQueue =
+                new TaskStopQueue(
+                        lock,
+                        loop,
+                        recordWriter,
+                        machineRegistry,
+                        commandSender,
+                        this::removeUncommitted);
     }
 
     @Override
@@ -101,9 +113,7 @@
         }
         if (job.spec().kind() == JobKind.GANG) {
             // The tasks of a gang complete together, so one that is done completes all of them.
-            for (int other = 0; other < job.spec().taskCount(); other++) {
-                job.markTaskComplete(other);
-            }
+            job.markAllTasksComplete();
         } else {
             job.markTaskComplete(placement.taskId().index());
         }
@@ -195,18 +205,21 @@
     }
 
     private void stopRestOfGang(Job gang, TaskId lost) {
-        for (Placement other : List.copyOf(gang.placements())) {
+        if (gang.stoppingTaskCount() == gang.placements().size()) {
+            return;
+        }
+        List<Placement> rest = new ArrayList<>();
+        for (Placement other : gang.placements()) {
             if (!other.isStopping()) {
-                stopTask(other, 0, "the gang is incomplete without task " + lost);
+                rest.add(other);
             }
         }
+        stopQueue.stop(rest, 0, "the gang is incomplete without task " + lost);
     }
 
     @Override
     public void stopAllTasks(Job job, double graceSeconds, String reason) {
-        for (Placement placement : List.copyOf(job.placements())) {
-            stopTask(placement, graceSeconds, reason);
-        }
+        stopQueue.stop(List.copyOf(job.placements()), graceSeconds, reason);
         if (job.placements().isEmpty()) {
             recordWriter.markEndPending(job);
             recordWriter.flush();
@@ -216,39 +229,15 @@
     @Override
     public void stopWithCheckpoint(Placement placement, String reason) {
         Job job = placement.job();
-        double graceSeconds = job.spec().checkpointDurationSeconds();
-        if (job.spec().kind() == JobKind.GANG) {
-            // A gang saves its checkpoint only if all its tasks are stopped together.
-            for (Placement each : List.copyOf(job.placements())) {
-                stopTask(each, graceSeconds, reason);
-            }
-        } else {
-            stopTask(placement, graceSeconds, reason);
-        }
+        // A gang saves its checkpoint only if all its tasks are stopped together.
+        List<Placement> together =
+                job.spec().kind() == JobKind.GANG
+                        ? List.copyOf(job.placements())
+                        : List.of(placement);
+        stopQueue.stop(together, job.spec().checkpointDurationSeconds(), reason);
     }
 
-    private void stopTask(Placement placement, double graceSeconds, String reason) {
-        MonotonicTime now = loop.now();
-        if (!placement.isStopping()) {
-            LOG.info(
-                    "task stop requested task={} attempt={} machine={} reason={}",
-                    placement.taskId(),
-                    placement.attemptNumber(),
-                    placement.machineId(),
-                    reason);
-        }
-        placement.requestStop(graceSeconds);
-        Machine machine = machineRegistry.find(placement.machineId());
-        if (!placement.isPersisted()) {
-            // The start of an uncommitted placement was never sent and cannot be, so there is no
-            // exit to wait for.
-            removePlacement(machine, placement, now, true);
-            return;
-        }
-        if (machine != null && machine.address() != null) {
-            WorkerCommand stop =
-                    WorkerCommand.stop(placement.taskId(), placement.attemptNumber(), graceSeconds);
-            commandSender.sendCommands(machine, placement.incarnation(), List.of(stop));
-        }
+    private void removeUncommitted(Placement placement) {
+        removePlacement(machineRegistry.find(placement.machineId()), placement, loop.now(), true);
     }
 }
--- a/src/main/java/org/meadowhollow/coordination/reconciliation/HeartbeatHandler.java
+++ b/src/main/java/org/meadowhollow/coordination/reconciliation/HeartbeatHandler.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.meadowhollow.coordination.api.DeploymentSettings;
@@ -16,9 +17,11 @@
 import org.meadowhollow.model.FencingToken;
 import org.meadowhollow.model.Heartbeat;
 import org.meadowhollow.model.Job;
+import org.meadowhollow.model.JobKind;
 import org.meadowhollow.model.Machine;
 import org.meadowhollow.model.MonotonicTime;
 import org.meadowhollow.model.Placement;
+import org.meadowhollow.model.TaskShard;
 import org.meadowhollow.model.WorkerCommand;
 import org.meadowhollow.storage.RecordWriter;
 
@@ -263,24 +266,36 @@
 
     /**
      * Answers the deferred heartbeats of the machines on which persisted placements of the job can
-     * now start.
+     * now start: those of the shards that were written, or all placements of a gang that is now
+     * committed as a whole.
      */
-    public void onTasksPersisted(Job job) {
+    public void onTasksPersisted(Job job, List<TaskShard> shards) {
         List<DeferredHeartbeat> waiting = new ArrayList<>();
         synchronized (context.lock()) {
-            for (Placement placement : job.placements()) {
-                DeferredHeartbeat deferred =
-                        !placement.isStartSent() && placement.isPersisted()
-                                ? awaitingCommands.take(placement.machineId())
-                                : null;
-                if (deferred != null) {
-                    waiting.add(deferred);
+            if (job.spec().kind() != JobKind.GANG) {
+                for (TaskShard shard : shards) {
+                    takeStartable(shard.placements(), waiting);
                 }
+            } else if (job.isWhollyCommitted()) {
+                takeStartable(job.placements(), waiting);
             }
         }
         waiting.forEach(this::answerDeferred);
     }
 
+    private void takeStartable(
+            Collection<Placement> placements, List<DeferredHeartbeat> startable) {
+        for (Placement placement : placements) {
+            DeferredHeartbeat deferred =
+                    !placement.isStartSent() && placement.isPersisted()
+                            ? awaitingCommands.take(placement.machineId())
+                            : null;
+            if (deferred != null) {
+                startable.add(deferred);
+            }
+        }
+    }
+
     /**
      * Removes and returns all deferred heartbeats, so that the caller can redirect them. Called
      * with the leader's lock held.
--- a/src/main/java/org/meadowhollow/coordination/reconciliation/WorkerCommandPlanner.java
+++ b/src/main/java/org/meadowhollow/coordination/reconciliation/WorkerCommandPlanner.java
@@ -141,14 +141,6 @@
     }
 
     private static boolean isWholeGangCommitted(Placement placement) {
-        if (placement.job().spec().kind() != JobKind.GANG) {
-            return true;
-        }
-        for (Placement other : placement.job().placements()) {
-            if (!other.isPersisted()) {
-                return false;
-            }
-        }
-        return placement.job().placements().size() == placement.job().spec().taskCount();
+        return placement.job().spec().kind() != JobKind.GANG || placement.job().isWhollyCommitted();
     }
 }
--- a/src/main/java/org/meadowhollow/coordination/scheduling/ClusterState.java
+++ b/src/main/java/org/meadowhollow/coordination/scheduling/ClusterState.java
@@ -137,7 +137,7 @@
 
     /** Describes for the log why a job has pending tasks. */
     public String describePendingReason(Job job, MonotonicTime now) {
-        long stoppingTasks = job.placements().stream().filter(Placement::isStopping).count();
+        int stoppingTasks = job.stoppingTaskCount();
         if (job.backoffUntil() != null && now.isBefore(job.backoffUntil())) {
             return "backoff after failed tasks";
         } else if (stoppingTasks > 0) {
--- a/src/main/java/org/meadowhollow/model/Job.java
+++ b/src/main/java/org/meadowhollow/model/Job.java
@@ -1,6 +1,7 @@
 package org.meadowhollow.model;
 
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
+import it.unimi.dsi.fastutil.ints.Int2ObjectRBTreeMap;
 import java.util.BitSet;
 import java.util.Collection;
 import java.util.Set;
@@ -14,7 +15,10 @@
     private final JobSpec spec;
     private final long acceptedAtMillis;
     private final int shardSize;
-    private final TaskShard[] shards;
+
+    /** The shards that have been used, by index. */
+    private final Int2ObjectRBTreeMap<TaskShard> shards = new Int2ObjectRBTreeMap<>();
+
     private final BitSet completedTasks = new BitSet();
     private final Int2ObjectOpenHashMap<Placement> placements = new Int2ObjectOpenHashMap<>();
     private final FailureHistory failures = new FailureHistory();
@@ -22,6 +26,14 @@
     private Revision recordRevision;
     private boolean isCancelled;
     private boolean isEnded;
+
+    // Counts, so that no caller has to visit all tasks of a job to learn them.
+    private int completedTaskCount;
+    private int runningTaskCount;
+    private int startedTaskCount;
+    private int stoppingTaskCount;
+    private int shardsWithUnpersistedPlacements;
+
     private MonotonicTime cancelObservedAt;
     private MonotonicTime pendingSince;
     private MonotonicTime backoffUntil;
@@ -51,7 +63,6 @@
         this.acceptedAtMillis = acceptedAtMillis;
         this.shardSize = shardSize;
         this.recordRevision = recordRevision;
-        this.shards = new TaskShard[(spec.taskCount() + shardSize - 1) / shardSize];
     }
 
     // ---- the job and its record ----
@@ -106,7 +117,7 @@
 
     /** Whether all tasks are completed; always false for a service. */
     public boolean isComplete() {
-        return spec.kind() != JobKind.SERVICE && completedTasks.cardinality() == spec.taskCount();
+        return spec.kind() != JobKind.SERVICE && completedTaskCount == spec.taskCount();
     }
 
     /** Whether the job has used up the attempts that its user allowed. */
@@ -155,17 +166,27 @@
 
     /** The number of shards. */
     public int shardCount() {
-        return shards.length;
+        return (spec.taskCount() + shardSize - 1) / shardSize;
+    }
+
+    /**
+     * The shards that have been used, in their order; callers must not modify the collection.
+     * Others have neither a record nor changes.
+     */
+    public Collection<TaskShard> usedShards() {
+        return shards.values();
     }
 
     /**
      * The shard with an index from 0 to {@link #shardCount} - 1, which is created when first used.
      */
     public TaskShard shard(int index) {
-        if (shards[index] == null) {
-            shards[index] = new TaskShard(this, index);
+        TaskShard shard = shards.get(index);
+        if (shard == null) {
+            shard = new TaskShard(this, index);
+            shards.put(index, shard);
         }
-        return shards[index];
+        return shard;
     }
 
     /** The shard that a task belongs to. */
@@ -173,11 +194,6 @@
         return shard(task / shardSize);
     }
 
-    /** Whether a shard has a record in the key-value store, as far as this leader knows. */
-    public boolean hasPersistedShard(int index) {
-        return shards[index] != null && !shards[index].recordRevision().equals(Revision.ABSENT);
-    }
-
     // ---- completed tasks ----
 
     /** Whether a task is completed. */
@@ -187,7 +203,7 @@
 
     /** The number of completed tasks. */
     public int completedTaskCount() {
-        return completedTasks.cardinality();
+        return completedTaskCount;
     }
 
     /** The indices of the completed tasks; callers must not modify the set. */
@@ -197,12 +213,23 @@
 
     /** Records that a task is completed; the caller records the change in the task's shard. */
     public void markTaskComplete(int task) {
-        completedTasks.set(task);
+        if (!completedTasks.get(task)) {
+            completedTasks.set(task);
+            completedTaskCount++;
+        }
+    }
+
+    /** Records that all tasks are completed, as those of a gang are once one of them is. */
+    public void markAllTasksComplete() {
+        completedTasks.set(0, spec.taskCount());
+        completedTaskCount = spec.taskCount();
     }
 
     /** Restores a range of consecutive completed tasks from a record. */
     public void restoreCompletedTasks(int firstTask, int count) {
-        completedTasks.set(firstTask, firstTask + count);
+        for (int task = firstTask; task < firstTask + count; task++) {
+            markTaskComplete(task);
+        }
     }
 
     // ---- placements ----
@@ -222,12 +249,22 @@
      * further task may join the attempt.
      */
     public boolean hasAttemptStarted() {
-        for (Placement placement : placements.values()) {
-            if (placement.runningSince() != null || placement.isStopping()) {
-                return true;
-            }
-        }
-        return false;
+        return startedTaskCount > 0 || stoppingTaskCount > 0;
+    }
+
+    /** The number of tasks that their workers last reported as running. */
+    public int runningTaskCount() {
+        return runningTaskCount;
+    }
+
+    /** The number of placements that are being stopped. */
+    public int stoppingTaskCount() {
+        return stoppingTaskCount;
+    }
+
+    /** Whether all tasks are placed and all placements persisted. */
+    public boolean isWhollyCommitted() {
+        return placements.size() == spec.taskCount() && shardsWithUnpersistedPlacements == 0;
     }
 
     /** Whether a task is neither completed nor placed. */
@@ -241,7 +278,7 @@
     public int pendingTaskCount() {
         return isCancelled || isEnded || hasExhaustedAttempts()
                 ? 0
-                : spec.taskCount() - completedTasks.cardinality() - placements.size();
+                : spec.taskCount() - completedTaskCount - placements.size();
     }
 
     /** The first task from {@code from} on that is neither completed nor placed, or -1. */
@@ -273,8 +310,8 @@
             return placements.values().iterator().next().attemptNumber();
         }
         int highest = 0;
-        for (TaskShard shard : shards) {
-            highest = Math.max(highest, shard == null ? 0 : shard.highestAttempt());
+        for (TaskShard shard : shards.values()) {
+            highest = Math.max(highest, shard.highestAttempt());
         }
         return new AttemptNumber(highest + 1);
     }
@@ -288,7 +325,8 @@
             MonotonicTime now) {
         TaskShard shard = shardOfTask(task);
         shard.recordAttempt(attemptNumber.value());
-        return putPlacement(task, attemptNumber, machineId, incarnation, shard.recordChange(), now);
+        return putPlacement(
+                task, attemptNumber, machineId, incarnation, shard.recordPlacement(), now);
     }
 
     /** Restores a placement that an earlier leader committed. */
@@ -318,7 +356,10 @@
                         incarnation,
                         shardChange,
                         now);
-        placements.put(task, placement);
+        Placement replaced = placements.put(task, placement);
+        if (replaced != null) {
+            uncount(replaced);
+        }
         return placement;
     }
 
@@ -329,10 +370,45 @@
      *     worker may forget the exit
      */
     public long removePlacement(Placement placement) {
-        placements.remove(placement.taskId().index(), placement);
+        if (placements.remove(placement.taskId().index(), placement)) {
+            uncount(placement);
+        }
         return shardOfTask(placement.taskId().index()).recordChange();
     }
 
+    /** Subtracts a placement that was removed from the counts. */
+    private void uncount(Placement removed) {
+        runningTaskCount -= removed.reportedState() == TaskState.RUNNING ? 1 : 0;
+        startedTaskCount -= removed.runningSince() != null ? 1 : 0;
+        stoppingTaskCount -= removed.isStopping() ? 1 : 0;
+    }
+
+    private boolean isCurrent(Placement placement) {
+        return placements.get(placement.taskId().index()) == placement;
+    }
+
+    /** Counts a change of the state that a worker reports, before the placement takes it over. */
+    void onStateReported(Placement placement, TaskState reported) {
+        if (isCurrent(placement)) {
+            runningTaskCount += reported == TaskState.RUNNING ? 1 : 0;
+            runningTaskCount -= placement.reportedState() == TaskState.RUNNING ? 1 : 0;
+            startedTaskCount +=
+                    reported == TaskState.RUNNING && placement.runningSince() == null ? 1 : 0;
+        }
+    }
+
+    /** Counts a placement that is going to be stopped. */
+    void onStopRequested(Placement placement) {
+        if (isCurrent(placement) && !placement.isStopping()) {
+            stoppingTaskCount++;
+        }
+    }
+
+    /** Counts the shards with placements that are not persisted. */
+    void onShardPlacementsChanged(boolean unpersisted) {
+        shardsWithUnpersistedPlacements += unpersisted ? 1 : -1;
+    }
+
     // ---- scheduling ----
 
     /**
--- a/src/main/java/org/meadowhollow/model/Placement.java
+++ b/src/main/java/org/meadowhollow/model/Placement.java
@@ -89,6 +89,7 @@
 
     /** Records the state that the worker reported. */
     public void reportedState(TaskState reported, MonotonicTime now) {
+        job.onStateReported(this, reported);
         if (reported == TaskState.RUNNING && runningSince == null) {
             runningSince = now;
         }
@@ -151,6 +152,7 @@
 
     /** Requests a stop; a later request can only shorten the grace period. */
     public void requestStop(double requestedGraceSeconds) {
+        job.onStopRequested(this);
         graceSeconds =
                 isStopping ? Math.min(graceSeconds, requestedGraceSeconds) : requestedGraceSeconds;
         isStopping = true;
--- a/src/main/java/org/meadowhollow/model/TaskShard.java
+++ b/src/main/java/org/meadowhollow/model/TaskShard.java
@@ -1,6 +1,8 @@
 package org.meadowhollow.model;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.meadowhollow.model.JobEventLog.EventType;
 import org.meadowhollow.model.JobEventLog.TaskLocation;
@@ -21,6 +23,7 @@
     private Revision recordRevision = Revision.ABSENT;
     private long latestChange = PERSISTED_CHANGE;
     private long latestPersistedChange = PERSISTED_CHANGE;
+    private long latestPlacementChange = PERSISTED_CHANGE;
     private boolean isWriteInFlight;
     private int highestAttempt;
     private Map<Integer, TaskLocation> persistedLocations = Map.of();
@@ -61,6 +64,19 @@
         return ++latestChange;
     }
 
+    /**
+     * Assigns the next number to a change that places a task.
+     *
+     * @return the number of the change
+     */
+    long recordPlacement() {
+        if (isPersisted(latestPlacementChange)) {
+            job.onShardPlacementsChanged(true);
+        }
+        latestPlacementChange = recordChange();
+        return latestPlacementChange;
+    }
+
     /** Whether the change with this number is in the record. */
     public boolean isPersisted(long change) {
         return latestPersistedChange >= change;
@@ -83,12 +99,21 @@
      * @param revision the revision of the record
      */
     public void markPersisted(long change, Revision revision) {
+        boolean hadUnpersistedPlacements = !isPersisted(latestPlacementChange);
         latestPersistedChange = Math.max(latestPersistedChange, change);
+        if (hadUnpersistedPlacements && isPersisted(latestPlacementChange)) {
+            job.onShardPlacementsChanged(false);
+        }
         recordRevision = revision;
     }
 
     // ---- the record ----
 
+    /** Whether the shard has a record in the key-value store, as far as this leader knows. */
+    public boolean hasRecord() {
+        return !recordRevision.equals(Revision.ABSENT);
+    }
+
     /** The revision of the record, or {@link Revision#ABSENT} while there is none. */
     public Revision recordRevision() {
         return recordRevision;
@@ -109,7 +134,19 @@
         isWriteInFlight = inFlight;
     }
 
-    // ---- attempts ----
+    // ---- placements and attempts ----
+
+    /** The placements of the shard's tasks, in the order of the tasks. */
+    public List<Placement> placements() {
+        List<Placement> placements = new ArrayList<>();
+        for (int task = firstTask(); task < endTaskExclusive(); task++) {
+            Placement placement = job.placement(task);
+            if (placement != null) {
+                placements.add(placement);
+            }
+        }
+        return placements;
+    }
 
     /** The highest attempt number that any task of the shard was given; 0 if none was. */
     public int highestAttempt() {
@@ -126,12 +163,10 @@
     /** The current locations of the placed tasks, by task index. */
     public Map<Integer, TaskLocation> currentLocations() {
         Map<Integer, TaskLocation> locations = new HashMap<>();
-        for (int task = firstTask(); task < endTaskExclusive(); task++) {
-            Placement placement = job.placement(task);
-            if (placement != null) {
-                locations.put(
-                        task, new TaskLocation(placement.machineId(), placement.attemptNumber()));
-            }
+        for (Placement placement : placements()) {
+            locations.put(
+                    placement.taskId().index(),
+                    new TaskLocation(placement.machineId(), placement.attemptNumber()));
         }
         return locations;
     }
--- a/src/main/java/org/meadowhollow/storage/PersistedChangePublisher.java
+++ b/src/main/java/org/meadowhollow/storage/PersistedChangePublisher.java
@@ -30,9 +30,7 @@
         if (!isEventLogEnabled()) {
             return;
         }
-        for (int index = 0; index < job.shardCount(); index++) {
-            job.shard(index).markLocationsPersisted();
-        }
+        job.usedShards().forEach(TaskShard::markLocationsPersisted);
     }
 
     /** The attempts of a traced job that ended and are not traced yet; empty for other jobs. */
@@ -62,8 +60,10 @@
     /** Publishes the end of a job after it was persisted. */
     void publishJobEnd(WriteBatch.JobEndWrite jobEnd, Revision revision) {
         Job job = jobEnd.job();
-        for (int index = 0; index < job.shardCount() && isEventLogEnabled(); index++) {
-            job.shard(index).logLocationChanges(listeners.eventLog(), revision, Map.of());
+        if (isEventLogEnabled()) {
+            for (TaskShard shard : job.usedShards()) {
+                shard.logLocationChanges(listeners.eventLog(), revision, Map.of());
+            }
         }
         listeners
                 .eventLog()
--- a/src/main/java/org/meadowhollow/storage/RecordDigests.java
+++ b/src/main/java/org/meadowhollow/storage/RecordDigests.java
@@ -73,9 +73,8 @@
      */
     public void addRecordsOf(Job job) {
         add(RecordKeys.job(job.id()), job.recordRevision());
-        for (int index = 0; index < job.shardCount(); index++) {
-            if (job.hasPersistedShard(index) || job.shard(index).isWriteInFlight()) {
-                TaskShard shard = job.shard(index);
+        for (TaskShard shard : job.usedShards()) {
+            if (shard.hasRecord() || shard.isWriteInFlight()) {
                 add(
                         RecordKeys.taskShard(shard),
                         shard.isWriteInFlight() ? null : shard.recordRevision());
--- a/src/main/java/org/meadowhollow/storage/RecordWriter.java
+++ b/src/main/java/org/meadowhollow/storage/RecordWriter.java
@@ -32,8 +32,12 @@
         /** Called when the job's end is persisted. */
         void onJobEndPersisted(Job job);
 
-        /** Called when changes of the job's tasks are persisted. */
-        void onTasksPersisted(Job job);
+        /**
+         * Called when changes of the job's tasks are persisted.
+         *
+         * @param shards the shards whose records were written
+         */
+        void onTasksPersisted(Job job, List<TaskShard> shards);
 
         /**
          * Called when another writer has changed the job's record, in most cases to cancel the job.
@@ -139,6 +143,11 @@
         isClosed = true;
     }
 
+    /** Whether this leadership writes no more. */
+    public boolean isClosed() {
+        return isClosed;
+    }
+
     /** Notes that all records of the job that a previous leader wrote are restored. */
     public void markRestored(Job job) {
         publisher.markRestored(job);
@@ -151,9 +160,9 @@
     public void recordUnacknowledgedEnd(Job job) {
         publisher.traceJobEnd(
                 job, PersistedChangePublisher.untracedEndedAttempts(job), loop.wallClockMillis());
-        for (int index = 0; index < job.shardCount(); index++) {
-            if (job.hasPersistedShard(index)) {
-                addObsoleteKey(RecordKeys.taskShard(job.shard(index)));
+        for (TaskShard shard : job.usedShards()) {
+            if (shard.hasRecord()) {
+                addObsoleteKey(RecordKeys.taskShard(shard));
             }
         }
         job.markEnded();
@@ -227,8 +236,7 @@
         }
         writeLimit.onApplied();
         batch.jobEnds().forEach(jobEnd -> listener.onJobEndPersisted(jobEnd.job()));
-        batch.shardWrites()
-                .forEach(shardWrite -> listener.onTasksPersisted(shardWrite.shard().job()));
+        batch.shardsByJob().forEach(listener::onTasksPersisted);
         flush();
     }
 
--- a/src/main/java/org/meadowhollow/storage/WriteBatch.java
+++ b/src/main/java/org/meadowhollow/storage/WriteBatch.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -75,6 +76,16 @@
         return shardWrites;
     }
 
+    /** The shards that the transaction writes, by job. */
+    Map<Job, List<TaskShard>> shardsByJob() {
+        Map<Job, List<TaskShard>> shards = new LinkedHashMap<>();
+        for (ShardWrite write : shardWrites) {
+            shards.computeIfAbsent(write.shard().job(), unused -> new ArrayList<>())
+                    .add(write.shard());
+        }
+        return shards;
+    }
+
     List<JobEndWrite> jobEnds() {
         return jobEnds;
     }
--- a/src/main/java/org/meadowhollow/storage/WriteBatchBuilder.java
+++ b/src/main/java/org/meadowhollow/storage/WriteBatchBuilder.java
@@ -140,8 +140,8 @@
     }
 
     private static boolean hasShardInFlight(Job job) {
-        for (int index = 0; index < job.shardCount(); index++) {
-            if (job.shard(index).isWriteInFlight()) {
+        for (TaskShard shard : job.usedShards()) {
+            if (shard.isWriteInFlight()) {
                 return true;
             }
         }
@@ -157,9 +157,8 @@
                         loop.wallClockMillis(),
                         new ArrayList<>());
         batch.addJobEnd(jobEnd);
-        for (int index = 0; index < job.shardCount(); index++) {
-            TaskShard shard = job.shard(index);
-            if (job.hasPersistedShard(index)) {
+        for (TaskShard shard : job.usedShards()) {
+            if (shard.hasRecord()) {
                 String key = RecordKeys.taskShard(shard);
                 if (deletesShards && batch.writeCount() < writeLimit.current()) {
                     batch.transaction().delete(key);
--- a/src/test/java/org/meadowhollow/coordination/lifecycle/LifecycleFixture.java
+++ b/src/test/java/org/meadowhollow/coordination/lifecycle/LifecycleFixture.java
@@ -76,6 +76,7 @@
     public final JobTracker jobTracker = new JobTracker(clock, clusterState);
     public final TaskLifecycle taskLifecycle =
             new TaskLifecycle(
+                    new Object(),
                     clock,
                     recordWriter,
                     machineRegistry,
--- a/src/test/java/org/meadowhollow/storage/RecordWriterTest.java
+++ b/src/test/java/org/meadowhollow/storage/RecordWriterTest.java
@@ -20,6 +20,7 @@
 import org.meadowhollow.model.Priority;
 import org.meadowhollow.model.Resources;
 import org.meadowhollow.model.Revision;
+import org.meadowhollow.model.TaskShard;
 import org.meadowhollow.model.WorkerIncarnation;
 import org.meadowhollow.storage.KeyValueStore.RequestPriority;
 
@@ -84,7 +85,7 @@
                         public void onJobEndPersisted(Job job) {}
 
                         @Override
-                        public void onTasksPersisted(Job job) {}
+                        public void onTasksPersisted(Job job, List<TaskShard> shards) {}
 
                         @Override
                         public void onConcurrentJobChange(JobId id) {}
