--- a/src/main/java/org/meadowhollow/coordination/rounds/UnplacedJobHandler.java
+++ b/src/main/java/org/meadowhollow/coordination/rounds/UnplacedJobHandler.java
@@ -39,7 +39,7 @@
      * The steps after which tasks are preempted for no further job in a round; the next round
      * continues with the other jobs.
      */
-    private static final long MAX_PREEMPTION_STEPS = 1_000_000;
+    private static final long MAX_PREEMPTION_STEPS = 400_000;
 
     private final RoundContext context;
     private final PreemptionPlanner preemptionPlanner;
@@ -69,6 +69,7 @@
      */
     List<Autoscaler.CapacityDemand> handle(
             SchedulingSnapshot snapshot, Map<JobId, Integer> unplacedTasks, MonotonicTime now) {
+        preemptionPlanner.beginRound();
         Pass pass = new Pass(snapshot, now);
         for (PlacementRound.PendingJob pendingJob : snapshot.pendingJobs()) {
             Integer unplaced = unplacedTasks.get(pendingJob.spec().id());
--- a/src/main/java/org/meadowhollow/coordination/scheduling/PreemptionPlanner.java
+++ b/src/main/java/org/meadowhollow/coordination/scheduling/PreemptionPlanner.java
@@ -59,6 +59,9 @@
     private final DeploymentSettings deploymentSettings;
     private final ServiceLevelObjectives objectives;
 
+    /** The usage of each team in this round, or null until it is needed. */
+    private Map<String, Resources> usageByTeam;
+
     /** Creates a planner that reads the current content of the given state for each plan. */
     public PreemptionPlanner(
             ClusterState clusterState,
@@ -69,6 +72,18 @@
         this.objectives = objectives;
     }
 
+    /** Begins a round, in which all plans use the same sums of the teams' usage. */
+    public void beginRound() {
+        usageByTeam = null;
+    }
+
+    private Map<String, Resources> usageByTeam() {
+        if (usageByTeam == null) {
+            usageByTeam = clusterState.usageByTeam();
+        }
+        return usageByTeam;
+    }
+
     /**
      * Selects the tasks to preempt for one task of a job whose wait budget is used up. The freed
      * capacity is assigned in a later round, in which the job is expected to come first. Returns an
@@ -92,12 +107,11 @@
                 || isCoolingDown(job, now)) {
             return List.of();
         }
-        Map<String, Resources> usageByTeam = clusterState.usageByTeam();
         List<PreemptionCandidate<Placement>> candidates = new ArrayList<>();
         for (Machine machine : clusterState.machines().values()) {
             budget.spend(1 + machine.placements().size());
             if (canPreemptOn(machine, spec, tasksByZone, now) && machine.heldForGang(now) == null) {
-                candidates.add(createCandidate(machine, spec, usageByTeam, now));
+                candidates.add(createCandidate(machine, spec, now));
             }
         }
         return VictimSelector.selectVictims(spec, guaranteed, candidates);
@@ -148,7 +162,6 @@
 
     private BestEffortCandidates findBestEffortCandidates(
             JobSpec spec, Object2IntMap<String> tasksByZone, StepBudget budget, MonotonicTime now) {
-        Map<String, Resources> usageByTeam = clusterState.usageByTeam();
         BestEffortCandidates candidates = new BestEffortCandidates();
         for (Machine machine : clusterState.machines().values()) {
             budget.spend(1 + machine.placements().size());
@@ -157,7 +170,7 @@
                             && !tasksByZone.isEmpty()
                             && tasksByZone.getInt(machine.zone()) == 0;
             if (!inOtherZone && canPreemptOn(machine, spec, tasksByZone, now)) {
-                candidates.add(machine, createCandidate(machine, spec, usageByTeam, now));
+                candidates.add(machine, createCandidate(machine, spec, now));
             }
         }
         return candidates;
@@ -202,15 +215,12 @@
     }
 
     private PreemptionCandidate<Placement> createCandidate(
-            Machine machine,
-            JobSpec waitingSpec,
-            Map<String, Resources> usageByTeam,
-            MonotonicTime now) {
+            Machine machine, JobSpec waitingSpec, MonotonicTime now) {
         List<RunningTask<Placement>> running = new ArrayList<>();
         for (Placement placement : machine.placements()) {
             JobSpec spec = placement.job().spec();
             if (spec.kind() != JobKind.SERVICE && !placement.isStopping()) {
-                running.add(createRunningTask(placement, usageByTeam.get(spec.team()), now));
+                running.add(createRunningTask(placement, usageByTeam().get(spec.team()), now));
             }
         }
         return new PreemptionCandidate<>(
--- a/src/test/java/org/meadowhollow/coordination/scheduling/PlacementOrderTest.java
+++ b/src/test/java/org/meadowhollow/coordination/scheduling/PlacementOrderTest.java
@@ -7,10 +7,12 @@
 import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.meadowhollow.model.JobId;
@@ -217,4 +219,43 @@
         return PlacementRound.run(candidates, unlimitedTeam(), List.of(job), RoundInputs.limits(1))
                 .decisions();
     }
+
+    private static PlacementRound.PendingJob hugeGang() {
+        JobSpec gang = spec(1, JobKind.GANG);
+        return new PlacementRound.PendingJob(
+                gang,
+                100_000,
+                count -> {
+                    throw new AssertionError("no task of the gang is placed");
+                },
+                new Object2IntOpenHashMap<>(),
+                true);
+    }
+
+    /** Guards against a round that visits the tasks of gangs which cannot be placed. */
+    @Test
+    void gangWithoutRoomCostsStepsForMachinesButNotForTasks() {
+        StepBudget budget = new StepBudget(Long.MAX_VALUE);
+
+        PlacementRound.run(
+                candidates(1),
+                unlimitedTeam(),
+                List.of(hugeGang()),
+                new PlacementRound.Limits(1, Integer.MAX_VALUE, budget));
+
+        assertEquals(MACHINES, budget.spent());
+    }
+
+    @Test
+    void roundBeginsNoFurtherJobOnceItsBudgetIsUsedUp() {
+        PlacementRound.Outcome outcome =
+                PlacementRound.run(
+                        candidates(1),
+                        unlimitedTeam(),
+                        Collections.nCopies(100, hugeGang()),
+                        new PlacementRound.Limits(
+                                1, Integer.MAX_VALUE, new StepBudget(10L * MACHINES)));
+
+        assertEquals(10, outcome.examinedJobs());
+    }
 }
--- a/src/test/java/org/meadowhollow/simulation/SimulatedNode.java
+++ b/src/test/java/org/meadowhollow/simulation/SimulatedNode.java
@@ -6,11 +6,13 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.meadowhollow.coordination.ControllerNode;
 import org.meadowhollow.coordination.admission.AdmissionService;
 import org.meadowhollow.coordination.api.DeploymentSettings;
 import org.meadowhollow.coordination.reservation.ReservationService;
 import org.meadowhollow.model.EventLoop;
+import org.meadowhollow.model.EventLoopStep;
 import org.meadowhollow.model.MachineTypeCatalog;
 import org.meadowhollow.model.MonotonicTime;
 import org.meadowhollow.protocol.MalformedMessageException;
@@ -291,7 +293,20 @@
 
         @Override
         public void schedule(Duration delay, Runnable task) {
-            cluster.loop().schedule(delay.plus(timerDelay), () -> runWhenResumed(task));
+            cluster.loop()
+                    .schedule(
+                            delay.plus(timerDelay),
+                            () -> runWhenResumed(() -> runStep(EventLoopStep.TIMER, task)));
+        }
+
+        @Override
+        public void runStep(EventLoopStep step, Runnable work) {
+            cluster.loop().runStep(step, work);
+        }
+
+        @Override
+        public <T> T callStep(EventLoopStep step, Supplier<T> work) {
+            return cluster.loop().callStep(step, work);
         }
     }
 }
--- a/src/test/java/org/meadowhollow/simulation/VirtualEventLoop.java
+++ b/src/test/java/org/meadowhollow/simulation/VirtualEventLoop.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.PriorityQueue;
+import java.util.function.Supplier;
 import org.meadowhollow.model.EventLoop;
+import org.meadowhollow.model.EventLoopStep;
 import org.meadowhollow.model.MonotonicTime;
 
 /**
@@ -21,6 +23,7 @@
     }
 
     private final PriorityQueue<ScheduledTask> queue = new PriorityQueue<>();
+    private final StepTimes stepTimes = new StepTimes();
     private long nowNanos;
     private long wallClockOffsetMillis;
     private long nextSequenceNumber;
@@ -47,6 +50,26 @@
                         nowNanos + Math.max(0, delay.toNanos()), nextSequenceNumber++, task));
     }
 
+    @Override
+    public void runStep(EventLoopStep step, Runnable work) {
+        callStep(
+                step,
+                () -> {
+                    work.run();
+                    return null;
+                });
+    }
+
+    @Override
+    public <T> T callStep(EventLoopStep step, Supplier<T> work) {
+        return stepTimes.measure(step, work);
+    }
+
+    /** The wall-clock times of the steps of all nodes. */
+    StepTimes stepTimes() {
+        return stepTimes;
+    }
+
     /** Advances time by a span, and runs all work that becomes due within it. */
     public void run(Duration duration) {
         long endNanos = nowNanos + duration.toNanos();
