Keep the stop queue working after a failed stop; steps share one implementation

Cause: read again, an exception while a stop is carried out would have left the queue marked as running or scheduled, so that no later stop was sent; runStep stood twice. Change: the marks are reset in any case; EventLoop.runStep calls callStep.

--- a/src/main/java/org/meadowhollow/coordination/lifecycle/TaskStopQueue.java
+++ b/src/main/java/org/meadowhollow/coordination/lifecycle/TaskStopQueue.java
@@ -95,12 +95,15 @@
     }
 
     private void runNext() {
-        isRunning = true;
         Map<Recipient, List<WorkerCommand>> commands = new LinkedHashMap<>();
-        for (int count = 0; count < MAX_STOPS_PER_CALLBACK && !queue.isEmpty(); count++) {
-            carryOut(queue.poll(), commands);
+        isRunning = true;
+        try {
+            for (int count = 0; count < MAX_STOPS_PER_CALLBACK && !queue.isEmpty(); count++) {
+                carryOut(queue.poll(), commands);
+            }
+        } finally {
+            isRunning = false;
         }
-        isRunning = false;
         commands.forEach(
                 (recipient, stops) ->
                         commandSender.sendCommands(
@@ -113,6 +116,7 @@
 
     private void runScheduled() {
         synchronized (lock) {
+            isScheduled = false;
             if (recordWriter.isClosed()) {
                 // The next leader decides which tasks are to be stopped.
                 queue.clear();
--- a/src/main/java/org/meadowhollow/model/EventLoop.java
+++ b/src/main/java/org/meadowhollow/model/EventLoop.java
@@ -18,7 +18,12 @@
      * Runs part of a callback now, as a step that the loop may measure. Steps may contain others.
      */
     default void runStep(EventLoopStep step, Runnable work) {
-        work.run();
+        callStep(
+                step,
+                () -> {
+                    work.run();
+                    return null;
+                });
     }
 
     /** Like {@link #runStep}, for work with a result. */
--- a/src/main/java/org/meadowhollow/transport/XnioEventLoop.java
+++ b/src/main/java/org/meadowhollow/transport/XnioEventLoop.java
@@ -117,16 +117,6 @@
     }
 
     /** Runs a step and measures it if it is called on the loop's thread, as all callbacks are. */
-    @Override
-    public void runStep(EventLoopStep step, Runnable work) {
-        callStep(
-                step,
-                () -> {
-                    work.run();
-                    return null;
-                });
-    }
-
     @Override
     public <T> T callStep(EventLoopStep step, Supplier<T> work) {
         return Thread.currentThread() == ioThread ? monitor.call(step, work) : work.get();
--- a/src/test/java/org/meadowhollow/simulation/SimulatedNode.java
+++ b/src/test/java/org/meadowhollow/simulation/SimulatedNode.java
@@ -299,11 +299,6 @@
                             () -> runWhenResumed(() -> runStep(EventLoopStep.TIMER, task)));
         }
 
-        @Override
-        public void runStep(EventLoopStep step, Runnable work) {
-            cluster.loop().runStep(step, work);
-        }
-
         @Override
         public <T> T callStep(EventLoopStep step, Supplier<T> work) {
             return cluster.loop().callStep(step, work);
--- a/src/test/java/org/meadowhollow/simulation/VirtualEventLoop.java
+++ b/src/test/java/org/meadowhollow/simulation/VirtualEventLoop.java
@@ -50,16 +50,6 @@
                         nowNanos + Math.max(0, delay.toNanos()), nextSequenceNumber++, task));
     }
 
-    @Override
-    public void runStep(EventLoopStep step, Runnable work) {
-        callStep(
-                step,
-                () -> {
-                    work.run();
-                    return null;
-                });
-    }
-
     @Override
     public <T> T callStep(EventLoopStep step, Supplier<T> work) {
         return stepTimes.measure(step, work);
