Do not refuse messages for fields that no one reads, nor for limits that no page sets

Callers saw: a sound submission was answered 400, "the body is not MessagePack", and so never retried. The same field in a heartbeat or in an answer of the store would have cost a worker's lease, or the service.

Cause: every value of a body was decoded before any was asked for. An integer of 2^63 or more in an unknown field ("n" of "x_labels" in the recorded body of 1,563 bytes) does not fit a long, and msgpack's exception for that was reported as malformed. The class: a receiver enforces a limit of its own implementation that no page states. Others of the class in the same place: nesting deeper than 16, amounts of 1e12 and more, names longer than 200 characters, ids of over 19 digits.

Fix: the reader keeps the bytes and decodes a field when it is asked for. A value that no one reads is checked for being well-formed, in constant stack and without objects for it. What is read is checked by its reader. A job whose names do not fit one record of the store is answered 422, since it can never run; this is the only limit left on names.

--- a/src/main/java/org/meadowhollow/coordination/admission/AdmissionService.java
+++ b/src/main/java/org/meadowhollow/coordination/admission/AdmissionService.java
@@ -16,6 +16,7 @@
 import org.meadowhollow.model.SecondaryRecord;
 import org.meadowhollow.model.TaskTracer;
 import org.meadowhollow.storage.JobRecordCodec;
+import org.meadowhollow.storage.JsonSize;
 import org.meadowhollow.storage.KeyValueStore;
 import org.meadowhollow.storage.KeyValueStore.RequestPriority;
 import org.meadowhollow.storage.RecordKeys;
@@ -210,7 +211,12 @@
             SecondaryRecord secondaryRecord,
             Map<String, Map<String, Object>> records) {
         long acceptedAtMillis = loop.wallClockMillis();
-        Transaction accept = buildAcceptTransaction(spec, secondaryRecord, acceptedAtMillis);
+        Map<String, Object> record = encodeJobRecord(spec, secondaryRecord, acceptedAtMillis);
+        if (JsonSize.of(record) > deploymentSettings.maxValueBytes()) {
+            return rejectUnlessAccepted(
+                    spec.id(), "its names are too long to be stored in one record");
+        }
+        Transaction accept = buildAcceptTransaction(spec, secondaryRecord, record);
         records.forEach(accept::put);
         return transactionRetrier
                 .commit(accept, loop.now())
@@ -227,19 +233,22 @@
                         });
     }
 
+    private Map<String, Object> encodeJobRecord(
+            JobSpec spec, SecondaryRecord secondaryRecord, long acceptedAtMillis) {
+        return JobRecordCodec.encode(
+                spec,
+                acceptedAtMillis,
+                TaskShardCodec.shardSizeFor(deploymentSettings.maxValueBytes()),
+                false,
+                secondaryRecord);
+    }
+
     /**
      * Builds the transaction that accepts a job; it applies only if no job has this id, live or
      * finished.
      */
     private Transaction buildAcceptTransaction(
-            JobSpec spec, SecondaryRecord secondaryRecord, long acceptedAtMillis) {
-        Map<String, Object> record =
-                JobRecordCodec.encode(
-                        spec,
-                        acceptedAtMillis,
-                        TaskShardCodec.shardSizeFor(deploymentSettings.maxValueBytes()),
-                        false,
-                        secondaryRecord);
+            JobSpec spec, SecondaryRecord secondaryRecord, Map<String, Object> record) {
         Transaction accept =
                 new Transaction()
                         .requireRevision(RecordKeys.job(spec.id()), Revision.ABSENT)
--- a/src/main/java/org/meadowhollow/model/Resources.java
+++ b/src/main/java/org/meadowhollow/model/Resources.java
@@ -14,14 +14,19 @@
 
     private static final double MILLIONTHS_PER_UNIT = 1e6;
 
+    /** The largest amount, in millionths: that of 100,000 tasks does not overflow. */
+    private static final long MAX_AMOUNT = Long.MAX_VALUE / 1_000_000;
+
     /**
      * Creates a vector from numbers of cores, GPUs and gigabytes of memory, rounded to millionths.
+     * An amount of over nine million counts as that many.
      */
     public static Resources of(double cpus, double gpus, double memoryGb) {
-        return new Resources(
-                Math.round(cpus * MILLIONTHS_PER_UNIT),
-                Math.round(gpus * MILLIONTHS_PER_UNIT),
-                Math.round(memoryGb * MILLIONTHS_PER_UNIT));
+        return new Resources(toMillionths(cpus), toMillionths(gpus), toMillionths(memoryGb));
+    }
+
+    private static long toMillionths(double amount) {
+        return Math.min(MAX_AMOUNT, Math.round(amount * MILLIONTHS_PER_UNIT));
     }
 
     /** The sum, resource by resource. */
--- a/src/main/java/org/meadowhollow/protocol/MessagePackCodec.java
+++ b/src/main/java/org/meadowhollow/protocol/MessagePackCodec.java
@@ -1,11 +1,15 @@
 package org.meadowhollow.protocol;
 
 import java.io.IOException;
+import java.math.BigInteger;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessageFormat;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
@@ -13,15 +17,10 @@
 
 /**
  * Converts MessagePack bodies to and from maps with string keys. The values are such maps, lists,
- * strings, numbers (long and double), booleans and null. Stateless.
+ * strings, numbers (long, {@link BigInteger} from 2^63 to 2^64 - 1, and double), booleans and null.
+ * Stateless.
  */
 public final class MessagePackCodec {
-    /**
-     * The maximum nesting depth, deeper than that of any message of the protocols; protects the
-     * stack against malicious bodies.
-     */
-    private static final int MAX_NESTING_DEPTH = 16;
-
     private MessagePackCodec() {}
 
     /**
@@ -45,6 +44,8 @@
             packer.packString(text);
         } else if (value instanceof Double number) {
             packer.packDouble(number);
+        } else if (value instanceof BigInteger number) {
+            packer.packBigInteger(number);
         } else if (value instanceof Number number) {
             packer.packLong(number.longValue());
         } else if (value instanceof Boolean flag) {
@@ -65,81 +66,109 @@
         }
     }
 
-    /** Decodes a body that must be one map with nothing after it. */
+    /** Decodes every value of a body that must be one map with nothing after it. */
     public static Map<String, Object> decode(byte[] body) throws MalformedMessageException {
-        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(body)) {
-            if (!unpacker.hasNext() || unpacker.getNextFormat().getValueType() != ValueType.MAP) {
-                throw new MalformedMessageException("the body is not a map");
-            }
-            Map<String, Object> map = unpackMap(unpacker, body.length, 1);
-            if (unpacker.hasNext()) {
-                throw new MalformedMessageException("the body goes on after its map");
-            }
-            return map;
-        } catch (IOException | MessagePackException malformed) {
-            throw new MalformedMessageException("the body is not MessagePack");
-        }
+        EncodedMap map = EncodedMap.ofBody(body);
+        return map.decodeAll();
     }
 
-    private static Map<String, Object> unpackMap(MessageUnpacker unpacker, int maxLength, int depth)
+    /**
+     * Decodes the map that an unpacker is positioned at, with all maps and lists in it. Uses no
+     * recursion, so that the depth of the values is bounded by their length alone.
+     *
+     * @throws MalformedMessageException if a key of any of the maps is not text
+     */
+    static Map<String, Object> decodeTree(MessageUnpacker unpacker)
             throws IOException, MalformedMessageException {
-        int size = unpacker.unpackMapHeader();
-        // A header may claim far more entries than the body holds, and would make the map allocate
-        // for them; each entry takes at least two bytes.
-        if (size > maxLength / 2 || depth > MAX_NESTING_DEPTH) {
-            throw new MalformedMessageException(
-                    depth > MAX_NESTING_DEPTH
-                            ? "the body is nested too deeply"
-                            : "the body is cut short");
-        }
-        Map<String, Object> map = new LinkedHashMap<>(size * 2);
-        for (int at = 0; at < size; at++) {
-            if (unpacker.getNextFormat().getValueType() != ValueType.STRING) {
-                throw new MalformedMessageException("a key is not text");
+        Deque<OpenContainer> open = new ArrayDeque<>();
+        OpenContainer root = OpenContainer.begin(unpacker);
+        open.push(root);
+        while (!open.isEmpty()) {
+            OpenContainer container = open.peek();
+            if (container.remaining == 0) {
+                open.pop();
+                continue;
+            }
+            container.remaining--;
+            container.readKey(unpacker);
+            ValueType type = unpacker.getNextFormat().getValueType();
+            if (type.isArrayType() || type.isMapType()) {
+                OpenContainer nested = OpenContainer.begin(unpacker);
+                container.add(nested.map != null ? nested.map : nested.list);
+                open.push(nested);
+            } else {
+                container.add(decodeScalar(unpacker));
             }
-            map.put(unpacker.unpackString(), unpackValue(unpacker, maxLength, depth + 1));
         }
-        return map;
+        return root.map;
     }
 
-    private static Object unpackValue(MessageUnpacker unpacker, int maxLength, int depth)
-            throws IOException, MalformedMessageException {
-        switch (unpacker.getNextFormat().getValueType()) {
+    /** Decodes the next value, which must not be a map, a list, or binary. */
+    static Object decodeScalar(MessageUnpacker unpacker) throws IOException {
+        MessageFormat format = unpacker.getNextFormat();
+        return switch (format.getValueType()) {
             case NIL -> {
                 unpacker.unpackNil();
-                return null;
-            }
-            case BOOLEAN -> {
-                return unpacker.unpackBoolean();
-            }
-            case INTEGER -> {
-                return unpacker.unpackLong();
-            }
-            case FLOAT -> {
-                return unpacker.unpackDouble();
+                yield null;
             }
-            case STRING -> {
-                return unpacker.unpackString();
+            case BOOLEAN -> unpacker.unpackBoolean();
+            case INTEGER ->
+                    format == MessageFormat.UINT64
+                            ? ofUnsigned(unpacker.unpackBigInteger().longValue())
+                            : (Object) unpacker.unpackLong();
+            case FLOAT -> unpacker.unpackDouble();
+            case STRING -> unpacker.unpackString();
+            default -> throw new MessagePackException("not a scalar");
+        };
+    }
+
+    /**
+     * Returns the value that stands for an unsigned integer in decoded and encoded maps.
+     *
+     * @param bits the integer from 0 to 2^64 - 1 as the bits of a long
+     */
+    public static Number ofUnsigned(long bits) {
+        if (bits >= 0) {
+            return bits;
+        }
+        return new BigInteger(Long.toUnsignedString(bits));
+    }
+
+    /** A map or list, of which some values have been decoded. */
+    private static final class OpenContainer {
+        private final Map<String, Object> map;
+        private final List<Object> list;
+        private int remaining;
+        private String key;
+
+        private OpenContainer(Map<String, Object> map, List<Object> list, int size) {
+            this.map = map;
+            this.list = list;
+            this.remaining = size;
+        }
+
+        static OpenContainer begin(MessageUnpacker unpacker) throws IOException {
+            return unpacker.getNextFormat().getValueType().isMapType()
+                    ? new OpenContainer(new LinkedHashMap<>(), null, unpacker.unpackMapHeader())
+                    : new OpenContainer(null, new ArrayList<>(), unpacker.unpackArrayHeader());
+        }
+
+        void readKey(MessageUnpacker unpacker) throws IOException, MalformedMessageException {
+            if (map == null) {
+                return;
             }
-            case ARRAY -> {
-                int size = unpacker.unpackArrayHeader();
-                if (size > maxLength || depth > MAX_NESTING_DEPTH) {
-                    throw new MalformedMessageException(
-                            depth > MAX_NESTING_DEPTH
-                                    ? "the body is nested too deeply"
-                                    : "the body is cut short");
-                }
-                List<Object> list = new ArrayList<>(size);
-                for (int at = 0; at < size; at++) {
-                    list.add(unpackValue(unpacker, maxLength, depth + 1));
-                }
-                return list;
+            if (!unpacker.getNextFormat().getValueType().isStringType()) {
+                throw MalformedMessageException.keyIsNotText();
             }
-            case MAP -> {
-                return unpackMap(unpacker, maxLength, depth);
+            key = unpacker.unpackString();
+        }
+
+        void add(Object value) {
+            if (map != null) {
+                map.put(key, value);
+            } else {
+                list.add(value);
             }
-            default ->
-                    throw new MalformedMessageException("binary and extension values are not used");
         }
     }
 }
--- a/src/main/java/org/meadowhollow/protocol/cloud/CloudCodec.java
+++ b/src/main/java/org/meadowhollow/protocol/cloud/CloudCodec.java
@@ -127,7 +127,7 @@
                 reply,
                 body -> {
                     List<MachineId> ids = new ArrayList<>();
-                    for (String id : body.stringListOrNull(MACHINES)) {
+                    for (String id : body.stringList(MACHINES)) {
                         ids.add(new MachineId(id));
                     }
                     return Optional.of(ids);
--- a/src/main/java/org/meadowhollow/protocol/jobs/SubmissionCodec.java
+++ b/src/main/java/org/meadowhollow/protocol/jobs/SubmissionCodec.java
@@ -46,7 +46,6 @@
     private static final String PRIORITY_LOW = "idle";
 
     private static final int MAX_TASKS = 100_000;
-    private static final int MAX_NAME_LENGTH = 200;
 
     private SubmissionCodec() {}
 
@@ -148,8 +147,8 @@
     private static String requireValidName(MessageReader body, String key)
             throws MalformedMessageException {
         String name = body.string(key);
-        if (name.isEmpty() || name.length() > MAX_NAME_LENGTH) {
-            throw new MalformedMessageException(key + " is empty or too long");
+        if (name.isEmpty()) {
+            throw new MalformedMessageException(key + " is empty");
         }
         return name;
     }
