Log and count refused requests; limit users' and workers' requests by their JSON size

Callers saw: 400 without a trace in the node's log, so nobody could tell which request was refused, on which field, and why.

Fix: one info line for a refused request, with method, path, sender, length, cause and the field or byte, at most 20 a minute and a server; a line a minute with the counts by cause. A request of a user or worker may have the bytes that 64 KiB of JSON can take in MessagePack (four and a half times as many), and its JSON size is counted while it is checked.

--- a/src/main/java/org/meadowhollow/cli/Listeners.java
+++ b/src/main/java/org/meadowhollow/cli/Listeners.java
@@ -6,6 +6,7 @@
 import javax.net.ssl.SSLContext;
 import org.meadowhollow.coordination.fleet.HeartbeatTimeoutMonitor;
 import org.meadowhollow.protocol.Http;
+import org.meadowhollow.protocol.MessageReader;
 import org.meadowhollow.transport.HttpClient;
 import org.meadowhollow.transport.HttpServer;
 import org.meadowhollow.transport.XnioEventLoop;
@@ -69,6 +70,7 @@
                 settings.publicEndpoint(),
                 maxCallerConnections(settings),
                 callerIdleTimeout,
+                MessageReader.MAX_REQUEST_BYTES,
                 null,
                 handler);
     }
@@ -80,6 +82,7 @@
                 endpoint,
                 maxCallerConnections(settings) / TES_CONNECTIONS_DIVISOR,
                 callerIdleTimeout,
+                HttpServer.DEFAULT_MAX_BODY_BYTES,
                 tls.orElse(null),
                 handler);
     }
@@ -88,25 +91,42 @@
     HttpServer openReservations(
             Settings.Endpoint endpoint, Optional<SSLContext> tls, Http.RequestHandler handler) {
         return open(
-                endpoint, MAX_OPERATOR_CONNECTIONS, callerIdleTimeout, tls.orElse(null), handler);
+                endpoint,
+                MAX_OPERATOR_CONNECTIONS,
+                callerIdleTimeout,
+                HttpServer.DEFAULT_MAX_BODY_BYTES,
+                tls.orElse(null),
+                handler);
     }
 
     /** Opens the server for the other controllers, without a limit of their connections. */
     HttpServer openPeers(Http.RequestHandler handler) {
-        return open(settings.peerEndpoint(), 0, PEER_IDLE_TIMEOUT, null, handler);
+        return open(
+                settings.peerEndpoint(),
+                0,
+                PEER_IDLE_TIMEOUT,
+                HttpServer.DEFAULT_MAX_BODY_BYTES,
+                null,
+                handler);
     }
 
     private HttpServer open(
             Settings.Endpoint endpoint,
             int maxConnections,
             Duration idleTimeout,
+            int maxBodyBytes,
             SSLContext tls,
             Http.RequestHandler handler) {
         return new HttpServer(
                 loop,
                 buffers,
                 new HttpServer.Options(
-                        endpoint.host(), endpoint.port(), maxConnections, idleTimeout, tls),
+                        endpoint.host(),
+                        endpoint.port(),
+                        maxConnections,
+                        idleTimeout,
+                        maxBodyBytes,
+                        tls),
                 handler);
     }
 
--- a/src/main/java/org/meadowhollow/protocol/Http.java
+++ b/src/main/java/org/meadowhollow/protocol/Http.java
@@ -11,15 +11,30 @@
  * RequestHandler}.
  */
 public interface Http {
+    /**
+     * Why a request was refused as malformed, for the log; not part of the response.
+     *
+     * @param reason one line that names the field or byte
+     */
+    record Refusal(MalformedMessageException.Defect cause, String reason) {}
+
     /**
      * An HTTP response.
      *
      * @param retryAfterSeconds the value of the {@code Retry-After} header, 0 to omit it
+     * @param refusal why the request was refused as malformed, or null if it was not
      */
     // The body is passed on without a copy, and responses are never compared.
     @SuppressWarnings("ArrayRecordComponent")
-    record Reply(int status, byte[] body, int retryAfterSeconds, String contentType) {
+    record Reply(
+            int status, byte[] body, int retryAfterSeconds, String contentType, Refusal refusal) {
         private static final String MESSAGE_PACK_CONTENT_TYPE = "application/msgpack";
+        private static final int BAD_REQUEST = 400;
+
+        /** Creates a response to a request that was not refused as malformed. */
+        public Reply(int status, byte[] body, int retryAfterSeconds, String contentType) {
+            this(status, body, retryAfterSeconds, contentType, null);
+        }
 
         /** Creates a response with a MessagePack body. */
         public Reply(int status, byte[] body, int retryAfterSeconds) {
@@ -44,6 +59,21 @@
             return new Reply(status, encodeError(reason), 0);
         }
 
+        /** Returns the response to a malformed request. */
+        public static Reply malformed(MalformedMessageException malformed) {
+            return error(BAD_REQUEST, malformed.getMessage()).refusedFor(malformed);
+        }
+
+        /** Returns this response with the reason why the request is malformed. */
+        public Reply refusedFor(MalformedMessageException malformed) {
+            return new Reply(
+                    status,
+                    body,
+                    retryAfterSeconds,
+                    contentType,
+                    new Refusal(malformed.defect(), malformed.getMessage()));
+        }
+
         private static byte[] encodeError(String reason) {
             return MessagePackCodec.encode(Map.of("error", reason));
         }
--- a/src/main/java/org/meadowhollow/protocol/jobs/JobApi.java
+++ b/src/main/java/org/meadowhollow/protocol/jobs/JobApi.java
@@ -34,9 +34,9 @@
     public CompletableFuture<Http.Reply> submit(byte[] body) {
         JobSpec spec;
         try {
-            spec = SubmissionCodec.decode(MessageReader.decode(body));
+            spec = SubmissionCodec.decode(MessageReader.decodeRequest(body));
         } catch (MalformedMessageException malformed) {
-            return CompletableFuture.completedFuture(Http.Reply.error(400, malformed.getMessage()));
+            return CompletableFuture.completedFuture(Http.Reply.malformed(malformed));
         }
         return mapFailuresToReplies(
                 admissionService
--- a/src/main/java/org/meadowhollow/protocol/peers/PeerServer.java
+++ b/src/main/java/org/meadowhollow/protocol/peers/PeerServer.java
@@ -92,7 +92,7 @@
                 default -> Http.Reply.error(404, "no such path");
             };
         } catch (MalformedMessageException malformed) {
-            return Http.Reply.error(400, malformed.getMessage());
+            return Http.Reply.malformed(malformed);
         }
     }
 
--- a/src/main/java/org/meadowhollow/protocol/reservation/ReservationApi.java
+++ b/src/main/java/org/meadowhollow/protocol/reservation/ReservationApi.java
@@ -16,6 +16,7 @@
 import org.meadowhollow.protocol.Http;
 import org.meadowhollow.protocol.JsonCodec;
 import org.meadowhollow.protocol.MalformedMessageException;
+import org.meadowhollow.protocol.MessagePackCodec;
 import org.meadowhollow.protocol.MessageReader;
 import org.meadowhollow.protocol.tes.BearerTokens;
 import org.meadowhollow.storage.CalendarSnapshot;
@@ -84,8 +85,8 @@
         if (cause instanceof HttpStatusException withStatus) {
             return errorReply(withStatus.status, withStatus.getMessage());
         }
-        if (cause instanceof MalformedMessageException) {
-            return errorReply(400, cause.getMessage());
+        if (cause instanceof MalformedMessageException malformed) {
+            return errorReply(400, malformed.getMessage()).refusedFor(malformed);
         }
         if (cause instanceof ReservationService.RejectedException rejected) {
             return errorReply(statusOf(rejected.reason()), rejected.getMessage());
@@ -226,7 +227,10 @@
         return reply(
                 outcome.result() == ReservationService.ChangeResult.CREATED ? 201 : 200,
                 MessageReader.mapOf(
-                        "version", outcome.revision().value(), "notes", outcome.notes()));
+                        "version",
+                        MessagePackCodec.ofUnsigned(outcome.revision().value()),
+                        "notes",
+                        outcome.notes()));
     }
 
     /**
@@ -240,7 +244,7 @@
             return null;
         }
         try {
-            return new Revision(Long.parseLong(text.replace("\"", "").trim()));
+            return new Revision(Long.parseUnsignedLong(text.replace("\"", "").trim()));
         } catch (NumberFormatException invalid) {
             throw new MalformedMessageException("If-Match is not a version that was shown");
         }
--- a/src/main/java/org/meadowhollow/protocol/tes/TesReplies.java
+++ b/src/main/java/org/meadowhollow/protocol/tes/TesReplies.java
@@ -26,8 +26,10 @@
         if (cause instanceof HttpStatusException httpStatusException) {
             return error(httpStatusException.status(), httpStatusException.getMessage());
         }
-        if (cause instanceof MalformedMessageException
-                || cause instanceof AdmissionService.UnschedulableJobException) {
+        if (cause instanceof MalformedMessageException malformed) {
+            return error(400, malformed.getMessage()).refusedFor(malformed);
+        }
+        if (cause instanceof AdmissionService.UnschedulableJobException) {
             return error(400, cause.getMessage());
         }
         if (cause instanceof AdmissionService.TemporarilyUnavailableException
--- a/src/main/java/org/meadowhollow/protocol/workers/HeartbeatApi.java
+++ b/src/main/java/org/meadowhollow/protocol/workers/HeartbeatApi.java
@@ -28,7 +28,7 @@
         try {
             heartbeat = WorkerCodec.decodeHeartbeat(body, Heartbeat.Origin.REQUEST);
         } catch (MalformedMessageException malformed) {
-            return CompletableFuture.completedFuture(Http.Reply.error(400, malformed.getMessage()));
+            return CompletableFuture.completedFuture(Http.Reply.malformed(malformed));
         }
         return heartbeatHandler.apply(heartbeat).thenApply(HeartbeatApi::toReply);
     }
--- a/src/main/java/org/meadowhollow/transport/HttpServer.java
+++ b/src/main/java/org/meadowhollow/transport/HttpServer.java
@@ -20,6 +20,7 @@
 import javax.net.ssl.SSLContext;
 import org.meadowhollow.model.EventLoopStep;
 import org.meadowhollow.protocol.Http;
+import org.meadowhollow.protocol.MalformedMessageException.Defect;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
@@ -31,9 +32,13 @@
 public final class HttpServer implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
 
-    /** The protocol's limit of a request body, in bytes. */
-    private static final int MAX_BODY_BYTES = 64 * 1024;
+    /** The limit of a request body in bytes, where no other is set. */
+    public static final int DEFAULT_MAX_BODY_BYTES = 64 * 1024;
 
+    private final XnioEventLoop loop;
+    private final Http.RequestHandler requestHandler;
+    private final int maxBodyBytes;
+    private final RefusedRequestLog refusedRequestLog;
     private final Undertow server;
     private final ConnectionLimiter<ServerConnection> connectionLimiter;
 
@@ -45,10 +50,16 @@
      *     connection that was used least recently is closed
      * @param idleTimeout how long a connection without a request stays open; must be longer than
      *     clients pause between requests
+     * @param maxBodyBytes the limit of a request's body
      * @param tls the TLS context, or null for plain HTTP
      */
     public record Options(
-            String host, int port, int maxConnections, Duration idleTimeout, SSLContext tls) {}
+            String host,
+            int port,
+            int maxConnections,
+            Duration idleTimeout,
+            int maxBodyBytes,
+            SSLContext tls) {}
 
     /** Opens a server without TLS; see {@link Options} for the limits of its connections. */
     public HttpServer(
@@ -62,7 +73,7 @@
         this(
                 loop,
                 buffers,
-                new Options(host, port, maxConnections, idleTimeout, null),
+                new Options(host, port, maxConnections, idleTimeout, DEFAULT_MAX_BODY_BYTES, null),
                 requestHandler);
     }
 
@@ -77,9 +88,13 @@
             ByteBufferPool buffers,
             Options options,
             Http.RequestHandler requestHandler) {
+        this.loop = loop;
+        this.requestHandler = requestHandler;
+        this.maxBodyBytes = options.maxBodyBytes();
+        this.refusedRequestLog = new RefusedRequestLog(loop);
         connectionLimiter = new ConnectionLimiter<>(options.maxConnections(), IoUtils::safeClose);
         int idleMillis = (int) options.idleTimeout().toMillis();
-        HttpHandler handler = exchange -> receive(loop, exchange, requestHandler);
+        HttpHandler handler = this::receive;
         Undertow.Builder builder =
                 Undertow.builder()
                         .setWorker(loop.worker())
@@ -102,8 +117,7 @@
         return ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
     }
 
-    private void receive(
-            XnioEventLoop loop, HttpServerExchange exchange, Http.RequestHandler requestHandler) {
+    private void receive(HttpServerExchange exchange) {
         ServerConnection connection = exchange.getConnection();
         if (connectionLimiter.requestStarted(connection)) {
             connection.addCloseListener(connectionLimiter::connectionClosed);
@@ -113,12 +127,12 @@
                     connectionLimiter.requestFinished(connection);
                     next.proceed();
                 });
-        if (exchange.getRequestContentLength() > MAX_BODY_BYTES) {
-            rejectBody(exchange, requestHandler);
+        if (exchange.getRequestContentLength() > maxBodyBytes) {
+            rejectBody(exchange, Defect.TOO_LARGE);
             return;
         }
         Receiver receiver = exchange.getRequestReceiver();
-        receiver.setMaxBufferSize(MAX_BODY_BYTES);
+        receiver.setMaxBufferSize(maxBodyBytes);
         receiver.receiveFullBytes(
                 (unused, body) ->
                         exchange.dispatch(
@@ -126,18 +140,35 @@
                                 () ->
                                         loop.runStep(
                                                 EventLoopStep.REQUEST,
-                                                () -> handle(exchange, requestHandler, body))),
-                (unused, failure) -> rejectBody(exchange, requestHandler));
+                                                () -> handle(exchange, body))),
+                (unused, failure) ->
+                        rejectBody(
+                                exchange,
+                                failure instanceof Receiver.RequestToLargeException
+                                        ? Defect.TOO_LARGE
+                                        : Defect.CUT_SHORT));
     }
 
-    private static void rejectBody(
-            HttpServerExchange exchange, Http.RequestHandler requestHandler) {
+    private void rejectBody(HttpServerExchange exchange, Defect defect) {
+        recordRefusal(
+                exchange,
+                exchange.getRequestContentLength(),
+                new Http.Refusal(defect, "the body was not received"));
         exchange.setPersistent(false);
         send(exchange, requestHandler.invalidBodyReply());
     }
 
-    private static void handle(
-            HttpServerExchange exchange, Http.RequestHandler requestHandler, byte[] body) {
+    private void recordRefusal(HttpServerExchange exchange, long bodyBytes, Http.Refusal refusal) {
+        refusedRequestLog.record(
+                new RefusedRequestLog.RefusedRequest(
+                        exchange.getRequestMethod().toString(),
+                        exchange.getRequestPath(),
+                        String.valueOf(exchange.getConnection().getPeerAddress()),
+                        bodyBytes),
+                refusal);
+    }
+
+    private void handle(HttpServerExchange exchange, byte[] body) {
         CompletableFuture<Http.Reply> response;
         try {
             response =
@@ -161,9 +192,12 @@
                                         exchange.getRequestPath(),
                                         failure);
                                 send(exchange, Http.Reply.retryLater(503, 1, "internal error"));
-                            } else {
-                                send(exchange, reply);
+                                return;
+                            }
+                            if (reply.refusal() != null) {
+                                recordRefusal(exchange, body.length, reply.refusal());
                             }
+                            send(exchange, reply);
                         });
     }
 
--- a/src/test/java/org/meadowhollow/transport/PemKeyManagerTest.java
+++ b/src/test/java/org/meadowhollow/transport/PemKeyManagerTest.java
@@ -120,6 +120,7 @@
                         0,
                         0,
                         Duration.ofMinutes(1),
+                        HttpServer.DEFAULT_MAX_BODY_BYTES,
                         PemKeyManager.sslContext(chainFile(), keyFile())),
                 (Http.SimpleRequestHandler)
                         (method, path, body) ->
