Do not refuse JSON for the depth or the digits of a field that no one reads

Callers saw: a settings file, a TES task or a reservation with an unknown field nested deeper than 32 levels, or with a number of over 1,000 digits, was refused.

Cause: limits of the JSON library's reader, of the class of the incident; the depth stood there to protect the stack.

Fix: a reader on the library's streaming parser decodes down to 32 levels, which no message reaches, and skips what is deeper without recursion. The text names the byte.

The test that deep nesting is refused on a small stack becomes one that it is skipped there, at the same depths; a number of 60,000 digits is now read within the same time limit.

--- a/src/main/java/org/meadowhollow/protocol/JsonCodec.java
+++ b/src/main/java/org/meadowhollow/protocol/JsonCodec.java
@@ -1,59 +1,119 @@
 package org.meadowhollow.protocol;
 
 import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
+import java.math.BigInteger;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.meadowhollow.protocol.MalformedMessageException.Defect;
 
 /**
  * Converts JSON objects to and from maps with string keys. The values are such maps, lists,
- * strings, numbers ({@code Long} and {@code Double}), booleans and null. Used by the HTTP
- * interfaces for external clients (TES and reservations), the settings file and the command line;
- * the other protocols use {@link MessagePackCodec}. Stateless.
+ * strings, numbers ({@code Long}, {@code BigInteger} and {@code Double}), booleans and null. Used
+ * by the HTTP interfaces for external clients (TES and reservations), the settings file and the
+ * command line; the other protocols use {@link MessagePackCodec}. Stateless.
  */
 public final class JsonCodec {
     /**
-     * The maximum nesting depth, far deeper than that of any message of the protocols. At Jackson's
-     * default of 1000, a malicious body would overflow the stack of a deployed node.
+     * The depth down to which values are decoded; no message of the protocols is nested as deeply.
+     * The recursion of a deeper one could overflow the stack of a deployed node.
      */
-    private static final int MAX_NESTING_DEPTH = 32;
+    private static final int MAX_DECODED_DEPTH = 32;
 
-    private static final JSON JACKSON =
-            JSON.builder(
-                            JsonFactory.builder()
-                                    .streamReadConstraints(
-                                            StreamReadConstraints.builder()
-                                                    .maxNestingDepth(MAX_NESTING_DEPTH)
-                                                    .build())
+    private static final JsonFactory FACTORY =
+            JsonFactory.builder()
+                    .streamReadConstraints(
+                            StreamReadConstraints.builder()
+                                    .maxNestingDepth(Integer.MAX_VALUE)
+                                    .maxNumberLength(Integer.MAX_VALUE)
+                                    .maxNameLength(Integer.MAX_VALUE)
                                     .build())
                     .build();
 
+    private static final JSON JACKSON = JSON.builder(FACTORY).build();
+
     private JsonCodec() {}
 
     /**
-     * Decodes a JSON object that is nested at most 32 levels deep. Jackson limits the length of
-     * numbers; the caller must limit the size of the body.
+     * Decodes a JSON object. Maps and lists that are nested more than 32 levels deep are skipped,
+     * and appear as null. The caller must limit the size of the body.
      *
-     * @throws MalformedMessageException if the bytes are not a JSON object, if it is nested too
-     *     deeply or contains a number that is too long, or if a string or key contains an unpaired
-     *     surrogate
+     * @throws MalformedMessageException if the bytes are not a JSON object, or if a string or key
+     *     contains an unpaired surrogate
      */
     public static Map<String, Object> decode(byte[] bytes) throws MalformedMessageException {
-        try {
-            Map<String, Object> map = JACKSON.mapFrom(bytes);
-            // Jackson returns null for the literal null.
-            if (map != null) {
-                return normalize(map);
+        try (JsonParser parser = FACTORY.createParser(bytes)) {
+            if (parser.nextToken() != JsonToken.START_OBJECT) {
+                throw notAnObject();
+            }
+            return decodeObject(parser, 1);
+        } catch (JsonProcessingException malformed) {
+            throw new MalformedMessageException(
+                    Defect.NOT_JSON,
+                    "not a JSON object: error at byte " + malformed.getLocation().getByteOffset());
+        } catch (IOException malformed) {
+            throw notAnObject();
+        }
+    }
+
+    private static MalformedMessageException notAnObject() {
+        return new MalformedMessageException(Defect.NOT_JSON, "not a JSON object");
+    }
+
+    private static Map<String, Object> decodeObject(JsonParser parser, int depth)
+            throws IOException, MalformedMessageException {
+        Map<String, Object> map = new LinkedHashMap<>();
+        while (parser.nextToken() != JsonToken.END_OBJECT) {
+            String key = requirePairedSurrogates(parser.currentName());
+            parser.nextToken();
+            map.put(key, decodeValue(parser, depth + 1));
+        }
+        return map;
+    }
+
+    private static List<Object> decodeArray(JsonParser parser, int depth)
+            throws IOException, MalformedMessageException {
+        List<Object> list = new ArrayList<>();
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+            list.add(decodeValue(parser, depth + 1));
+        }
+        return list;
+    }
+
+    private static Object decodeValue(JsonParser parser, int depth)
+            throws IOException, MalformedMessageException {
+        if (depth > MAX_DECODED_DEPTH && parser.currentToken().isStructStart()) {
+            parser.skipChildren();
+            if (parser.currentToken() == null || !parser.currentToken().isStructEnd()) {
+                throw notAnObject();
             }
-        } catch (IOException | ClassCastException malformed) {
-            throw new MalformedMessageException("not a JSON object");
-        } catch (IllegalArgumentException malformed) {
-            throw new MalformedMessageException(malformed.getMessage());
+            return null;
         }
-        throw new MalformedMessageException("not a JSON object");
+        return switch (parser.currentToken()) {
+            case START_OBJECT -> decodeObject(parser, depth);
+            case START_ARRAY -> decodeArray(parser, depth);
+            case VALUE_STRING -> requirePairedSurrogates(parser.getText());
+            case VALUE_NUMBER_INT -> decodeInteger(parser);
+            case VALUE_NUMBER_FLOAT -> parser.getDoubleValue();
+            case VALUE_TRUE -> true;
+            case VALUE_FALSE -> false;
+            case VALUE_NULL -> null;
+            default -> throw notAnObject();
+        };
+    }
+
+    /** Decodes an integer as a long, or as a {@link BigInteger} outside the range of long. */
+    private static Number decodeInteger(JsonParser parser) throws IOException {
+        return parser.getNumberType() == JsonParser.NumberType.BIG_INTEGER
+                ? parser.getBigIntegerValue()
+                : (Number) parser.getLongValue();
     }
 
     /**
@@ -69,15 +129,8 @@
         }
     }
 
-    /** Normalizes the values of a map, and rejects keys with unpaired surrogates. */
-    private static Map<String, Object> normalize(Map<String, Object> map) {
-        Map<String, Object> normalized = new LinkedHashMap<>();
-        map.forEach((key, value) -> normalized.put(requirePairedSurrogates(key), normalize(value)));
-        return normalized;
-    }
-
     /** Rejects unpaired surrogates, which JSON can escape but UTF-8 cannot encode. */
-    private static String requirePairedSurrogates(String text) {
+    private static String requirePairedSurrogates(String text) throws MalformedMessageException {
         for (int at = 0; at < text.length(); at++) {
             char unit = text.charAt(at);
             boolean paired =
@@ -85,32 +138,11 @@
                             && at + 1 < text.length()
                             && Character.isLowSurrogate(text.charAt(at + 1));
             if (Character.isSurrogate(unit) && !paired) {
-                throw new IllegalArgumentException("a text holds half of a character");
+                throw new MalformedMessageException(
+                        Defect.NOT_JSON, "a text holds half of a character");
             }
             at += paired ? 1 : 0;
         }
         return text;
     }
-
-    /**
-     * Converts integers to long, also in nested maps and lists: Jackson returns int or long, and
-     * callers expect long. Rejects strings with unpaired surrogates. An integer outside the range
-     * of long stays a {@code BigInteger}.
-     */
-    @SuppressWarnings("unchecked")
-    private static Object normalize(Object value) {
-        if (value instanceof Integer number) {
-            return number.longValue();
-        }
-        if (value instanceof String text) {
-            return requirePairedSurrogates(text);
-        }
-        if (value instanceof Map<?, ?> map) {
-            return normalize((Map<String, Object>) map);
-        }
-        if (value instanceof List<?> list) {
-            return list.stream().map(JsonCodec::normalize).toList();
-        }
-        return value;
-    }
 }
