Order tokens, revisions, leases, sessions and sequence numbers as unsigned integers

The attempt of a task was also cut to 32 bits, so that attempt 2^32 + 1 was taken for attempt 1.

Fix: the small types compare and print without a sign and are written as unsigned integers; attempts keep all 64 bits. Two sentinels of -1, which is now a valid number, became flags. "no such lease" is looked for in the error field of the store's answer instead of anywhere in its bytes.

--- a/src/main/java/org/meadowhollow/coordination/admission/JobStatusCache.java
+++ b/src/main/java/org/meadowhollow/coordination/admission/JobStatusCache.java
@@ -221,8 +221,8 @@
                     "job status cached job={} status={} revision={} followed_revision={}",
                     id,
                     status,
-                    revision.value(),
-                    syncedRevision.value());
+                    revision,
+                    syncedRevision);
             entries.update(id, status, revision);
         }
         return current.isFollowed() && !versionAtRead.isFollowed();
@@ -368,7 +368,7 @@
             return;
         }
         if (syncedRevision == null) {
-            LOG.debug("job changes followed from_revision={}", changes.revision().value());
+            LOG.debug("job changes followed from_revision={}", changes.revision());
         }
         for (KeyValueStore.Change change : changes.changes()) {
             entries.update(
--- a/src/main/java/org/meadowhollow/coordination/failover/ChangeFeedFollower.java
+++ b/src/main/java/org/meadowhollow/coordination/failover/ChangeFeedFollower.java
@@ -183,7 +183,7 @@
                                         prefix,
                                         failure == null
                                                 ? "key-value store returned earlier revision "
-                                                        + changeBatch.revision().value()
+                                                        + changeBatch.revision()
                                                 : failure.getMessage());
                                 generations.runLater(
                                         POLL_INTERVAL, startNewGeneration(), this::start);
--- a/src/main/java/org/meadowhollow/coordination/failover/Membership.java
+++ b/src/main/java/org/meadowhollow/coordination/failover/Membership.java
@@ -56,8 +56,7 @@
                 .map(ReceivedStatus::status)
                 .filter(status -> status.schemaVersion() == schema)
                 .max(
-                        Comparator.<ControllerStatus>comparingLong(
-                                        status -> status.replicaRevision().value())
+                        Comparator.comparing(ControllerStatus::replicaRevision)
                                 .thenComparing(ControllerStatus::member, Comparator.reverseOrder()))
                 .map(ControllerStatus::member);
     }
--- a/src/main/java/org/meadowhollow/coordination/failover/RiskTableReplica.java
+++ b/src/main/java/org/meadowhollow/coordination/failover/RiskTableReplica.java
@@ -170,7 +170,7 @@
             // Full tables that were read page by page may contain some of these samples already.
             if (sampleIncarnation.isAfter(workerIncarnation)
                     || (sampleIncarnation.equals(workerIncarnation)
-                            && sampleSequenceNumber > sequenceNumber)) {
+                            && Long.compareUnsigned(sampleSequenceNumber, sequenceNumber) > 0)) {
                 table.replaySample(
                         (int) machineEntry.samples()[offset + 3],
                         new MonotonicTime(
@@ -211,7 +211,10 @@
                 replicatedTable != null
                         && (workerIncarnation.isAfter(replicatedTable.workerIncarnation())
                                 || (workerIncarnation.equals(replicatedTable.workerIncarnation())
-                                        && sequenceNumber >= replicatedTable.sequenceNumber()));
+                                        && Long.compareUnsigned(
+                                                        sequenceNumber,
+                                                        replicatedTable.sequenceNumber())
+                                                >= 0));
         return precedesHeartbeat
                         && replicatedTable.identityHash() == identityHash
                         && now.elapsedSince(replicatedTable.updatedAt()).compareTo(MAX_AGE) <= 0
--- a/src/main/java/org/meadowhollow/coordination/reconciliation/HeartbeatHandler.java
+++ b/src/main/java/org/meadowhollow/coordination/reconciliation/HeartbeatHandler.java
@@ -167,10 +167,10 @@
      */
     private HeartbeatResponse respondToStaleHeartbeat(
             Machine machine, Heartbeat heartbeat, MonotonicTime now) {
+        long laterNumbers = machine.lastSequenceNumber() - heartbeat.sequenceNumber();
         if (heartbeat.fencingToken().equals(fencingToken)
                 && heartbeat.incarnation().equals(machine.incarnation())
-                && machine.lastSequenceNumber() - heartbeat.sequenceNumber()
-                        <= MAX_OVERTAKEN_HEARTBEATS) {
+                && Long.compareUnsigned(laterNumbers, MAX_OVERTAKEN_HEARTBEATS) <= 0) {
             machine.recordContact(now);
             return new HeartbeatResponse.Commands(fencingToken, List.of());
         }
--- a/src/main/java/org/meadowhollow/coordination/reconciliation/HeartbeatReconciler.java
+++ b/src/main/java/org/meadowhollow/coordination/reconciliation/HeartbeatReconciler.java
@@ -113,7 +113,8 @@
             }
         } else if (placement.incarnation().isAfter(heartbeat.incarnation())) {
             if (heartbeat.fencingToken().equals(fencingToken)
-                    && heartbeat.sequenceNumber() > placement.startSentSequenceNumber()) {
+                    && (!placement.isStartSent()
+                            || heartbeat.hasNumberAfter(placement.startSentSequenceNumber()))) {
                 // The heartbeat carries this leader's fencing token, so it was sent after the
                 // recorded incarnation was seen. Incarnations only grow, so the machine's
                 // incarnation was reset. Without this check the leader, and with it the job, would
@@ -143,8 +144,10 @@
                     machine.id(),
                     status.exitReason(),
                     heartbeat.origin(),
-                    heartbeat.sequenceNumber(),
-                    placement.startSentSequenceNumber());
+                    Long.toUnsignedString(heartbeat.sequenceNumber()),
+                    placement.isStartSent()
+                            ? Long.toUnsignedString(placement.startSentSequenceNumber())
+                            : "none");
             placementEvents.onTaskExited(machine, placement, status.exitReason(), now);
             return;
         }
--- a/src/main/java/org/meadowhollow/coordination/recovery/StateRecovery.java
+++ b/src/main/java/org/meadowhollow/coordination/recovery/StateRecovery.java
@@ -105,7 +105,7 @@
         Revision recoveredUpTo =
                 replicas.values().stream()
                         .map(KeyspaceReplica::revision)
-                        .min(Comparator.comparingLong(Revision::value))
+                        .min(Comparator.naturalOrder())
                         .orElseThrow();
         Runnable finish =
                 () -> {
--- a/src/main/java/org/meadowhollow/model/Heartbeat.java
+++ b/src/main/java/org/meadowhollow/model/Heartbeat.java
@@ -9,7 +9,8 @@
  *
  * @param origin whether the worker sent it as a request or as a response
  * @param address the network address of the worker
- * @param sequenceNumber a number that increases with each heartbeat of an incarnation
+ * @param sequenceNumber a number that increases with each heartbeat of an incarnation, from 0 to
+ *     2^64 - 1, as the bits of a long
  * @param fencingToken the highest fencing token that the worker has accepted
  * @param preemptionNoticeSeconds the seconds until the cloud reclaims the machine, or NaN if it
  *     gave no notice
@@ -58,9 +59,14 @@
         return listedTasks;
     }
 
+    /** Whether the sequence number is higher than another one of the same incarnation. */
+    public boolean hasNumberAfter(long otherSequenceNumber) {
+        return Long.compareUnsigned(sequenceNumber, otherSequenceNumber) > 0;
+    }
+
     /** Whether the worker sent this heartbeat after the one with the given numbers. */
     public boolean isNewerThan(WorkerIncarnation otherIncarnation, long otherSequenceNumber) {
         return incarnation.isAfter(otherIncarnation)
-                || (incarnation.equals(otherIncarnation) && sequenceNumber > otherSequenceNumber);
+                || (incarnation.equals(otherIncarnation) && hasNumberAfter(otherSequenceNumber));
     }
 }
--- a/src/main/java/org/meadowhollow/model/Job.java
+++ b/src/main/java/org/meadowhollow/model/Job.java
@@ -324,7 +324,7 @@
             WorkerIncarnation incarnation,
             MonotonicTime now) {
         TaskShard shard = shardOfTask(task);
-        shard.recordAttempt(attemptNumber.value());
+        shard.recordAttempt(attemptNumber.issuedValue());
         return putPlacement(
                 task, attemptNumber, machineId, incarnation, shard.recordPlacement(), now);
     }
--- a/src/main/java/org/meadowhollow/model/JobEventLog.java
+++ b/src/main/java/org/meadowhollow/model/JobEventLog.java
@@ -53,7 +53,7 @@
                 subject += "/" + taskIndex + " attempt " + attemptNumber + " on " + machineName;
             }
             return "order "
-                    + revision.value()
+                    + revision
                     + ' '
                     + type.name().toLowerCase(Locale.ROOT)
                     + ' '
@@ -104,7 +104,7 @@
                         team,
                         taskId.index(),
                         location.machineId().value(),
-                        location.attemptNumber().value()));
+                        location.attemptNumber().issuedValue()));
     }
 
     /** The machine and attempt with which a task may be running, according to a record. */
--- a/src/main/java/org/meadowhollow/model/Machine.java
+++ b/src/main/java/org/meadowhollow/model/Machine.java
@@ -31,9 +31,6 @@
      */
     public static final int MAX_TASKS = 500;
 
-    /** Lower than every sequence number that a worker sends. */
-    private static final long NO_SEQUENCE_NUMBER = -1;
-
     // Identity.
     private final MachineId id;
     private final MachineType type;
@@ -43,7 +40,7 @@
 
     // Heartbeats and contact with the worker.
     private WorkerIncarnation incarnation;
-    private long lastSequenceNumber = NO_SEQUENCE_NUMBER;
+    private long lastSequenceNumber;
     private FencingToken highestFencingToken = FencingToken.NONE;
     private MonotonicTime knownSince;
     private MonotonicTime lastListedAt;
@@ -114,7 +111,7 @@
         return incarnation;
     }
 
-    /** The sequence number of the last heartbeat, or -1 before the first one. */
+    /** The sequence number of the last heartbeat, unsigned; 0 before the first one. */
     public long lastSequenceNumber() {
         return lastSequenceNumber;
     }
--- a/src/main/java/org/meadowhollow/model/Placement.java
+++ b/src/main/java/org/meadowhollow/model/Placement.java
@@ -5,9 +5,6 @@
  * record until it is proven not to be running any more. Not thread-safe: guarded like its job.
  */
 public final class Placement {
-    /** The sequence number of the start command while this leader has sent none. */
-    private static final long NO_START_SENT = -1;
-
     private final Job job;
     private final TaskId taskId;
     private final AttemptNumber attemptNumber;
@@ -16,7 +13,8 @@
     private final long shardChange;
     private final MonotonicTime placedAt;
     private TaskState reportedState;
-    private long startSentSequenceNumber = NO_START_SENT;
+    private boolean isStartSent;
+    private long startSentSequenceNumber;
     private boolean isStopping;
     private double graceSeconds;
     private MonotonicTime runningSince;
@@ -106,12 +104,13 @@
      * start the task.
      */
     public void recordStartSent(long sequenceNumber) {
+        isStartSent = true;
         startSentSequenceNumber = sequenceNumber;
     }
 
     /**
-     * The sequence number of the last heartbeat whose response commanded the start, or -1 while
-     * this leader has sent none.
+     * The sequence number of the last heartbeat whose response commanded the start; 0 while this
+     * leader has sent none.
      */
     public long startSentSequenceNumber() {
         return startSentSequenceNumber;
@@ -119,7 +118,7 @@
 
     /** Whether this leader has sent a command to start the task. */
     public boolean isStartSent() {
-        return startSentSequenceNumber != NO_START_SENT;
+        return isStartSent;
     }
 
     /**
@@ -137,7 +136,7 @@
         }
         return !isStartSent()
                 || (heartbeat.origin() == Heartbeat.Origin.REQUEST
-                        && heartbeat.sequenceNumber() > startSentSequenceNumber);
+                        && heartbeat.hasNumberAfter(startSentSequenceNumber));
     }
 
     /** Whether the attempt is being stopped. */
--- a/src/main/java/org/meadowhollow/model/SecondaryRecord.java
+++ b/src/main/java/org/meadowhollow/model/SecondaryRecord.java
@@ -121,7 +121,8 @@
      */
     public void recordPlacement(AttemptNumber attemptNumber, MachineId machineId, long nowMillis) {
         attempts.add(
-                new AttemptRecord(attemptNumber.value(), machineId.value(), nowMillis, 0, 0, null));
+                new AttemptRecord(
+                        attemptNumber.issuedValue(), machineId.value(), nowMillis, 0, 0, null));
         if (attempts.size() > MAX_RETAINED_ATTEMPTS) {
             attempts.remove(0);
         }
--- a/src/main/java/org/meadowhollow/protocol/keyvalue/KeyValueCodec.java
+++ b/src/main/java/org/meadowhollow/protocol/keyvalue/KeyValueCodec.java
@@ -1,6 +1,5 @@
 package org.meadowhollow.protocol.keyvalue;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -51,9 +50,11 @@
     private static final String LEASE = "tether";
     private static final String LEASE_TTL_MILLIS = "ttlMs";
 
-    /** The text in the body of a response with status 400 if the lease does not exist. */
+    /** The error that a response with status 400 names if the lease does not exist. */
     private static final String LEASE_NOT_FOUND = "no such lease";
 
+    private static final String ERROR = "error";
+
     private KeyValueCodec() {}
 
     static String entryPath(String key) {
@@ -77,7 +78,7 @@
     }
 
     static String leasePath(LeaseId lease) {
-        return LEASES_PATH + "/" + lease.value();
+        return LEASES_PATH + "/" + lease;
     }
 
     static String changesPath(String prefix, Revision after, Duration maxWait) {
@@ -85,7 +86,7 @@
                 + "?prefix="
                 + prefix
                 + "&after="
-                + after.value()
+                + after
                 + "&blockMs="
                 + maxWait.toMillis();
     }
@@ -98,7 +99,10 @@
                         (key, revision) ->
                                 conditions.add(
                                         MessageReader.mapOf(
-                                                KEY, key, ENTRY_REVISION, revision.value())));
+                                                KEY,
+                                                key,
+                                                ENTRY_REVISION,
+                                                MessagePackCodec.ofUnsigned(revision.value()))));
         List<Map<String, Object>> writes = new ArrayList<>();
         transaction.writes().forEach((key, write) -> writes.add(encodeWrite(key, write)));
         return MessagePackCodec.encode(MessageReader.mapOf(CONDITIONS, conditions, WRITES, writes));
@@ -111,7 +115,13 @@
         if (write.lease() == null) {
             return MessageReader.mapOf(SET, key, VALUE, write.value());
         }
-        return MessageReader.mapOf(SET, key, VALUE, write.value(), LEASE, write.lease().value());
+        return MessageReader.mapOf(
+                SET,
+                key,
+                VALUE,
+                write.value(),
+                LEASE,
+                MessagePackCodec.ofUnsigned(write.lease().value()));
     }
 
     static byte[] encodeLeaseGrant(Duration ttl) {
@@ -147,7 +157,12 @@
     }
 
     private static boolean isLeaseNotFound(Http.Reply reply) {
-        return new String(reply.body(), StandardCharsets.UTF_8).contains(LEASE_NOT_FOUND);
+        try {
+            String error = MessageReader.decode(reply.body()).stringOrNull(ERROR);
+            return error != null && error.contains(LEASE_NOT_FOUND);
+        } catch (MalformedMessageException malformed) {
+            return false;
+        }
     }
 
     /** Decodes an entry; empty if the key does not exist. */
@@ -178,11 +193,11 @@
                         new CommitResult(
                                 applied,
                                 readStoreRevision(body),
-                                applied ? List.of() : body.stringListOrNull(CONFLICTING_KEYS)));
+                                applied ? List.of() : body.stringList(CONFLICTING_KEYS)));
     }
 
     static LeaseId decodeLease(Http.Reply reply) {
-        return decode(reply, body -> new LeaseId(body.nonNegativeLong(LEASE)));
+        return decode(reply, body -> new LeaseId(body.unsignedLong(LEASE)));
     }
 
     static ChangeBatch decodeChanges(Http.Reply reply) {
@@ -201,18 +216,18 @@
         return new Entry(
                 item.string(KEY),
                 item.nested(VALUE).map(),
-                new Revision(item.nonNegativeLong(ENTRY_REVISION)));
+                new Revision(item.unsignedLong(ENTRY_REVISION)));
     }
 
     private static Change readChange(MessageReader item) throws MalformedMessageException {
-        Revision revision = new Revision(item.nonNegativeLong(ENTRY_REVISION));
+        Revision revision = new Revision(item.unsignedLong(ENTRY_REVISION));
         return item.has(REMOVE)
                 ? new Change(item.string(REMOVE), null, revision)
                 : new Change(item.string(SET), item.nested(VALUE).map(), revision);
     }
 
     private static Revision readStoreRevision(MessageReader body) throws MalformedMessageException {
-        return new Revision(body.nonNegativeLong(STORE_REVISION));
+        return new Revision(body.unsignedLong(STORE_REVISION));
     }
 
     private interface BodyDecoder<T> {
--- a/src/main/java/org/meadowhollow/protocol/reservation/ReservationCodec.java
+++ b/src/main/java/org/meadowhollow/protocol/reservation/ReservationCodec.java
@@ -16,6 +16,7 @@
 import org.meadowhollow.model.reservation.RecurringSchedule;
 import org.meadowhollow.model.reservation.Reservation;
 import org.meadowhollow.protocol.MalformedMessageException;
+import org.meadowhollow.protocol.MessagePackCodec;
 import org.meadowhollow.protocol.MessageReader;
 import org.meadowhollow.storage.CalendarSnapshot;
 
@@ -214,7 +215,7 @@
                 entry.item() instanceof MaintenanceWindow window
                         ? encodeWindow(window)
                         : encodeReservation((Reservation) entry.item());
-        map.put("version", entry.revision().value());
+        map.put("version", MessagePackCodec.ofUnsigned(entry.revision().value()));
         return map;
     }
 
--- a/src/main/java/org/meadowhollow/protocol/workers/WorkerCodec.java
+++ b/src/main/java/org/meadowhollow/protocol/workers/WorkerCodec.java
@@ -67,7 +67,10 @@
      */
     static Heartbeat decodeHeartbeat(byte[] bytes, Heartbeat.Origin origin)
             throws MalformedMessageException {
-        MessageReader body = MessageReader.decode(bytes);
+        MessageReader body =
+                origin == Heartbeat.Origin.REQUEST
+                        ? MessageReader.decodeRequest(bytes)
+                        : MessageReader.decode(bytes);
         List<Heartbeat.TaskStatus> tasks = new ArrayList<>();
         for (MessageReader item : body.nestedList(TASKS)) {
             tasks.add(decodeTaskStatus(item));
@@ -79,9 +82,9 @@
                 body.string(MACHINE_TYPE),
                 body.string(ZONE),
                 body.booleanOr(IS_SPOT, false),
-                new WorkerIncarnation(body.nonNegativeLong(INCARNATION)),
-                body.nonNegativeLong(SEQUENCE_NUMBER),
-                new FencingToken(body.has(FENCING_TOKEN) ? body.nonNegativeLong(FENCING_TOKEN) : 0),
+                new WorkerIncarnation(body.unsignedLong(INCARNATION)),
+                body.unsignedLong(SEQUENCE_NUMBER),
+                new FencingToken(body.has(FENCING_TOKEN) ? body.unsignedLong(FENCING_TOKEN) : 0),
                 body.nonNegativeDoubleOr(PREEMPTION_NOTICE_SECONDS, Double.NaN),
                 tasks);
     }
@@ -95,7 +98,7 @@
         TaskState state = decodeTaskState(item.string(TASK_STATE));
         return new Heartbeat.TaskStatus(
                 id,
-                new AttemptNumber((int) item.nonNegativeLong(ATTEMPT_NUMBER)),
+                new AttemptNumber(item.unsignedLong(ATTEMPT_NUMBER)),
                 state,
                 state == TaskState.EXITED
                         ? decodeExitReason(item.stringOrNull(EXIT_REASON))
@@ -108,9 +111,9 @@
         return MessagePackCodec.encode(
                 MessageReader.mapOf(
                         FENCING_TOKEN,
-                        token.value(),
+                        MessagePackCodec.ofUnsigned(token.value()),
                         INCARNATION,
-                        incarnation.value(),
+                        MessagePackCodec.ofUnsigned(incarnation.value()),
                         COMMANDS,
                         encodeCommands(commands)));
     }
@@ -119,7 +122,10 @@
     static byte[] encodeHeartbeatResponse(FencingToken token, List<WorkerCommand> commands) {
         return MessagePackCodec.encode(
                 MessageReader.mapOf(
-                        FENCING_TOKEN, token.value(), COMMANDS, encodeCommands(commands)));
+                        FENCING_TOKEN,
+                        MessagePackCodec.ofUnsigned(token.value()),
+                        COMMANDS,
+                        encodeCommands(commands)));
     }
 
     /**
@@ -142,7 +148,7 @@
                             TASK_ID,
                             command.taskId().toString(),
                             ATTEMPT_NUMBER,
-                            (long) command.attemptNumber().value());
+                            MessagePackCodec.ofUnsigned(command.attemptNumber().value()));
             if (command.action() == WorkerCommand.Action.STOP) {
                 map.put(GRACE_SECONDS, command.graceSeconds());
             }
--- a/src/main/java/org/meadowhollow/storage/TaskShardCodec.java
+++ b/src/main/java/org/meadowhollow/storage/TaskShardCodec.java
@@ -86,7 +86,7 @@
                 placements.add(
                         List.of(
                                 (long) task,
-                                (long) placement.attemptNumber().value(),
+                                placement.attemptNumber().value(),
                                 placement.machineId().value(),
                                 placement.incarnation().value()));
             }
--- a/src/test/java/org/meadowhollow/protocol/keyvalue/KeyValueStoreClientTest.java
+++ b/src/test/java/org/meadowhollow/protocol/keyvalue/KeyValueStoreClientTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.meadowhollow.protocol.AdaptiveRateLimiter;
 import org.meadowhollow.protocol.Http;
+import org.meadowhollow.protocol.MessagePackCodec;
 import org.meadowhollow.simulation.VirtualEventLoop;
 import org.meadowhollow.storage.KeyValueStore.RequestPriority;
 import org.meadowhollow.storage.KeyValueStoreException;
@@ -91,6 +92,27 @@
         assertFalse(queueing.seemsUnavailable());
     }
 
+    @Test
+    void leaseFromHalfItsRangeOnIsRenewedUnderTheNumberThatTheStoreGave() {
+        Http.Client granting =
+                (address, method, path, body, timeout) -> {
+                    sent.add(path);
+                    return CompletableFuture.completedFuture(
+                            Http.Reply.of(
+                                    200, Map.of("tether", MessagePackCodec.ofUnsigned(1L << 63))));
+                };
+        KeyValueStoreClient grantingClient =
+                new KeyValueStoreClient(
+                        granting,
+                        "state:1",
+                        loop,
+                        new AdaptiveRateLimiter(10, 2),
+                        new AdaptiveRateLimiter(10, 2));
+        LeaseId lease = grantingClient.grantLease(Duration.ofSeconds(5)).join();
+        grantingClient.renewLease(lease).join();
+        assertEquals(List.of("/grants", "/grants/9223372036854775808/renew"), sent);
+    }
+
     @Test
     void statusCodesMapToOutcomes() {
         assertTrue(client.get("key", RequestPriority.USER).join().isEmpty());
--- a/src/test/java/org/meadowhollow/simulation/GangSchedulingScenarioTest.java
+++ b/src/test/java/org/meadowhollow/simulation/GangSchedulingScenarioTest.java
@@ -145,7 +145,8 @@
         assertEquals(6, cluster.startCount());
         List<Integer> attempts = new ArrayList<>();
         for (int task = 0; task < 3; task++) {
-            attempts.add(machineRunning(job, task).attemptOf(new TaskId(job.id(), task)).value());
+            attempts.add(
+                    machineRunning(job, task).attemptOf(new TaskId(job.id(), task)).issuedValue());
         }
         assertEquals(List.of(2, 2, 2), attempts);
     }
