--- a/src/test/java/org/meadowhollow/protocol/RandomEncoding.java
+++ b/src/test/java/org/meadowhollow/protocol/RandomEncoding.java
@@ -24,6 +24,9 @@
     private static final int DEEP_NESTING = 3000;
     private static final int LONG_TEXT = 1200;
 
+    /** The bytes of unknown fields after which a message gets no more, as its size is limited. */
+    private static final int MAX_UNKNOWN_BYTES = 8 * 1024;
+
     // The first bytes of the values that MessagePack encodes in more than one way.
     private static final int POSITIVE_FIXINT_MAX = 0x7f;
     private static final int FIXMAP = 0x80;
@@ -42,6 +45,7 @@
 
     private final Random random;
     private final Set<String> opaqueFields;
+    private int unknownBytes;
 
     /**
      * @param opaqueFields the fields in whose values no unknown fields are put, as those of stored
@@ -55,6 +59,7 @@
     /** Encodes a message; its integers are {@code Long}s, and its amounts {@code Double}s. */
     public byte[] encode(Map<String, ?> message) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        unknownBytes = 0;
         try (DataOutputStream out = new DataOutputStream(bytes)) {
             writeMap(out, message, true);
         } catch (IOException impossible) {
@@ -71,7 +76,10 @@
                 names.add(field.getKey());
             }
         }
-        int unknownFields = addsUnknown ? random.nextInt(MAX_UNKNOWN_FIELDS + 1) : 0;
+        int unknownFields =
+                addsUnknown && unknownBytes < MAX_UNKNOWN_BYTES
+                        ? random.nextInt(MAX_UNKNOWN_FIELDS + 1)
+                        : 0;
         for (int at = 0; at < unknownFields; at++) {
             names.add("x_" + (random.nextBoolean() ? "größe" : "label") + at);
         }
@@ -80,11 +88,13 @@
         }
         writeHeader(out, FIXMAP, MAP16, names.size());
         for (String name : names) {
+            int start = out.size();
             writeText(out, name);
             if (map.containsKey(name)) {
                 writeValue(out, map.get(name), addsUnknown && !opaqueFields.contains(name));
             } else {
                 writeUnknown(out, 0);
+                unknownBytes += out.size() - start;
             }
         }
     }
--- a/src/test/java/org/meadowhollow/simulation/FakeKeyValueStore.java
+++ b/src/test/java/org/meadowhollow/simulation/FakeKeyValueStore.java
@@ -12,6 +12,8 @@
 import org.meadowhollow.model.Revision;
 import org.meadowhollow.protocol.MalformedMessageException;
 import org.meadowhollow.protocol.MessagePackCodec;
+import org.meadowhollow.protocol.RandomEncoding;
+import org.meadowhollow.protocol.keyvalue.EncodedStoreReplies;
 import org.meadowhollow.storage.KeyValueStore;
 import org.meadowhollow.storage.KeyValueStoreException;
 import org.meadowhollow.storage.LeaseExpiredException;
@@ -31,6 +33,9 @@
     /** Number of past changes that a watch can start from; the protocol sets this bound. */
     private static final int MAX_LOG_ENTRIES = 10_000;
 
+    /** About as many changes as a cluster makes before its first job. */
+    private static final int CHANGES_BELOW_HALF_RANGE = 20;
+
     private static final Duration TIMEOUT = Duration.ofMillis(1500);
     private static final Duration SLOW_TIMEOUT = Duration.ofMillis(3200);
 
@@ -41,6 +46,10 @@
     private record Lease(MonotonicTime expiresAt, Duration ttl) {}
 
     private final EventLoop loop;
+
+    /** Null if responses are delivered without being encoded. */
+    private RandomEncoding encoding;
+
     private final Duration normalLatency;
     private Duration latency;
     private final TreeMap<String, StoredValue> values = new TreeMap<>();
@@ -73,6 +82,24 @@
         this.latency = latency;
     }
 
+    /** Lets revisions and leases pass 2^63 soon, where the sign of a long changes. */
+    FakeKeyValueStore startNumbersBelowHalfRange() {
+        revision = Long.MAX_VALUE - CHANGES_BELOW_HALF_RANGE;
+        lastLeaseId = Long.MAX_VALUE - 1;
+        return this;
+    }
+
+    /** Encodes every response, and delivers what a client reads of it. */
+    FakeKeyValueStore encodeResponses(RandomEncoding responseEncoding) {
+        encoding = responseEncoding;
+        return this;
+    }
+
+    /** Returns what a client reads of a response. */
+    <T> T transmit(T response) {
+        return encoding == null ? response : EncodedStoreReplies.transmit(response, encoding);
+    }
+
     /** Opens a connection for one client. */
     FakeStoreConnection connect() {
         return new FakeStoreConnection(this, loop);
--- a/src/test/java/org/meadowhollow/simulation/FakeStoreConnection.java
+++ b/src/test/java/org/meadowhollow/simulation/FakeStoreConnection.java
@@ -417,7 +417,7 @@
         responseExecutor.execute(
                 () -> {
                     if (!isClosed) {
-                        answer.complete(result);
+                        answer.complete(store.transmit(result));
                     }
                 });
     }
--- a/src/test/java/org/meadowhollow/simulation/FakeWorker.java
+++ b/src/test/java/org/meadowhollow/simulation/FakeWorker.java
@@ -21,6 +21,7 @@
 import org.meadowhollow.model.TaskId;
 import org.meadowhollow.model.WorkerCommand;
 import org.meadowhollow.model.WorkerIncarnation;
+import org.meadowhollow.protocol.workers.EncodedHeartbeats;
 
 /**
  * The worker of a machine, as the protocol describes it: it sends heartbeats to one node at a time,
@@ -45,7 +46,10 @@
     private final String zone;
     private final Map<TaskId, FakeTask> tasks = new LinkedHashMap<>();
     private WorkerIncarnation incarnation = FIRST_INCARNATION;
-    private long heartbeatNumber;
+
+    /** Passes 2^63 soon, where the sign of a long changes. */
+    private long heartbeatNumber = Long.MAX_VALUE - 20;
+
     private FencingToken fencingToken = FencingToken.NONE;
 
     /**
@@ -309,7 +313,10 @@
         }
     }
 
-    /** Returns a request with the current state; each heartbeat has a number of its own. */
+    /**
+     * Returns a request with the current state, as a controller reads it; each heartbeat has a
+     * number of its own.
+     */
     Heartbeat snapshot() {
         return snapshot(Heartbeat.Origin.REQUEST);
     }
@@ -321,18 +328,20 @@
                         statuses.add(
                                 new Heartbeat.TaskStatus(
                                         task, state.attempt(), state.state(), state.exitReason())));
-        return new Heartbeat(
-                origin,
-                id,
-                id.value() + ":9000",
-                type,
-                zone,
-                false,
-                incarnation,
-                ++heartbeatNumber,
-                fencingToken,
-                preemptionNoticeSeconds,
-                statuses);
+        Heartbeat heartbeat =
+                new Heartbeat(
+                        origin,
+                        id,
+                        id.value() + ":9000",
+                        type,
+                        zone,
+                        false,
+                        incarnation,
+                        ++heartbeatNumber,
+                        fencingToken,
+                        preemptionNoticeSeconds,
+                        statuses);
+        return EncodedHeartbeats.transmit(heartbeat, cluster.encoding());
     }
 
     private void sendHeartbeat() {
--- a/src/test/java/org/meadowhollow/simulation/KeyValueStoreHttpServer.java
+++ b/src/test/java/org/meadowhollow/simulation/KeyValueStoreHttpServer.java
@@ -3,12 +3,15 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import org.meadowhollow.model.Revision;
 import org.meadowhollow.protocol.Http;
 import org.meadowhollow.protocol.MalformedMessageException;
 import org.meadowhollow.protocol.MessageReader;
+import org.meadowhollow.protocol.RandomEncoding;
+import org.meadowhollow.protocol.keyvalue.EncodedStoreReplies;
 import org.meadowhollow.storage.KeyValueStore;
 import org.meadowhollow.storage.KeyValueStore.RequestPriority;
 import org.meadowhollow.storage.KeyValueStoreException;
@@ -22,13 +25,12 @@
     private static final String LEASE_PATH = "/grants/";
     private static final String RENEW_SUFFIX = "/renew";
 
-    /** The wire's field names of a revision of the store and of a lease. */
-    private static final String REVISION = "ledgerRev";
-
-    private static final String LEASE = "tether";
+    private static final int ENCODING_SEED = 11;
 
     private final KeyValueStore store;
     private final Runnable onChange;
+    private final RandomEncoding encoding =
+            new RandomEncoding(new Random(ENCODING_SEED), EncodedStoreReplies.VALUE);
 
     /**
      * @param onChange called after each commit, and after each renewal or revocation of a lease
@@ -84,18 +86,19 @@
         return store.get(key, RequestPriority.USER)
                 .thenApply(
                         found ->
-                                found.map(entry -> Http.Reply.of(200, entry(entry)))
-                                        .orElse(Http.Reply.of(404, MessageReader.mapOf())));
+                                found.map(entry -> reply(200, EncodedStoreReplies.fieldsOf(entry)))
+                                        .orElseGet(() -> reply(404, MessageReader.mapOf())));
     }
 
     private CompletableFuture<Http.Reply> renewOrRevoke(String path) {
         boolean renews = path.endsWith(RENEW_SUFFIX);
         int end = path.length() - (renews ? RENEW_SUFFIX.length() : 0);
-        LeaseId lease = new LeaseId(Long.parseLong(path.substring(LEASE_PATH.length(), end)));
+        LeaseId lease =
+                new LeaseId(Long.parseUnsignedLong(path.substring(LEASE_PATH.length(), end)));
         return (renews ? store.renewLease(lease) : store.revokeLease(lease))
                 .handle(
                         (done, failure) ->
-                                Http.Reply.of(failure == null ? 200 : 404, MessageReader.mapOf()))
+                                reply(failure == null ? 200 : 404, MessageReader.mapOf()))
                 .whenComplete((reply, none) -> onChange.run());
     }
 
@@ -105,27 +108,15 @@
                         queryParameter(request, "after"),
                         Integer.parseInt(queryParameter(request, "most")),
                         RequestPriority.USER)
-                .thenApply(KeyValueStoreHttpServer::page);
-    }
-
-    private static Http.Reply page(KeyValueStore.Page page) {
-        return Http.Reply.of(
-                200,
-                MessageReader.mapOf(
-                        "items",
-                        page.entries().stream().map(KeyValueStoreHttpServer::entry).toList(),
-                        "truncated",
-                        page.hasMore(),
-                        REVISION,
-                        page.revision().value()));
+                .thenApply(page -> reply(200, EncodedStoreReplies.fieldsOf(page)));
     }
 
     private CompletableFuture<Http.Reply> watch(Http.Request request) {
         return store.watch(
                         queryParameter(request, "prefix"),
-                        new Revision(Long.parseLong(queryParameter(request, "after"))),
+                        new Revision(Long.parseUnsignedLong(queryParameter(request, "after"))),
                         Duration.ofMillis(Long.parseLong(queryParameter(request, "blockMs"))))
-                .thenApply(KeyValueStoreHttpServer::changes);
+                .thenApply(batch -> reply(200, EncodedStoreReplies.fieldsOf(batch)));
     }
 
     private CompletableFuture<Http.Reply> commit(Http.Request request)
@@ -135,13 +126,9 @@
                 .thenApply(
                         result -> {
                             onChange.run();
-                            return Http.Reply.of(
+                            return reply(
                                     result.isApplied() ? 200 : 409,
-                                    MessageReader.mapOf(
-                                            REVISION,
-                                            result.revision().value(),
-                                            "failed",
-                                            result.conflictingKeys()));
+                                    EncodedStoreReplies.fieldsOf(result));
                         });
     }
 
@@ -149,7 +136,7 @@
             throws MalformedMessageException {
         long ttlMillis = MessageReader.decode(request.body()).nonNegativeLong("ttlMs");
         return store.grantLease(Duration.ofMillis(ttlMillis))
-                .thenApply(lease -> Http.Reply.of(200, MessageReader.mapOf(LEASE, lease.value())));
+                .thenApply(lease -> reply(200, EncodedStoreReplies.fieldsOf(lease)));
     }
 
     private static String queryParameter(Http.Request request, String parameter) {
@@ -157,42 +144,16 @@
         return values == null ? null : values.get(0);
     }
 
-    private static Map<String, Object> entry(KeyValueStore.Entry entry) {
-        return MessageReader.mapOf(
-                "key", entry.key(), "v", entry.value(), "stamp", entry.revision().value());
-    }
-
-    private static Http.Reply changes(KeyValueStore.ChangeBatch changeBatch) {
-        return Http.Reply.of(
-                200,
-                MessageReader.mapOf(
-                        "ledgerRev",
-                        changeBatch.revision().value(),
-                        "log",
-                        changeBatch.changes().stream()
-                                .map(
-                                        change ->
-                                                change.value() == null
-                                                        ? MessageReader.mapOf(
-                                                                "remove",
-                                                                change.key(),
-                                                                "stamp",
-                                                                change.revision().value())
-                                                        : MessageReader.mapOf(
-                                                                "set",
-                                                                change.key(),
-                                                                "v",
-                                                                change.value(),
-                                                                "stamp",
-                                                                change.revision().value()))
-                                .toList()));
+    /** Encodes a response in a way that the protocol allows. */
+    private Http.Reply reply(int status, Map<String, Object> fields) {
+        return new Http.Reply(status, encoding.encode(fields), 0);
     }
 
     private static Transaction transaction(MessageReader body) throws MalformedMessageException {
         Transaction transaction = new Transaction();
         for (MessageReader guard : body.nestedList("guards")) {
             transaction.requireRevision(
-                    guard.string("key"), new Revision(guard.nonNegativeLong("stamp")));
+                    guard.string("key"), new Revision(guard.unsignedLong("stamp")));
         }
         for (MessageReader write : body.nestedList("writes")) {
             if (write.has("remove")) {
@@ -201,7 +162,7 @@
                 transaction.put(
                         write.string("set"),
                         write.nested("v").map(),
-                        new LeaseId(write.nonNegativeLong("tether")));
+                        new LeaseId(write.unsignedLong("tether")));
             } else {
                 transaction.put(write.string("set"), write.nested("v").map());
             }
--- a/src/test/java/org/meadowhollow/simulation/LoopbackIntegrationTest.java
+++ b/src/test/java/org/meadowhollow/simulation/LoopbackIntegrationTest.java
@@ -8,6 +8,7 @@
 import io.opentelemetry.proto.collector.trace.v1.ExportTraceServiceRequest;
 import io.opentelemetry.proto.trace.v1.Span;
 import io.undertow.server.DefaultByteBufferPool;
+import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -25,6 +26,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
@@ -43,8 +45,8 @@
 import org.meadowhollow.model.TaskId;
 import org.meadowhollow.protocol.Http;
 import org.meadowhollow.protocol.JsonCodec;
-import org.meadowhollow.protocol.MessagePackCodec;
 import org.meadowhollow.protocol.MessageReader;
+import org.meadowhollow.protocol.RandomEncoding;
 import org.meadowhollow.protocol.jobs.SubmissionCodec;
 import org.meadowhollow.protocol.tes.BearerTokens;
 import org.meadowhollow.storage.RecordKeys;
@@ -235,7 +237,7 @@
     private List<JobEventLog.Event> events() {
         synchronized (changeSignal) {
             return events.stream()
-                    .sorted(Comparator.comparingLong(event -> event.revision().value()))
+                    .sorted(Comparator.comparing(JobEventLog.Event::revision))
                     .toList();
         }
     }
@@ -307,15 +309,23 @@
                         .method(method, HttpRequest.BodyPublishers.ofByteArray(body)));
     }
 
+    /** Submits a job, and repeats it in another encoding and in chunks at another node. */
     private JobId submit(int node, int number) throws Exception {
         JobSpec job = SimulatedCluster.spec(number, JobKind.ARRAY, 1, 1);
+        RandomEncoding encoding = new RandomEncoding(new Random(number));
+        byte[] body = encoding.encode(SubmissionCodec.encode(job));
+        assertEquals(201, sendNative(node, "POST", "/submissions", body).statusCode());
+        byte[] repeated = encoding.encode(SubmissionCodec.encode(job));
         assertEquals(
-                201,
-                sendNative(
-                                node,
-                                "POST",
-                                "/submissions",
-                                MessagePackCodec.encode(SubmissionCodec.encode(job)))
+                200,
+                send(HttpRequest.newBuilder(
+                                        URI.create(
+                                                "http://"
+                                                        + apiAddresses.get(controllerName(node + 1))
+                                                        + "/submissions"))
+                                .POST(
+                                        HttpRequest.BodyPublishers.ofInputStream(
+                                                () -> new ByteArrayInputStream(repeated))))
                         .statusCode());
         return job.id();
     }
--- a/src/test/java/org/meadowhollow/simulation/LoopbackWorker.java
+++ b/src/test/java/org/meadowhollow/simulation/LoopbackWorker.java
@@ -6,12 +6,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import org.meadowhollow.model.TaskId;
 import org.meadowhollow.protocol.Http;
 import org.meadowhollow.protocol.MalformedMessageException;
-import org.meadowhollow.protocol.MessagePackCodec;
 import org.meadowhollow.protocol.MessageReader;
+import org.meadowhollow.protocol.RandomEncoding;
 import org.meadowhollow.transport.HttpClient;
 import org.meadowhollow.transport.HttpServer;
 import org.meadowhollow.transport.XnioEventLoop;
@@ -21,6 +22,7 @@
  * thread of one event loop.
  */
 final class LoopbackWorker implements AutoCloseable {
+    private static final int ENCODING_SEED = 13;
     private static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(500);
     private static final Duration LEASE = Duration.ofSeconds(4);
     private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(2);
@@ -57,6 +59,7 @@
     private final Map<String, String> controllers;
     private final HttpServer server;
     private final Map<String, Task> tasks = new LinkedHashMap<>();
+    private final RandomEncoding encoding = new RandomEncoding(new Random(ENCODING_SEED));
     private String currentController;
     private long incarnation = 1;
     private long heartbeatNumber;
@@ -197,7 +200,7 @@
                                         task.state,
                                         "cause",
                                         task.exitReason)));
-        return MessagePackCodec.encode(
+        return encoding.encode(
                 MessageReader.mapOf(
                         "stall",
                         name,
--- a/src/test/java/org/meadowhollow/simulation/SimulatedCloud.java
+++ b/src/test/java/org/meadowhollow/simulation/SimulatedCloud.java
@@ -15,6 +15,7 @@
 import org.meadowhollow.model.MachineId;
 import org.meadowhollow.model.MachineType;
 import org.meadowhollow.model.MonotonicTime;
+import org.meadowhollow.protocol.cloud.EncodedCloudReplies;
 
 /**
  * The cloud provider: it rents, releases and lists machines. It can have an outage, boot machines
@@ -123,7 +124,11 @@
         CompletableFuture<List<MachineType>> answer = new CompletableFuture<>();
         return afterLatency(
                 answer,
-                () -> answer.complete(List.of(SimulatedCluster.SMALL, SimulatedCluster.LARGE)));
+                () ->
+                        answer.complete(
+                                EncodedCloudReplies.transmitTypes(
+                                        List.of(SimulatedCluster.SMALL, SimulatedCluster.LARGE),
+                                        cluster.encoding())));
     }
 
     @Override
@@ -141,9 +146,8 @@
                                     RENTAL_RESPONSE_DELAY,
                                     () ->
                                             answer.complete(
-                                                    ids.isEmpty()
-                                                            ? Optional.empty()
-                                                            : Optional.of(ids)));
+                                                    EncodedCloudReplies.transmitRental(
+                                                            ids, cluster.encoding())));
                 });
     }
 
@@ -193,10 +197,12 @@
                 answer,
                 () ->
                         answer.complete(
-                                cluster.workers().stream()
-                                        .filter(this::isListed)
-                                        .map(this::toListedMachine)
-                                        .toList()));
+                                EncodedCloudReplies.transmitMachines(
+                                        cluster.workers().stream()
+                                                .filter(this::isListed)
+                                                .map(this::toListedMachine)
+                                                .toList(),
+                                        cluster.encoding())));
     }
 
     private boolean isListed(FakeWorker worker) {
--- a/src/test/java/org/meadowhollow/simulation/SimulatedCluster.java
+++ b/src/test/java/org/meadowhollow/simulation/SimulatedCluster.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -25,6 +26,8 @@
 import org.meadowhollow.model.Resources;
 import org.meadowhollow.model.Revision;
 import org.meadowhollow.model.TaskId;
+import org.meadowhollow.protocol.RandomEncoding;
+import org.meadowhollow.protocol.keyvalue.EncodedStoreReplies;
 import org.meadowhollow.storage.JobRecordCodec;
 import org.meadowhollow.storage.RecordKeys;
 
@@ -56,7 +59,13 @@
     private static final int FIRST_SEED = 7;
 
     private final VirtualEventLoop loop = new VirtualEventLoop();
-    private final FakeKeyValueStore store = new FakeKeyValueStore(loop);
+
+    /** Encodes the messages of users, workers, the store and the cloud in ever different ways. */
+    private final RandomEncoding encoding =
+            new RandomEncoding(new Random(FIRST_SEED), EncodedStoreReplies.VALUE);
+
+    private final FakeKeyValueStore store =
+            new FakeKeyValueStore(loop).encodeResponses(encoding).startNumbersBelowHalfRange();
     private final SimulatedNetwork network = new SimulatedNetwork(this);
     private final SimulatedCloud cloud = new SimulatedCloud(this);
     private final SimulatedApiClients clients = new SimulatedApiClients(this);
@@ -108,6 +117,10 @@
         return store;
     }
 
+    RandomEncoding encoding() {
+        return encoding;
+    }
+
     SimulatedNetwork network() {
         return network;
     }
@@ -471,9 +484,7 @@
 
     /** Returns the events that all nodes logged, ordered by the store's revisions. */
     List<JobEventLog.Event> events() {
-        return events.stream()
-                .sorted(Comparator.comparingLong(event -> event.revision().value()))
-                .toList();
+        return events.stream().sorted(Comparator.comparing(JobEventLog.Event::revision)).toList();
     }
 
     /** Returns the notes of the recording tracer, in the order of the calls. */
--- a/src/test/java/org/meadowhollow/simulation/SimulatedUsers.java
+++ b/src/test/java/org/meadowhollow/simulation/SimulatedUsers.java
@@ -21,7 +21,8 @@
 import org.meadowhollow.model.MonotonicTime;
 import org.meadowhollow.model.TaskId;
 import org.meadowhollow.protocol.Http;
-import org.meadowhollow.protocol.MessagePackCodec;
+import org.meadowhollow.protocol.MalformedMessageException;
+import org.meadowhollow.protocol.MessageReader;
 import org.meadowhollow.protocol.jobs.JobApi;
 import org.meadowhollow.protocol.jobs.SubmissionCodec;
 
@@ -109,7 +110,19 @@
             AdmissionService admissionService, JobSpec spec) {
         return checkWhenAnswered(
                 spec.id(),
-                admissionService.submit(spec).thenApply(result -> Optional.of(result.status())));
+                admissionService
+                        .submit(transmit(spec))
+                        .thenApply(result -> Optional.of(result.status())));
+    }
+
+    /** Returns what a controller reads of a submission that a user encoded. */
+    private JobSpec transmit(JobSpec spec) {
+        byte[] body = cluster.encoding().encode(SubmissionCodec.encode(spec));
+        try {
+            return SubmissionCodec.decode(MessageReader.decodeRequest(body));
+        } catch (MalformedMessageException refused) {
+            throw new AssertionError(refused);
+        }
     }
 
     /**
@@ -123,9 +136,9 @@
                 .orElse(0);
     }
 
-    private static CompletableFuture<Http.Reply> post(
+    private CompletableFuture<Http.Reply> post(
             AdmissionService admissionService, Map<String, Object> body) {
-        return new JobApi(admissionService).submit(MessagePackCodec.encode(body));
+        return new JobApi(admissionService).submit(cluster.encoding().encode(body));
     }
 
     // ---- polls and cancellations ----
--- a/src/test/java/org/meadowhollow/simulation/SubmissionRefusalScenarioTest.java
+++ b/src/test/java/org/meadowhollow/simulation/SubmissionRefusalScenarioTest.java
@@ -1,6 +1,7 @@
 package org.meadowhollow.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.HashMap;
 import java.util.Map;
@@ -40,6 +41,26 @@
         assertEquals(Phase.DONE, phaseOf(arrayJob(3, 1)));
     }
 
+    @Test
+    void jobRepeatedInAnotherEncodingIsTheSameJobAtEveryNodeAndAfterItsEnd() {
+        JobSpec spec = arrayJob(9, 2);
+        cluster.addJob(spec, SHORT_RUNTIME);
+        cluster.historyChecker().recordSubmission(spec.id());
+        // Both requests are under way at once.
+        var first = cluster.users().resubmitAsync(2, spec);
+        assertEquals(200, cluster.users().postSubmission(0, SubmissionCodec.encode(spec)));
+        assertTrue(first.join().isPresent());
+        for (int round = 0; round < 2; round++) {
+            for (int node = 0; node < 3; node++) {
+                assertEquals(
+                        200, cluster.users().postSubmission(node, SubmissionCodec.encode(spec)));
+            }
+            cluster.runSeconds(25);
+        }
+        assertEquals(Phase.DONE, phaseOf(spec));
+        assertEquals(2, cluster.startCount(), "each task is started once");
+    }
+
     @Test
     void jobThatCanNeverRunIsRefusedAsSuchAndNotAsMalformed() {
         assertEquals(422, submitWith(4, "crew", "n".repeat(LONG_NAME)));
