Bound what unfinished requests hold, in bytes, number and time, on all listeners

Callers saw: 900 connections, each with 64,990 of 65,000 body bytes and then silence, filled the heap of 64 MB of a controller; it logged an OutOfMemoryError 900 times, was short of memory for good (43.7 of 43.7 MB of the old generation in use after the connections were closed) and missed probes. Half a head held its connection open as long as its sender waited, and such connections were not counted.

Cause: each unfinished body was kept without a limit on all of them, no request had a deadline, and connections were counted from their first whole request only.

Fix: a reader of our own receives a body into as much memory as has arrived, until 3 s after its head (extended once when the loop is late); the head has 2 s, so nobody who still waits for an answer (5 s) is cut off. All unfinished bodies of a process share one bound, a 32nd of the memory in the settings (5.3 MiB of 171) and 256 requests; past it the oldest goes. Every connection counts from its accept, and those without a request have a quarter of the limit, so they cannot displace workers and probes.

--- a/src/main/java/org/meadowhollow/cli/Listeners.java
+++ b/src/main/java/org/meadowhollow/cli/Listeners.java
@@ -9,6 +9,7 @@
 import org.meadowhollow.protocol.MessageReader;
 import org.meadowhollow.transport.HttpClient;
 import org.meadowhollow.transport.HttpServer;
+import org.meadowhollow.transport.UnfinishedRequests;
 import org.meadowhollow.transport.XnioEventLoop;
 
 /**
@@ -52,16 +53,30 @@
     /** The limit of connections for operators, who work by hand or with scripts. */
     private static final int MAX_OPERATOR_CONNECTIONS = 16;
 
+    /**
+     * Divides the memory of the process; the quotient is the limit of the bytes of unfinished
+     * requests on all servers.
+     */
+    private static final int UNFINISHED_MEMORY_DIVISOR = 32;
+
+    /** Each one takes some 20 KiB beside its body. */
+    private static final int MAX_UNFINISHED_REQUESTS = 256;
+
     private final XnioEventLoop loop;
     private final ByteBufferPool buffers;
     private final Settings settings;
     private final Duration callerIdleTimeout;
+    private final UnfinishedRequests unfinishedRequests;
 
     Listeners(XnioEventLoop loop, ByteBufferPool buffers, Settings settings) {
         this.loop = loop;
         this.buffers = buffers;
         this.settings = settings;
         this.callerIdleTimeout = callerIdleTimeout(settings.deployment().heartbeatInterval());
+        this.unfinishedRequests =
+                new UnfinishedRequests(
+                        settings.memoryLimitBytes() / UNFINISHED_MEMORY_DIVISOR,
+                        MAX_UNFINISHED_REQUESTS);
     }
 
     /** Opens the server for users and workers. */
@@ -127,6 +142,7 @@
                         idleTimeout,
                         maxBodyBytes,
                         tls),
+                unfinishedRequests,
                 handler);
     }
 
--- a/src/main/java/org/meadowhollow/cli/Settings.java
+++ b/src/main/java/org/meadowhollow/cli/Settings.java
@@ -21,6 +21,7 @@
  * @param zone the zone of this node, empty if the file does not set it
  * @param fileDescriptorLimit the number of sockets and files that the process may have open, 0 if
  *     the file does not set it
+ * @param memoryLimitBytes the memory that the process may take, 128 MiB if the file does not set it
  * @param clockSkewBound the largest error of the wall clock in either direction, zero if the file
  *     does not set it
  */
@@ -32,9 +33,17 @@
         String storeAddress,
         String zone,
         int fileDescriptorLimit,
+        long memoryLimitBytes,
         DeploymentSettings deployment,
         Duration clockSkewBound) {
 
+    private static final double DEFAULT_MEMORY_MEBIBYTES = 128;
+
+    /** No controller runs with less, and shares of the memory must hold whole messages. */
+    private static final double MIN_MEMORY_MEBIBYTES = 64;
+
+    private static final double BYTES_PER_MEBIBYTE = 1024 * 1024;
+
     /** An address that this node listens on. */
     public record Endpoint(String host, int port) {}
 
@@ -81,6 +90,7 @@
                 requireAddress(external.string("state"), "state"),
                 Objects.requireNonNullElse(file.stringOrNull("area"), ""),
                 fileDescriptorLimit(file.nested("settings")),
+                memoryLimitBytes(file.nested("settings")),
                 deployment(file.string("member"), file.nested("settings")),
                 Duration.ofNanos(
                         (long) (file.nested("settings").nonNegativeDoubleOr("skew_ms", 0) * 1e6)));
@@ -96,6 +106,14 @@
                 : 0;
     }
 
+    private static long memoryLimitBytes(MessageReader settings) throws MalformedMessageException {
+        double mebibytes =
+                settings.has("quota") && settings.nested("quota").has("mem_mb")
+                        ? positiveNumber(settings.nested("quota"), "mem_mb")
+                        : DEFAULT_MEMORY_MEBIBYTES;
+        return (long) (Math.max(MIN_MEMORY_MEBIBYTES, mebibytes) * BYTES_PER_MEBIBYTE);
+    }
+
     private static DeploymentSettings deployment(String member, MessageReader settings)
             throws MalformedMessageException {
         List<String> zones = settings.stringListOrNull("zones");
--- a/src/main/java/org/meadowhollow/transport/ConnectionLimiter.java
+++ b/src/main/java/org/meadowhollow/transport/ConnectionLimiter.java
@@ -6,15 +6,27 @@
 import java.util.function.Consumer;
 
 /**
- * Limits the connections that clients have open to a server. After a network partition, hundreds of
- * connections may be dead without having been closed, while the same clients reconnect; so above
- * the limit the idle connection that was used least recently is closed. Not thread-safe: used on
- * the event loop's thread only.
+ * Limits the connections that clients have open to a server, from their accept on. After a network
+ * partition, hundreds of connections may be dead without having been closed, while the same clients
+ * reconnect; so above the limit a connection is closed to make room for the newest one. Connections
+ * that have not sent the whole head of a request have a share of the limit, so that they cannot
+ * displace the connections of workers and users. Not thread-safe: used on the event loop's thread
+ * only.
  */
 final class ConnectionLimiter<C> {
+    /** Divides the limit; the quotient is the limit of connections without a request. */
+    static final int SILENT_CONNECTIONS_DIVISOR = 4;
+
+    /** The limit of connections without a request, where there is no limit for all of them. */
+    static final int DEFAULT_MAX_SILENT = 256;
+
     private final int limit;
+    private final int maxSilent;
     private final Consumer<C> closer;
 
+    /** The connections on which no request has arrived, in the order of their accept. */
+    private final Map<C, Boolean> silentConnections = new LinkedHashMap<>();
+
     /**
      * The number of requests in progress on each connection, ordered by the arrival of the
      * connection's last request.
@@ -29,15 +41,28 @@
      */
     ConnectionLimiter(int limit, Consumer<C> closer) {
         this.limit = limit;
+        this.maxSilent =
+                limit == 0 ? DEFAULT_MAX_SILENT : Math.max(1, limit / SILENT_CONNECTIONS_DIVISOR);
         this.closer = closer;
     }
 
+    /** Records that a connection was accepted; closes the oldest silent one above a limit. */
+    void accepted(C connection) {
+        silentConnections.put(connection, true);
+        if (silentConnections.size() > maxSilent) {
+            closeOldestSilent();
+        } else if (isAboveLimit()) {
+            closeOne();
+        }
+    }
+
     /** Records the arrival of a request; returns whether it is the connection's first. */
     boolean requestStarted(C connection) {
+        silentConnections.remove(connection);
         Integer activeBefore = activeRequests.remove(connection);
         activeRequests.put(connection, activeBefore == null ? 1 : activeBefore + 1);
-        if (activeBefore == null && limit > 0 && activeRequests.size() > limit) {
-            closeLeastRecentlyUsed();
+        if (activeBefore == null && isAboveLimit()) {
+            closeOne();
         }
         return activeBefore == null;
     }
@@ -48,18 +73,33 @@
     }
 
     void connectionClosed(C connection) {
+        silentConnections.remove(connection);
         activeRequests.remove(connection);
     }
 
     int openCount() {
-        return activeRequests.size();
+        return silentConnections.size() + activeRequests.size();
+    }
+
+    /** Returns the connections on which no request has arrived. */
+    Iterable<C> silentConnections() {
+        return silentConnections.keySet();
+    }
+
+    int silentCount() {
+        return silentConnections.size();
+    }
+
+    private boolean isAboveLimit() {
+        return limit > 0 && openCount() > limit;
     }
 
     /**
-     * Closes the idle connection that was used least recently. Connections with a request in
-     * progress stay open, because their clients are more likely to be alive.
+     * Closes the idle connection that was used least recently, or else the oldest silent one.
+     * Connections with a request in progress stay open, because their clients are more likely to be
+     * alive.
      */
-    private void closeLeastRecentlyUsed() {
+    private void closeOne() {
         Iterator<Map.Entry<C, Integer>> entries = activeRequests.entrySet().iterator();
         while (entries.hasNext()) {
             Map.Entry<C, Integer> entry = entries.next();
@@ -69,5 +109,15 @@
                 return;
             }
         }
+        if (silentConnections.size() > 1) {
+            closeOldestSilent();
+        }
+    }
+
+    private void closeOldestSilent() {
+        Iterator<C> oldestFirst = silentConnections.keySet().iterator();
+        C oldest = oldestFirst.next();
+        oldestFirst.remove();
+        closer.accept(oldest);
     }
 }
--- a/src/main/java/org/meadowhollow/transport/HttpServer.java
+++ b/src/main/java/org/meadowhollow/transport/HttpServer.java
@@ -1,18 +1,20 @@
 package org.meadowhollow.transport;
 
-import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
-import io.undertow.io.Receiver;
-import io.undertow.server.HttpHandler;
+import io.undertow.protocols.ssl.UndertowXnioSsl;
+import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.ServerConnection;
+import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.util.Headers;
-import io.undertow.util.SameThreadExecutor;
 import io.undertow.util.StatusCodes;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,7 +25,12 @@
 import org.meadowhollow.protocol.MalformedMessageException.Defect;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.xnio.ChannelListener;
+import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.StreamConnection;
+import org.xnio.channels.AcceptingChannel;
 
 /**
  * Listens on one address and passes complete requests to a handler on the event loop's thread. If
@@ -35,12 +42,31 @@
     /** The limit of a request body in bytes, where no other is set. */
     public static final int DEFAULT_MAX_BODY_BYTES = 64 * 1024;
 
+    /** The longest time from the first byte of a request to the end of its head. */
+    static final Duration HEAD_DEADLINE = Duration.ofSeconds(2);
+
+    /** The interval at which connections that were closed before any request are forgotten. */
+    private static final Duration SWEEP_INTERVAL = Duration.ofSeconds(1);
+
+    /** The limit of a request's head in bytes; all heads of the protocols are far shorter. */
+    private static final int MAX_HEAD_BYTES = 16 * 1024;
+
+    /** Unfinished requests of a server of its own, which shares no limit with other servers. */
+    private static final long DEFAULT_MAX_UNFINISHED_BYTES = 4 * 1024 * 1024;
+
+    private static final int DEFAULT_MAX_UNFINISHED_REQUESTS = 256;
+    private static final int BACKLOG = 1000;
+
     private final XnioEventLoop loop;
+    private final ByteBufferPool buffers;
     private final Http.RequestHandler requestHandler;
     private final int maxBodyBytes;
+    private final UnfinishedRequests unfinishedRequests;
     private final RefusedRequestLog refusedRequestLog;
-    private final Undertow server;
-    private final ConnectionLimiter<ServerConnection> connectionLimiter;
+    private final HttpOpenListener openListener;
+    private final AcceptingChannel<? extends StreamConnection> server;
+    private final ConnectionLimiter<StreamConnection> connectionLimiter;
+    private boolean isSweepScheduled;
 
     /**
      * The address of a server and the limits of its connections.
@@ -74,12 +100,15 @@
                 loop,
                 buffers,
                 new Options(host, port, maxConnections, idleTimeout, DEFAULT_MAX_BODY_BYTES, null),
+                new UnfinishedRequests(
+                        DEFAULT_MAX_UNFINISHED_BYTES, DEFAULT_MAX_UNFINISHED_REQUESTS),
                 requestHandler);
     }
 
     /**
      * Opens a server, which accepts requests at once.
      *
+     * @param unfinishedRequests the limits of unfinished requests, shared by servers of one loop
      * @param requestHandler called on the event loop's thread
      * @throws RuntimeException if the server cannot listen on the address
      */
@@ -87,73 +116,130 @@
             XnioEventLoop loop,
             ByteBufferPool buffers,
             Options options,
+            UnfinishedRequests unfinishedRequests,
             Http.RequestHandler requestHandler) {
         this.loop = loop;
+        this.buffers = buffers;
         this.requestHandler = requestHandler;
         this.maxBodyBytes = options.maxBodyBytes();
+        this.unfinishedRequests = unfinishedRequests;
         this.refusedRequestLog = new RefusedRequestLog(loop);
         connectionLimiter = new ConnectionLimiter<>(options.maxConnections(), IoUtils::safeClose);
+        openListener = new HttpOpenListener(buffers, connectionOptions(options));
+        openListener.setRootHandler(this::receive);
+        try {
+            server = listen(options);
+        } catch (IOException failure) {
+            throw new UncheckedIOException(
+                    "cannot listen on " + options.host() + ":" + options.port(), failure);
+        }
+        server.resumeAccepts();
+    }
+
+    private static OptionMap connectionOptions(Options options) {
         int idleMillis = (int) options.idleTimeout().toMillis();
-        HttpHandler handler = this::receive;
-        Undertow.Builder builder =
-                Undertow.builder()
-                        .setWorker(loop.worker())
-                        .setByteBufferPool(buffers)
-                        .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-                        .setServerOption(UndertowOptions.ENABLE_HTTP2, false)
-                        .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, idleMillis)
-                        .setServerOption(UndertowOptions.IDLE_TIMEOUT, idleMillis);
-        if (options.tls() == null) {
-            builder.addHttpListener(options.port(), options.host(), handler);
-        } else {
-            builder.addHttpsListener(options.port(), options.host(), options.tls(), handler);
+        return OptionMap.builder()
+                .set(UndertowOptions.BUFFER_PIPELINED_DATA, true)
+                .set(UndertowOptions.ALWAYS_SET_DATE, false)
+                .set(UndertowOptions.MAX_HEADER_SIZE, MAX_HEAD_BYTES)
+                .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, (int) HEAD_DEADLINE.toMillis())
+                .set(UndertowOptions.NO_REQUEST_TIMEOUT, idleMillis)
+                .set(UndertowOptions.IDLE_TIMEOUT, idleMillis)
+                .getMap();
+    }
+
+    private AcceptingChannel<? extends StreamConnection> listen(Options options)
+            throws IOException {
+        InetSocketAddress address = new InetSocketAddress(options.host(), options.port());
+        OptionMap socketOptions =
+                OptionMap.builder()
+                        .set(org.xnio.Options.TCP_NODELAY, true)
+                        .set(org.xnio.Options.REUSE_ADDRESSES, true)
+                        .set(org.xnio.Options.BACKLOG, BACKLOG)
+                        .getMap();
+        ChannelListener<AcceptingChannel<StreamConnection>> acceptListener =
+                ChannelListeners.openListenerAdapter(this::accept);
+        return options.tls() == null
+                ? loop.worker().createStreamConnectionServer(address, acceptListener, socketOptions)
+                : new UndertowXnioSsl(loop.worker().getXnio(), OptionMap.EMPTY, options.tls())
+                        .createSslConnectionServer(
+                                loop.worker(),
+                                address,
+                                ChannelListeners.openListenerAdapter(this::accept),
+                                socketOptions);
+    }
+
+    private void accept(StreamConnection connection) {
+        connectionLimiter.accepted(connection);
+        if (!isSweepScheduled) {
+            isSweepScheduled = true;
+            loop.schedule(SWEEP_INTERVAL, this::forgetClosedConnections);
+        }
+        openListener.handleEvent(connection);
+    }
+
+    /** Forgets silent connections that are closed, of which the library does not tell. */
+    private void forgetClosedConnections() {
+        List<StreamConnection> closed = new ArrayList<>();
+        for (StreamConnection connection : connectionLimiter.silentConnections()) {
+            if (!connection.isOpen()) {
+                closed.add(connection);
+            }
+        }
+        closed.forEach(connectionLimiter::connectionClosed);
+        isSweepScheduled = connectionLimiter.silentCount() > 0;
+        if (isSweepScheduled) {
+            loop.schedule(SWEEP_INTERVAL, this::forgetClosedConnections);
         }
-        server = builder.build();
-        server.start();
     }
 
     /** Returns the port that the server listens on. */
     public int port() {
-        return ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
+        return server.getLocalAddress(InetSocketAddress.class).getPort();
     }
 
     private void receive(HttpServerExchange exchange) {
         ServerConnection connection = exchange.getConnection();
-        if (connectionLimiter.requestStarted(connection)) {
-            connection.addCloseListener(connectionLimiter::connectionClosed);
+        StreamConnection channel = ((AbstractServerConnection) connection).getChannel();
+        if (connectionLimiter.requestStarted(channel)) {
+            connection.addCloseListener(unused -> connectionLimiter.connectionClosed(channel));
         }
         exchange.addExchangeCompleteListener(
                 (finished, next) -> {
-                    connectionLimiter.requestFinished(connection);
+                    connectionLimiter.requestFinished(channel);
                     next.proceed();
                 });
         if (exchange.getRequestContentLength() > maxBodyBytes) {
-            rejectBody(exchange, Defect.TOO_LARGE);
+            rejectBody(exchange, Defect.TOO_LARGE, "the body is too large");
             return;
         }
-        Receiver receiver = exchange.getRequestReceiver();
-        receiver.setMaxBufferSize(maxBodyBytes);
-        receiver.receiveFullBytes(
-                (unused, body) ->
-                        exchange.dispatch(
-                                SameThreadExecutor.INSTANCE,
-                                () ->
-                                        loop.runStep(
-                                                EventLoopStep.REQUEST,
-                                                () -> handle(exchange, body))),
-                (unused, failure) ->
-                        rejectBody(
-                                exchange,
-                                failure instanceof Receiver.RequestToLargeException
-                                        ? Defect.TOO_LARGE
-                                        : Defect.CUT_SHORT));
+        new RequestBodyReader(
+                        loop,
+                        buffers,
+                        exchange,
+                        maxBodyBytes,
+                        unfinishedRequests,
+                        new RequestBodyReader.Outcome() {
+                            @Override
+                            public void complete(byte[] body) {
+                                loop.runStep(EventLoopStep.REQUEST, () -> handle(exchange, body));
+                            }
+
+                            @Override
+                            public void failed(Defect defect, String reason, boolean isAborted) {
+                                if (isAborted) {
+                                    recordRefusal(exchange, -1, new Http.Refusal(defect, reason));
+                                } else {
+                                    rejectBody(exchange, defect, reason);
+                                }
+                            }
+                        })
+                .start();
     }
 
-    private void rejectBody(HttpServerExchange exchange, Defect defect) {
+    private void rejectBody(HttpServerExchange exchange, Defect defect, String reason) {
         recordRefusal(
-                exchange,
-                exchange.getRequestContentLength(),
-                new Http.Refusal(defect, "the body was not received"));
+                exchange, exchange.getRequestContentLength(), new Http.Refusal(defect, reason));
         exchange.setPersistent(false);
         send(exchange, requestHandler.invalidBodyReply());
     }
@@ -169,6 +255,7 @@
     }
 
     private void handle(HttpServerExchange exchange, byte[] body) {
+        int bodyBytes = body.length;
         CompletableFuture<Http.Reply> response;
         try {
             response =
@@ -195,7 +282,7 @@
                                 return;
                             }
                             if (reply.refusal() != null) {
-                                recordRefusal(exchange, body.length, reply.refusal());
+                                recordRefusal(exchange, bodyBytes, reply.refusal());
                             }
                             send(exchange, reply);
                         });
@@ -225,6 +312,7 @@
 
     @Override
     public void close() {
-        server.stop();
+        IoUtils.safeClose(server);
+        openListener.closeConnections();
     }
 }
--- a/src/test/java/org/meadowhollow/transport/PemKeyManagerTest.java
+++ b/src/test/java/org/meadowhollow/transport/PemKeyManagerTest.java
@@ -122,6 +122,7 @@
                         Duration.ofMinutes(1),
                         HttpServer.DEFAULT_MAX_BODY_BYTES,
                         PemKeyManager.sslContext(chainFile(), keyFile())),
+                new UnfinishedRequests(1 << 20, 16),
                 (Http.SimpleRequestHandler)
                         (method, path, body) ->
                                 CompletableFuture.completedFuture(
