--- a/src/test/java/org/meadowhollow/simulation/SimulatedCloud.java
+++ b/src/test/java/org/meadowhollow/simulation/SimulatedCloud.java
@@ -15,6 +15,7 @@
 import org.meadowhollow.model.MachineId;
 import org.meadowhollow.model.MachineType;
 import org.meadowhollow.model.MonotonicTime;
+import org.meadowhollow.protocol.Http;
 import org.meadowhollow.protocol.cloud.EncodedCloudReplies;
 
 /**
@@ -23,6 +24,7 @@
  * virtual event loop.
  */
 final class SimulatedCloud implements CloudProvider {
+    private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(5);
     private static final Duration LATENCY = Duration.ofMillis(200);
     private static final Duration RENTAL_RESPONSE_DELAY = Duration.ofMillis(100);
     private static final double LISTED_AGE_SECONDS = 60;
@@ -39,6 +41,11 @@
     private int remainingBootFailures;
     private boolean hasOutage;
 
+    /** The delay of rentals and returns; null if they are executed at once. */
+    private Duration changeDelay;
+
+    private int lateChangeCount;
+
     SimulatedCloud(SimulatedCluster cluster) {
         this.cluster = cluster;
     }
@@ -78,8 +85,34 @@
         failed.add(worker.id());
     }
 
+    /**
+     * Executes rentals and returns late, and gives them no response; null ends the fault for new
+     * requests.
+     */
+    void delayChanges(Duration delay) {
+        changeDelay = delay;
+    }
+
+    private <T> CompletableFuture<T> executeLate(Runnable change) {
+        lateChangeCount++;
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        cluster.loop()
+                .schedule(
+                        RESPONSE_TIMEOUT,
+                        () ->
+                                answer.completeExceptionally(
+                                        new Http.NoResponseException("no answer in time")));
+        cluster.loop().schedule(changeDelay, change);
+        return answer;
+    }
+
     // ---- counters ----
 
+    /** Returns the number of rentals and returns that were executed late. */
+    int lateChangeCount() {
+        return lateChangeCount;
+    }
+
     /** Returns the number of rentals that were requested. */
     int rentalCount() {
         return rentals.size();
@@ -134,6 +167,9 @@
     @Override
     public CompletableFuture<Optional<List<MachineId>>> rentMachines(
             String request, String type, String zone, boolean spot, int count) {
+        if (changeDelay != null) {
+            return executeLate(() -> rent(request, type, zone, count));
+        }
         CompletableFuture<Optional<List<MachineId>>> answer = new CompletableFuture<>();
         return afterLatency(
                 answer,
@@ -152,6 +188,10 @@
     }
 
     private List<MachineId> rent(String request, String type, String zone, int count) {
+        if (lateChangeCount > 0 && rentals.containsKey(request)) {
+            // The request is repeated after it got no response.
+            return rentals.get(request);
+        }
         assertTrue(!rentals.containsKey(request), "rental request sent twice: " + request);
         List<MachineId> ids = new ArrayList<>();
         while (ids.size() < count && cluster.workers().size() + ids.size() < maxMachines) {
@@ -170,6 +210,9 @@
 
     @Override
     public CompletableFuture<Void> releaseMachines(List<MachineId> machines) {
+        if (changeDelay != null) {
+            return executeLate(() -> release(machines));
+        }
         CompletableFuture<Void> answer = new CompletableFuture<>();
         cluster.network().maybeDuplicate(() -> release(machines));
         return afterLatency(
--- a/src/test/java/org/meadowhollow/simulation/SimulatedNetwork.java
+++ b/src/test/java/org/meadowhollow/simulation/SimulatedNetwork.java
@@ -12,6 +12,7 @@
 import org.meadowhollow.model.ExitReason;
 import org.meadowhollow.model.Heartbeat;
 import org.meadowhollow.model.MachineId;
+import org.meadowhollow.model.WorkerCommand;
 
 /**
  * Delivers heartbeats, and holds the faults of messages between nodes and workers: duplicates,
@@ -62,6 +63,11 @@
     /** The machine whose heartbeat responses are all delayed; null if there is none. */
     private MachineId delayedMachine;
 
+    /** The delay of the next response that contains a start; null if it is not delayed. */
+    private Duration startDelay;
+
+    private int heldStartCount;
+
     /** Direct commands that are held back; null if they are delivered normally. */
     private List<Runnable> heldCommands;
 
@@ -170,14 +176,39 @@
             Heartbeat heartbeat,
             HeartbeatResponse response,
             CompletableFuture<HeartbeatResponse> answer) {
-        Duration delay =
-                heartbeat.machineId().equals(delayedMachine)
-                        ? MAX_RESPONSE_DELAY
-                        : responseDelays.next();
+        Duration delay = responseDelayOf(heartbeat, response);
         delayedResponseCount += delay.isZero() ? 0 : 1;
         runAfter(delay, () -> answer.complete(response));
     }
 
+    private Duration responseDelayOf(Heartbeat heartbeat, HeartbeatResponse response) {
+        if (startDelay != null && containsStart(response)) {
+            heldStartCount++;
+            Duration delay = startDelay;
+            startDelay = null;
+            return delay;
+        }
+        return heartbeat.machineId().equals(delayedMachine)
+                ? MAX_RESPONSE_DELAY
+                : responseDelays.next();
+    }
+
+    private static boolean containsStart(HeartbeatResponse response) {
+        return response instanceof HeartbeatResponse.Commands commands
+                && commands.commands().stream()
+                        .anyMatch(command -> command.action() == WorkerCommand.Action.START);
+    }
+
+    /** Delays the next heartbeat response that contains a start. */
+    void delayNextStart(Duration delay) {
+        startDelay = delay;
+    }
+
+    /** Returns the number of responses that {@link #delayNextStart} delayed. */
+    int heldStartCount() {
+        return heldStartCount;
+    }
+
     /**
      * Delays a share of the heartbeat responses, and a tenth of that share of the heartbeats,
      * direct commands and answers to them, so that they overtake one another; share 0 ends it.
