--- a/src/main/java/org/meadowhollow/protocol/EncodedMap.java
+++ b/src/main/java/org/meadowhollow/protocol/EncodedMap.java
@@ -49,8 +49,9 @@
      *     values, is not a map, goes on after the map, or exceeds the limit
      */
     static EncodedMap ofBody(byte[] body, int maxJsonBytes) throws MalformedMessageException {
-        new WellFormednessCheck(body).check(maxJsonBytes);
-        return new EncodedMap(new MessageCursor(body), 0);
+        MessageCursor cursor = new MessageCursor(body);
+        new WellFormednessCheck(cursor).check(maxJsonBytes);
+        return new EncodedMap(cursor, 0);
     }
 
     @Override
--- a/src/main/java/org/meadowhollow/protocol/MessageCursor.java
+++ b/src/main/java/org/meadowhollow/protocol/MessageCursor.java
@@ -32,6 +32,11 @@
         return offset + (int) unpacker.getTotalReadBytes();
     }
 
+    /** Returns the length of the body. */
+    int length() {
+        return body.length;
+    }
+
     /** Returns whether the bytes between two offsets are the given ones. */
     boolean hasBytes(int start, int end, byte[] expected) {
         return Arrays.equals(body, start, end, expected, 0, expected.length);
--- a/src/main/java/org/meadowhollow/protocol/WellFormednessCheck.java
+++ b/src/main/java/org/meadowhollow/protocol/WellFormednessCheck.java
@@ -20,15 +20,16 @@
     private static final int JSON_DELIMITERS_BYTES = 2;
     private static final int JSON_SEPARATOR_BYTES = 1;
 
-    private final byte[] body;
     private final MessageCursor cursor;
 
     /** The size of the values before the cursor in JSON, if each had its shortest form. */
     private long jsonBytes;
 
-    WellFormednessCheck(byte[] body) {
-        this.body = body;
-        this.cursor = new MessageCursor(body);
+    /**
+     * @param cursor reads the body that is checked
+     */
+    WellFormednessCheck(MessageCursor cursor) {
+        this.cursor = cursor;
     }
 
     /**
@@ -62,7 +63,7 @@
 
     private MalformedMessageException cutShort() {
         return new MalformedMessageException(
-                Defect.CUT_SHORT, "the body is cut short at byte " + body.length);
+                Defect.CUT_SHORT, "the body is cut short at byte " + cursor.length());
     }
 
     private void checkValue(MessageUnpacker unpacker)
@@ -71,7 +72,7 @@
         while (pendingValues > 0) {
             pendingValues += checkNext(unpacker) - 1;
             // Each value takes at least one byte; a header may claim far more.
-            if (pendingValues > body.length - cursor.position()) {
+            if (pendingValues > cursor.length() - cursor.position()) {
                 throw cutShort();
             }
         }
--- a/src/main/java/org/meadowhollow/transport/HttpServer.java
+++ b/src/main/java/org/meadowhollow/transport/HttpServer.java
@@ -25,7 +25,6 @@
 import org.meadowhollow.protocol.MalformedMessageException.Defect;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -157,10 +156,12 @@
                         .set(org.xnio.Options.REUSE_ADDRESSES, true)
                         .set(org.xnio.Options.BACKLOG, BACKLOG)
                         .getMap();
-        ChannelListener<AcceptingChannel<StreamConnection>> acceptListener =
-                ChannelListeners.openListenerAdapter(this::accept);
         return options.tls() == null
-                ? loop.worker().createStreamConnectionServer(address, acceptListener, socketOptions)
+                ? loop.worker()
+                        .createStreamConnectionServer(
+                                address,
+                                ChannelListeners.openListenerAdapter(this::accept),
+                                socketOptions)
                 : new UndertowXnioSsl(loop.worker().getXnio(), OptionMap.EMPTY, options.tls())
                         .createSslConnectionServer(
                                 loop.worker(),
--- a/src/test/java/org/meadowhollow/protocol/keyvalue/KeyValueStoreClientTest.java
+++ b/src/test/java/org/meadowhollow/protocol/keyvalue/KeyValueStoreClientTest.java
@@ -30,13 +30,17 @@
                 return CompletableFuture.completedFuture(
                         Http.Reply.of(status, Map.of("error", "no such lease")));
             };
-    private final KeyValueStoreClient client =
-            new KeyValueStoreClient(
-                    http,
-                    "state:1",
-                    loop,
-                    new AdaptiveRateLimiter(10, 2),
-                    new AdaptiveRateLimiter(10, 2));
+    private final KeyValueStoreClient client = clientOver(http);
+
+    private KeyValueStoreClient clientOver(Http.Client requests) {
+        return clientOver(requests, new AdaptiveRateLimiter(10, 2));
+    }
+
+    private KeyValueStoreClient clientOver(
+            Http.Client requests, AdaptiveRateLimiter requestLimiter) {
+        return new KeyValueStoreClient(
+                requests, "state:1", loop, requestLimiter, new AdaptiveRateLimiter(10, 2));
+    }
 
     private Outcome outcomeOf(CompletableFuture<?> call) {
         return call.handle((result, failure) -> KeyValueStoreException.outcomeOf(failure)).join();
@@ -70,13 +74,7 @@
                     inFlight.add(new CompletableFuture<>());
                     return inFlight.get(inFlight.size() - 1);
                 };
-        KeyValueStoreClient queueing =
-                new KeyValueStoreClient(
-                        slow,
-                        "state:1",
-                        loop,
-                        new AdaptiveRateLimiter(100, 100),
-                        new AdaptiveRateLimiter(10, 2));
+        KeyValueStoreClient queueing = clientOver(slow, new AdaptiveRateLimiter(100, 100));
         for (int at = 0; at < 60; at++) {
             queueing.get("user/" + at, RequestPriority.USER);
         }
@@ -101,13 +99,7 @@
                             Http.Reply.of(
                                     200, Map.of("tether", MessagePackCodec.ofUnsigned(1L << 63))));
                 };
-        KeyValueStoreClient grantingClient =
-                new KeyValueStoreClient(
-                        granting,
-                        "state:1",
-                        loop,
-                        new AdaptiveRateLimiter(10, 2),
-                        new AdaptiveRateLimiter(10, 2));
+        KeyValueStoreClient grantingClient = clientOver(granting);
         LeaseId lease = grantingClient.grantLease(Duration.ofSeconds(5)).join();
         grantingClient.renewLease(lease).join();
         assertEquals(List.of("/grants", "/grants/9223372036854775808/renew"), sent);
@@ -215,13 +207,7 @@
                                             new IllegalStateException("no answer in time")));
                     return response;
                 };
-        KeyValueStoreClient slowClient =
-                new KeyValueStoreClient(
-                        slow,
-                        "state:1",
-                        loop,
-                        new AdaptiveRateLimiter(100, 100),
-                        new AdaptiveRateLimiter(10, 2));
+        KeyValueStoreClient slowClient = clientOver(slow, new AdaptiveRateLimiter(100, 100));
         List<CompletableFuture<?>> calls = new ArrayList<>();
         for (int at = 0; at < 5; at++) {
             calls.add(slowClient.get("key/" + at, RequestPriority.USER));
