--- /dev/null
+++ b/review/standin-2/Cases.java
@@ -0,0 +1,381 @@
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** The cases of the review: `java Cases CASE RECORD`. Exit 1: rule broken, 0: held, 2: not run. */
+final class Cases {
+    private Cases() {}
+
+    private static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
+
+    private static final List<String> ZONES = List.of("zarqa-hall", "irbid-depot");
+
+    static Map<String, Object> depotBox(List<String> fields) {
+        return Bed.map("label", "depot-box", "cores", 24.0, "gpus", 4.0, "memGb", 96.0, "cacheGb", 80.0,
+                "fetchGbPerS", 0.12, "hourly", 9.16, "spotPrice", 4.08, "readyS", 45.0, "fields", fields);
+    }
+
+    @SafeVarargs
+    private static Bed bed(Path record, List<Map<String, Object>> breeds, Map<String, Object>... objectives)
+            throws Exception {
+        return new Bed(Path.of("").toAbsolutePath(), record, ZONES, 3, breeds,
+                List.of(Bed.map("name", "routing-desk", "cpus", 0.0, "cpus_max", 0.0, "gpus", 0.0, "gpus_max", 0.0)),
+                List.of(objectives));
+    }
+
+    public static void main(String[] args) {
+        int code = 2;
+        Http.daemon(
+                () -> {
+                    Bed.sleep(118_000);
+                    System.out.println("not finished after 118 s");
+                    System.exit(2);
+                });
+        try {
+            Path record = Path.of(args[1]);
+            code =
+                    switch (args[0]) {
+                        case "basic" -> basic(record);
+                        case "service-errors" -> serviceErrors(record);
+                        case "mistaken-jobs" -> mistakenJobs(record);
+                        case "spread-rental" -> spreadRental(record);
+                        case "spread-field" -> spreadField(record);
+                        case "phase" -> phase(record);
+                        case "other-zone" -> otherZone(record);
+                        default -> 2;
+                    };
+        } catch (Throwable failure) {
+            failure.printStackTrace();
+        }
+        System.out.println("exit " + code);
+        System.exit(code);
+    }
+
+    private static int basic(Path record) throws Exception {
+        try (Bed bed = bed(record, List.of(depotBox(ZONES)))) {
+            for (int i = 0; i < 4; i++) {
+                bed.cloud.addRunning("depot-box", ZONES.get(i % 2));
+            }
+            for (Bed.Node node : bed.nodes) {
+                node.start();
+            }
+            if (!bed.awaitReady(20)) {
+                return 2;
+            }
+            Map<String, Object> array = bed.submission("array", 5, "runS", 5.0, "expectedS", 5.0);
+            bed.submit(bed.nodes.get(0), array);
+            Map<String, Object> gang = bed.submission("ensemble", 2, "runS", 5.0, "expectedS", 5.0);
+            bed.submit(bed.nodes.get(1), gang);
+            bed.sleepUntil(30);
+            bed.call(bed.nodes.get(2), "GET", "/submissions/" + array.get("ref"), null, 2000);
+            bed.call(bed.nodes.get(2), "GET", "/submissions/" + gang.get("ref"), null, 2000);
+            return bed.broken.isEmpty() ? 0 : 1;
+        }
+    }
+
+    /** Three machines turn faulty, one after the other; a service must get its replica back. */
+    private static int serviceErrors(Path record) throws Exception {
+        try (Bed bed = bed(record, List.of(depotBox(ZONES)))) {
+            for (int i = 0; i < 8; i++) {
+                bed.cloud.addRunning("depot-box", ZONES.get(i % 2));
+            }
+            for (Bed.Node node : bed.nodes) {
+                node.start();
+            }
+            if (!bed.awaitReady(15)) {
+                return 2;
+            }
+            Map<String, Object> service = bed.submission("standing", 2, "spread", true);
+            String ref = (String) service.get("ref");
+            if (bed.submit(bed.nodes.get(0), service) != 201 || !await(bed, ref, 2, 10)) {
+                return 2;
+            }
+            for (int fault = 1; TROUBLE && fault <= 3; fault++) {
+                if (!await(bed, ref, 2, 10)) {
+                    return 2;
+                }
+                Worker host = bed.hostOf(ref + "/0");
+                bed.note("machine " + host.name + " turns faulty");
+                host.faulty = true;
+                for (double end = bed.now() + 5; bed.errors() < fault && bed.now() < end; ) {
+                    Bed.sleep(20);
+                }
+            }
+            bed.note("no further trouble");
+            double from = bed.now();
+            boolean served = true;
+            if (TROUBLE) {
+                served = await(bed, ref, 2, 90.5);
+            } else {
+                while (served && bed.now() < from + 60) {
+                    Bed.sleep(100);
+                    served = bed.running(ref) == 2;
+                }
+            }
+            bed.call(bed.nodes.get(1), "GET", "/submissions/" + ref, null, 2000);
+            if (!served) {
+                bed.breach(
+                        String.format(
+                                "a replica of %s has waited %.1f s; %d of 2 run; machines up: %d, of them faulty: %d",
+                                ref, bed.now() - from, bed.running(ref), bed.cloud.workers().size(),
+                                bed.cloud.workers().stream().filter(worker -> worker.faulty).count()));
+            }
+            return bed.broken.isEmpty() ? 0 : 1;
+        }
+    }
+
+    /** Three of 75 jobs fail on every machine until their users cancel them; the others must run. */
+    private static int mistakenJobs(Path record) throws Exception {
+        try (Bed bed = bed(record, List.of(depotBox(ZONES)))) {
+            for (String zone : ZONES) {
+                bed.cloud.addRunning("depot-box", zone);
+            }
+            for (Bed.Node node : bed.nodes) {
+                node.start();
+            }
+            if (!bed.awaitReady(15)) {
+                return 2;
+            }
+            Map<String, Object> service = bed.submission("standing", 2, "spread", true);
+            if (bed.submit(bed.nodes.get(0), service) != 201 || !await(bed, (String) service.get("ref"), 2, 10)) {
+                return 2;
+            }
+            List<Map<String, Object>> mistaken = new ArrayList<>();
+            for (int i = 0; TROUBLE && i < 3; i++) {
+                Map<String, Object> job = sweep(bed);
+                job.put("broken", true);
+                mistaken.add(job);
+                if (bed.submit(bed.nodes.get(i), job) != 201) {
+                    return 2;
+                }
+            }
+            for (double end = bed.now() + 15; TROUBLE && bed.errors() < 6 && bed.now() < end; ) {
+                Bed.sleep(50);
+            }
+            Bed.sleep(TROUBLE ? 8000 : 0);
+            for (Map<String, Object> job : mistaken) {
+                if (bed.call(bed.nodes.get(0), "POST", "/submissions/" + job.get("ref") + "/cancel", null, 5000) != 200) {
+                    return 2;
+                }
+            }
+            List<Map<String, Object>> sound = new ArrayList<>();
+            for (int i = 0; i < 72; i++) {
+                sound.add(sweep(bed));
+                if (bed.submit(bed.nodes.get(i % 3), sound.get(i)) != 201) {
+                    return 2;
+                }
+            }
+            double from = bed.now();
+            bed.note("no further trouble");
+            while (bed.now() < from + 90.5 && !sound.stream().allMatch(job -> bed.completed(job) == 1)) {
+                Bed.sleep(100);
+            }
+            bed.call(bed.nodes.get(1), "GET", "/submissions/" + sound.get(0).get("ref"), null, 2000);
+            long waiting = sound.stream().filter(job -> bed.starts((String) job.get("ref")) == 0).count();
+            if (waiting > 0) {
+                bed.breach(
+                        String.format(
+                                "%d of 72 sound jobs have waited %.1f s without a start; %d healthy machines are up with 20 cores and 3 gpus free each",
+                                waiting, bed.now() - from, bed.cloud.workers().size()));
+            }
+            return bed.broken.isEmpty() ? 0 : 1;
+        }
+    }
+
+    private static Map<String, Object> sweep(Bed bed) {
+        return bed.submission("array", 1, "herd", "street-sweep", "urgency", "normal", "cores", 5.0, "memGb", 18.0,
+                "runS", 1.0, "expectedS", 1.0);
+    }
+
+    /** The machine of one replica of a spread service dies; the replica must get another. */
+    private static int spreadRental(Path record) throws Exception {
+        Map<String, Object> breed = depotBox(ZONES);
+        breed.put("readyS", 10.0);
+        try (Bed bed = bed(record, List.of(breed))) {
+            bed.cloud.addRunning("depot-box", ZONES.get(0));
+            for (int i = 0; i < 14; i++) {
+                bed.cloud.addRunning("depot-box", ZONES.get(1));
+            }
+            bed.cloud.capacity("depot-box", ZONES.get(0), 40);
+            bed.cloud.capacity("depot-box", ZONES.get(1), 40);
+            for (Bed.Node node : bed.nodes) {
+                node.start();
+            }
+            if (!bed.awaitReady(15)) {
+                return 2;
+            }
+            // All machines report to the leader before there is work, so that none is rented for it.
+            Bed.sleep(6000);
+            Map<String, Object> filler =
+                    bed.submission("standing", 13, "field", ZONES.get(1), "cores", 21.0, "gpus", 4.0, "memGb", 77.0);
+            if (bed.submit(bed.nodes.get(0), filler) != 201 || !await(bed, (String) filler.get("ref"), 13, 12)) {
+                return 2;
+            }
+            Map<String, Object> service = bed.submission("standing", 2, "spread", true);
+            String ref = (String) service.get("ref");
+            if (bed.submit(bed.nodes.get(0), service) != 201 || !await(bed, ref, 2, 10)) {
+                return 2;
+            }
+            Worker host = bed.hostOf(ref + "/0");
+            if (!host.field.equals(ZONES.get(1))) {
+                host = bed.hostOf(ref + "/1");
+            }
+            bed.cloud.rentals.clear();
+            double from = bed.now();
+            if (TROUBLE) {
+                bed.cloud.die(host.name);
+            }
+            boolean served = true;
+            if (TROUBLE) {
+                served = await(bed, ref, 2, 95);
+            } else {
+                while (served && bed.now() < from + 60) {
+                    Bed.sleep(100);
+                    served = bed.running(ref) == 2;
+                }
+            }
+            bed.call(bed.nodes.get(1), "GET", "/submissions/" + ref, null, 2000);
+            if (!served) {
+                bed.breach(
+                        String.format(
+                                "%.1f s after its machine died, a replica of %s has no machine; rented since: %s; the cloud would have given 40 in %s",
+                                bed.now() - from, ref, bed.cloud.rentals, ZONES.get(1)));
+            }
+            return bed.broken.isEmpty() ? 0 : 1;
+        }
+    }
+
+    /** A service of two replicas that may have one in the only zone that it allows. */
+    private static int spreadField(Path record) throws Exception {
+        try (Bed bed = bed(record, List.of(depotBox(ZONES)))) {
+            for (int i = 0; i < 4; i++) {
+                bed.cloud.addRunning("depot-box", ZONES.get(i % 2));
+            }
+            for (Bed.Node node : bed.nodes) {
+                node.start();
+            }
+            if (!bed.awaitReady(15)) {
+                return 2;
+            }
+            Map<String, Object> service =
+                    bed.submission("standing", 2, "spread", true, "field", TROUBLE ? ZONES.get(0) : null);
+            String ref = (String) service.get("ref");
+            int status = bed.submit(bed.nodes.get(0), service);
+            if (status == 422) {
+                return 0;
+            }
+            double from = bed.now();
+            if (!await(bed, ref, 2, 90.5)) {
+                bed.breach(
+                        String.format(
+                                "%s was answered %d; after %.1f s %d of its 2 tasks run",
+                                ref, status, bed.now() - from, bed.running(ref)));
+            }
+            return bed.broken.isEmpty() ? 0 : 1;
+        }
+    }
+
+    /** An array bound to one zone loses a machine; a job in the other zone must still be completed. */
+    private static int otherZone(Path record) throws Exception {
+        Map<String, Object> objective = Bed.map("kind", "wait", "class", "ride-booking", "within_s", 12.0);
+        try (Bed bed = bed(record, List.of(depotBox(ZONES)), objective)) {
+            bed.cloud.addRunning("depot-box", ZONES.get(0));
+            Worker dying = bed.cloud.addRunning("depot-box", ZONES.get(0));
+            bed.cloud.addRunning("depot-box", ZONES.get(1));
+            for (Bed.Node node : bed.nodes) {
+                node.start();
+            }
+            if (!bed.awaitReady(15)) {
+                return 2;
+            }
+            // All machines report to the leader before there is work.
+            Bed.sleep(6000);
+            Map<String, Object> sweep = sweep(bed);
+            sweep.put("field", ZONES.get(1));
+            sweep.put("runS", 40.0);
+            sweep.put("expectedS", 40.0);
+            String ref = (String) sweep.get("ref");
+            if (bed.submit(bed.nodes.get(1), sweep) != 201 || !await(bed, ref, 1, 12)) {
+                return 2;
+            }
+            Map<String, Object> bound =
+                    bed.submission("array", 2, "herd", "ride-booking", "urgency", "urgent", "cores", 24.0, "gpus", 4.0,
+                            "memGb", 90.0, "together", true, "runS", 600.0, "expectedS", 600.0);
+            String boundRef = (String) bound.get("ref");
+            if (bed.submit(bed.nodes.get(0), bound) != 201 || !await(bed, boundRef, 2, 12)) {
+                return 2;
+            }
+            if (TROUBLE) {
+                bed.cloud.die(dying.name);
+            }
+            double from = bed.now();
+            for (double end = from + 95; bed.completed(sweep) == 0 && bed.now() < end; ) {
+                Bed.sleep(100);
+            }
+            bed.call(bed.nodes.get(1), "GET", "/submissions/" + ref, null, 2000);
+            if (bed.completed(sweep) == 0) {
+                bed.breach(
+                        String.format(
+                                "%s, one task of 40 s, is not complete after %.1f s more: it was started %d times, and stopped each time for %s, which may not run in that zone",
+                                ref, bed.now() - from, bed.starts(ref), boundRef));
+            }
+            return bed.broken.isEmpty() ? 0 : 1;
+        }
+    }
+
+    /** A user follows a running service; the controller that answered crashes. */
+    private static int phase(Path record) throws Exception {
+        try (Bed bed = bed(record, List.of(depotBox(ZONES)))) {
+            for (int i = 0; i < 4; i++) {
+                bed.cloud.addRunning("depot-box", ZONES.get(i % 2));
+            }
+            for (Bed.Node node : bed.nodes) {
+                node.start();
+            }
+            if (!bed.awaitReady(15)) {
+                return 2;
+            }
+            Bed.Node served = bed.leader();
+            Map<String, Object> service = bed.submission("standing", 2);
+            String ref = (String) service.get("ref");
+            if (bed.submit(served, service) != 201 || !await(bed, ref, 2, 10)) {
+                return 2;
+            }
+            Bed.sleep(5000);
+            if (bed.call(served, "GET", "/submissions/" + ref, null, 2000) != 200
+                    || !"running".equals(bed.lastReply.map().get("phase"))) {
+                return 2;
+            }
+            if (TROUBLE) {
+                served.kill();
+                Bed.sleep(6000);
+                served.start();
+                Bed.sleep(15_000);
+            }
+            int wrong = 0;
+            for (int poll = 0; poll < 6; poll++) {
+                Bed.sleep(5000);
+                for (Bed.Node node : TROUBLE ? bed.nodes : List.of(served)) {
+                    if (bed.call(node, "GET", "/submissions/" + ref, null, 2000) == 200
+                            && bed.running(ref) == 2
+                            && !"running".equals(bed.lastReply.map().get("phase"))) {
+                        wrong++;
+                    }
+                }
+            }
+            if (wrong > 0) {
+                bed.breach(wrong + " answers say that no task of " + ref + " runs, after both have run for over 20 s");
+            }
+            return bed.broken.isEmpty() ? 0 : 1;
+        }
+    }
+
+    private static boolean await(Bed bed, String ref, int tasks, double seconds) {
+        double end = bed.now() + seconds;
+        while (bed.running(ref) < tasks && bed.now() < end) {
+            Bed.sleep(50);
+        }
+        return bed.running(ref) >= tasks;
+    }
+}
