--- a/review/standin-2/Http.java
+++ b/review/standin-2/Http.java
@@ -35,6 +35,7 @@
     /** Serves each connection on a thread of its own. */
     static final class Server {
         final ServerSocket socket;
+        private final java.util.Set<Socket> connections = java.util.concurrent.ConcurrentHashMap.newKeySet();
 
         Server(Handler handler) throws IOException {
             this(0, handler);
@@ -48,7 +49,12 @@
                             try {
                                 Socket connection = socket.accept();
                                 connection.setTcpNoDelay(true);
-                                daemon(() -> serve(connection, handler));
+                                connections.add(connection);
+                                daemon(
+                                        () -> {
+                                            serve(connection, handler);
+                                            connections.remove(connection);
+                                        });
                             } catch (IOException closed) {
                                 return;
                             }
@@ -60,6 +66,21 @@
             return "127.0.0.1:" + socket.getLocalPort();
         }
 
+        /** Resets all open connections, as a cut may; new ones are accepted. */
+        int reset() {
+            int count = 0;
+            for (Socket connection : connections) {
+                try {
+                    connection.setSoLinger(true, 0);
+                    connection.close();
+                    count++;
+                } catch (IOException alreadyClosed) {
+                    // Nothing to reset.
+                }
+            }
+            return count;
+        }
+
         void close() {
             closeQuietly(socket);
         }
--- a/review/standin-2/StateService.java
+++ b/review/standin-2/StateService.java
@@ -47,8 +47,26 @@
                 });
     }
 
-    Http.Server listen() throws IOException {
-        return new Http.Server(this::answer);
+    /** When each node's last renewal was carried out. */
+    final Map<String, Long> renewedAt = new java.util.concurrent.ConcurrentHashMap<>();
+
+    /** When each node last opened a watch of the jobs. */
+    final Map<String, Long> watchedAt = new java.util.concurrent.ConcurrentHashMap<>();
+
+    Http.Server listen(String member) throws IOException {
+        return new Http.Server(
+                request -> {
+                    boolean isWait = request.path().equals("/changes") && "job/".equals(request.query().get("prefix"))
+                            && !"0".equals(request.query().getOrDefault("blockMs", "0"));
+                    if (isWait) {
+                        watchedAt.put(member, System.nanoTime());
+                    }
+                    Http.Reply reply = answer(request);
+                    if (request.path().endsWith("/renew")) {
+                        renewedAt.put(member, System.nanoTime());
+                    }
+                    return reply;
+                });
     }
 
     private synchronized void expire() {
