A request on a connection that was reset fails its future or is sent anew, never throws

Cause: the client sent on an idle connection that was already reset. It closed the connection inside a callback of Undertow's sendRequest, which then threw a NullPointerException (handleError, no current request) out of HttpClient.send, past the future that callers rely on. The watch of the jobs, which each time is sent by the one before it, ended there. Change: HttpExchange owns one request on one connection; whatever the library throws in any of its steps fails the exchange, once. A request without a body is completed by the library alone. Connections count the bytes that they write: a request on a reused connection of which no byte was written has certainly not reached the server, and is sent once more on a new connection; if that fails too, the future fails with RequestNotSentException. The address, the connect call and a closed loop can't throw out of send either.

--- a/src/main/java/org/meadowhollow/protocol/Http.java
+++ b/src/main/java/org/meadowhollow/protocol/Http.java
@@ -112,8 +112,8 @@
     /** Sends HTTP requests. */
     interface Client {
         /**
-         * Sends a request. The future fails with {@link RequestNotSentException} or {@link
-         * NoResponseException}.
+         * Sends a request. Throws nothing: whatever goes wrong, the future fails with {@link
+         * RequestNotSentException} or {@link NoResponseException}.
          *
          * @param address the host and port of the server
          * @param path the path and query
--- a/src/main/java/org/meadowhollow/transport/HttpClient.java
+++ b/src/main/java/org/meadowhollow/transport/HttpClient.java
@@ -1,41 +1,42 @@
 package org.meadowhollow.transport;
 
+import io.undertow.UndertowOptions;
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
-import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
-import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.URI;
-import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.meadowhollow.model.EventLoopStep;
 import org.meadowhollow.protocol.Http;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
-import org.xnio.channels.StreamSinkChannel;
-import org.xnio.channels.StreamSourceChannel;
 
 /**
  * HTTP client with a pool of connections for each address. A connection carries one request at a
- * time and returns to the pool afterwards. {@link #send} may be called on any thread; all other
- * work is done on the event loop's thread, which owns the connections and pools.
+ * time and returns to the pool afterwards. A request on a connection that turns out to be closed
+ * before any byte was written is sent once more, on a new connection. {@link #send} may be called
+ * on any thread and throws nothing; all other work is done on the event loop's thread, which owns
+ * the connections and pools.
  */
 public final class HttpClient implements Http.Client {
+    private static final Logger LOG = LoggerFactory.getLogger(HttpClient.class);
+
     /**
      * The limit of idle connections to an address: as many as a busy caller has requests in flight.
      */
@@ -47,11 +48,9 @@
      */
     public static final int MAX_OPEN_PER_ADDRESS = 24;
 
-    /**
-     * The limit of a response's body. A page of the key-value store holds 512 KiB; the response to
-     * a watch may hold every changed record.
-     */
-    private static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
+    /** The connections count the bytes that they write, see {@link HttpExchange#isPossiblySent}. */
+    private static final OptionMap CONNECTION_OPTIONS =
+            OptionMap.create(UndertowOptions.ENABLE_STATISTICS, true);
 
     private final XnioEventLoop loop;
     private final ByteBufferPool buffers;
@@ -80,17 +79,22 @@
                         path,
                         body,
                         new AdaptiveTimeout(System.nanoTime(), timeout.toNanos()));
-        pendingRequest.armTimeout(timeout.toNanos());
-        if (Thread.currentThread() == loop.ioThread()) {
-            pendingRequest.start();
-        } else {
-            loop.ioThread().execute(pendingRequest::start);
+        try {
+            pendingRequest.armTimeout(timeout.toNanos());
+            if (Thread.currentThread() == loop.ioThread()) {
+                pendingRequest.start();
+            } else {
+                loop.ioThread().execute(pendingRequest::start);
+            }
+        } catch (RejectedExecutionException closing) {
+            return CompletableFuture.failedFuture(
+                    new Http.RequestNotSentException("the event loop is closed"));
         }
         return pendingRequest.reply;
     }
 
     /** One request in flight. Every method runs on the event loop's thread. */
-    private final class PendingRequest {
+    private final class PendingRequest implements HttpExchange.Listener {
         private final String address;
         private final String method;
         private final String path;
@@ -100,14 +104,16 @@
         private XnioExecutor.Key timeoutTimer;
         private ClientConnection connection;
 
+        /** The exchange on {@link #connection}, or null while there is none. */
+        private HttpExchange exchange;
+
+        /** Whether {@link #connection} has carried other requests before. */
+        private boolean connectionReused;
+
         /** The pool whose slot this request holds while its connection is being opened, or null. */
         private ConnectionPool connectingPool;
 
         private IoFuture<StreamConnection> connectAttempt;
-
-        /** Whether the request may have reached the server. */
-        private boolean sent;
-
         private boolean refused;
         private boolean completed;
 
@@ -126,67 +132,82 @@
 
         private void armTimeout(long nanos) {
             timeoutTimer =
-                    loop.ioThread()
-                            .executeAfter(
-                                    () -> {
-                                        long extension =
-                                                adaptiveTimeout.extensionNanos(System.nanoTime());
-                                        if (extension > 0) {
-                                            armTimeout(extension);
-                                        } else {
-                                            fail("no answer in time");
-                                        }
-                                    },
-                                    nanos,
-                                    TimeUnit.NANOSECONDS);
+                    loop.ioThread().executeAfter(this::onTimeout, nanos, TimeUnit.NANOSECONDS);
+        }
+
+        private void onTimeout() {
+            long extension = adaptiveTimeout.extensionNanos(System.nanoTime());
+            if (extension > 0) {
+                armTimeout(extension);
+            } else {
+                fail("no answer in time");
+            }
         }
 
+        /** Sends the request; whatever the library throws fails it. */
         void start() {
-            ConnectionPool pool =
-                    poolsByAddress.computeIfAbsent(address, unused -> new ConnectionPool());
-            ClientConnection idleConnection = pool.takeOpenIdle();
-            if (idleConnection != null) {
-                sendOn(idleConnection);
-                return;
+            try {
+                ClientConnection idleConnection = pool().takeOpenIdle();
+                if (idleConnection != null) {
+                    sendOn(idleConnection, true);
+                } else {
+                    connect();
+                }
+            } catch (RuntimeException failure) {
+                LOG.debug("request could not be sent", failure);
+                fail("the request could not be sent: " + failure);
             }
+        }
+
+        private ConnectionPool pool() {
+            return poolsByAddress.computeIfAbsent(address, unused -> new ConnectionPool());
+        }
+
+        private void connect() {
+            ConnectionPool pool = pool();
             if (pool.openCount >= MAX_OPEN_PER_ADDRESS) {
                 fail("too many open connections to " + address);
                 return;
             }
-            connect(pool);
-        }
-
-        private void connect(ConnectionPool pool) {
             pool.openCount++;
             connectingPool = pool;
             UndertowClient.getInstance()
                     .connect(
-                            new ClientCallback<>() {
-                                @Override
-                                public void completed(ClientConnection opened) {
-                                    if (connectingPool == null) {
-                                        // The request has already failed and released its slot.
-                                        IoUtils.safeClose(opened);
-                                        return;
-                                    }
-                                    connectingPool = null;
-                                    opened.getCloseSetter().set(unused -> releaseSlot(pool));
-                                    sendOn(opened);
-                                }
-
-                                @Override
-                                public void failed(IOException failure) {
-                                    refused = failure instanceof ConnectException;
-                                    fail("no connection to " + address);
-                                }
-                            },
+                            new ConnectCallback(pool),
                             URI.create("http://" + address),
                             attemptCapture,
                             buffers,
-                            OptionMap.EMPTY);
+                            CONNECTION_OPTIONS);
             connectAttempt = attemptCapture.takeLatestAttempt();
         }
 
+        /** Sends the request on the connection that has been opened for it. */
+        private final class ConnectCallback implements ClientCallback<ClientConnection> {
+            private final ConnectionPool pool;
+
+            ConnectCallback(ConnectionPool pool) {
+                this.pool = pool;
+            }
+
+            @Override
+            public void completed(ClientConnection opened) {
+                if (connectingPool == null) {
+                    // The request has already failed and released its slot.
+                    IoUtils.safeClose(opened);
+                    return;
+                }
+                connectingPool = null;
+                opened.getCloseSetter().set(unused -> releaseSlot(pool));
+                sendOn(opened, false);
+            }
+
+            @Override
+            public void failed(IOException failure) {
+                refused = failure instanceof ConnectException;
+                fail("no connection to " + address);
+            }
+        }
+
         private void releaseSlot(ConnectionPool pool) {
             pool.openCount--;
             if (pool.openCount == 0) {
@@ -194,10 +215,11 @@
             }
         }
 
-        private void sendOn(ClientConnection openConnection) {
+        private void sendOn(ClientConnection openConnection, boolean reused) {
             connection = openConnection;
-            sent = true;
-            connection.sendRequest(newRequest(), new ExchangeCallback(this::exchangeStarted));
+            connectionReused = reused;
+            exchange = new HttpExchange(openConnection, newRequest(), body, buffers, this);
+            exchange.start();
         }
 
         private ClientRequest newRequest() {
@@ -211,150 +233,46 @@
             return request;
         }
 
-        private void exchangeStarted(ClientExchange exchange) {
-            exchange.setResponseListener(
-                    new ExchangeCallback(
-                            answered -> readResponse(answered, new ByteArrayOutputStream())));
-            try {
-                writeBody(exchange.getRequestChannel());
-            } catch (IOException failure) {
-                failConnectionLost(failure);
-            }
-        }
-
-        /** Runs the next step of an exchange; fails the request if the connection is lost. */
-        private final class ExchangeCallback implements ClientCallback<ClientExchange> {
-            private final Consumer<ClientExchange> next;
-
-            ExchangeCallback(Consumer<ClientExchange> next) {
-                this.next = next;
-            }
-
-            @Override
-            public void completed(ClientExchange exchange) {
-                next.accept(exchange);
-            }
-
-            @Override
-            public void failed(IOException failure) {
-                failConnectionLost(failure);
-            }
-        }
-
-        private void writeBody(StreamSinkChannel channel) throws IOException {
-            if (body == null) {
-                channel.shutdownWrites();
-                flushRequest(channel);
-                return;
-            }
-            ByteBuffer remaining = ByteBuffer.wrap(body);
-            if (!writeAvailable(channel, remaining)) {
-                channel.getWriteSetter().set(unused -> resumeBody(channel, remaining));
-                channel.resumeWrites();
-                return;
-            }
-            channel.shutdownWrites();
-            flushRequest(channel);
-        }
-
-        private void resumeBody(StreamSinkChannel channel, ByteBuffer remaining) {
-            try {
-                if (writeAvailable(channel, remaining)) {
-                    channel.shutdownWrites();
-                    flushRequest(channel);
-                }
-            } catch (IOException failure) {
-                failConnectionLost(failure);
-            }
-        }
-
-        /** Writes until the channel accepts no more; returns whether everything was written. */
-        private static boolean writeAvailable(StreamSinkChannel channel, ByteBuffer remaining)
-                throws IOException {
-            while (remaining.hasRemaining()) {
-                if (channel.write(remaining) == 0) {
-                    return false;
-                }
-            }
-            return true;
-        }
-
-        private void flushRequest(StreamSinkChannel channel) throws IOException {
-            if (!channel.flush()) {
-                channel.getWriteSetter()
-                        .set(
-                                unused -> {
-                                    try {
-                                        if (channel.flush()) {
-                                            channel.suspendWrites();
-                                        }
-                                    } catch (IOException failure) {
-                                        failConnectionLost(failure);
-                                    }
-                                });
-                channel.resumeWrites();
-            }
-        }
-
-        private void readResponse(ClientExchange exchange, ByteArrayOutputStream received) {
-            StreamSourceChannel channel = exchange.getResponseChannel();
-            channel.getReadSetter().set(unused -> readAvailable(exchange, channel, received));
-            readAvailable(exchange, channel, received);
-        }
-
-        private void readAvailable(
-                ClientExchange exchange,
-                StreamSourceChannel channel,
-                ByteArrayOutputStream received) {
-            try (PooledByteBuffer pooled = buffers.allocate()) {
-                ByteBuffer buffer = pooled.getBuffer();
-                while (true) {
-                    buffer.clear();
-                    int count = channel.read(buffer);
-                    if (count == 0) {
-                        channel.resumeReads();
-                        return;
-                    }
-                    if (count < 0) {
-                        succeed(exchange, received.toByteArray());
-                        return;
-                    }
-                    buffer.flip();
-                    byte[] part = new byte[count];
-                    buffer.get(part);
-                    received.write(part, 0, count);
-                    if (received.size() > MAX_BODY_BYTES) {
-                        fail("the answer is too large");
-                        return;
-                    }
-                }
-            } catch (IOException failure) {
-                failConnectionLost(failure);
-            }
-        }
-
-        private void succeed(ClientExchange exchange, byte[] bytes) {
+        @Override
+        public void onResponse(int status, byte[] responseBody, boolean keepsConnection) {
             if (completed) {
                 return;
             }
             completed = true;
             timeoutTimer.remove();
             ConnectionPool pool = poolsByAddress.get(address);
-            String connectionHeader =
-                    exchange.getResponse().getResponseHeaders().getFirst(Headers.CONNECTION);
             if (pool != null
                     && pool.idle.size() < MAX_IDLE_PER_ADDRESS
                     && connection.isOpen()
-                    && !"close".equalsIgnoreCase(connectionHeader)) {
+                    && keepsConnection) {
                 pool.idle.push(connection);
             } else {
                 IoUtils.safeClose(connection);
             }
-            Http.Reply received =
-                    new Http.Reply(exchange.getResponse().getResponseCode(), bytes, 0);
+            Http.Reply received = new Http.Reply(status, responseBody, 0);
             loop.runStep(EventLoopStep.RESPONSE, () -> reply.complete(received));
         }
 
+        @Override
+        public void onFailure(String reason) {
+            if (!completed && connectionReused && !exchange.isPossiblySent()) {
+                retryOnNewConnection();
+            } else {
+                fail(reason);
+            }
+        }
+
+        /**
+         * Sends the request once more, on a connection of its own. The server had closed the idle
+         * connection before any byte of the request was written, so it has not received it.
+         */
+        private void retryOnNewConnection() {
+            exchange = null;
+            IoUtils.safeClose(connection);
+            closeIdleConnections();
+            start();
+        }
+
         /**
          * Closes the idle connections to the address, because a fault of one connection most likely
          * affects them as well; the next request opens a new one.
@@ -366,10 +284,6 @@
             }
         }
 
-        private void failConnectionLost(IOException failure) {
-            fail("connection lost: " + failure.getMessage());
-        }
-
         private void fail(String reason) {
             if (completed) {
                 // Closing the connection below calls this method again; the first reason is kept.
@@ -386,15 +300,17 @@
                     connectAttempt.cancel();
                 }
             }
-            IoUtils.safeClose(connection);
-            if (sent) {
+            RuntimeException failure = failure(reason);
+            if (exchange != null) {
+                exchange.abandon();
+                IoUtils.safeClose(connection);
                 closeIdleConnections();
             }
-            reply.completeExceptionally(failure(reason));
+            reply.completeExceptionally(failure);
         }
 
         private RuntimeException failure(String reason) {
-            if (sent) {
+            if (exchange != null && exchange.isPossiblySent()) {
                 return new Http.NoResponseException(reason);
             }
             return refused
