A leader that renews its lease and learns nothing of the jobs releases it

Cause: a renewal shows that nobody else was elected, not that this leader does anything. Change: the state machine remembers the first confirmed renewal since the leader last learned anything (changes of jobs, or a further page of records while it recovers). A renewal without an answer resets the count, so an outage doesn't end a leadership. ReleaseReason replaces the flag of the two reasons that there were.

--- a/src/main/java/org/meadowhollow/coordination/LeaderService.java
+++ b/src/main/java/org/meadowhollow/coordination/LeaderService.java
@@ -223,6 +223,12 @@
         leadership.renewIfDue();
     }
 
+    @Override
+    public void onRecoveryProgress() {
+        leadership.recordRecoveryProgress(term.fencingToken());
+        leadership.renewIfDue();
+    }
+
     @Override
     public synchronized void onCancellationsKnownUpTo(MonotonicTime upTo) {
         leadership.advanceFreshness(term.fencingToken(), upTo);
--- a/src/main/java/org/meadowhollow/coordination/leadership/Leadership.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/Leadership.java
@@ -96,6 +96,7 @@
     private final LeadershipStateMachine stateMachine;
     private final LeadershipStoreClient storeClient;
     private final Duration workerLeaseRenewalBound;
+    private final Duration maxStall;
     private final HeartbeatTracker heartbeatTracker;
     private final RandomGenerator random;
     private final Listener listener;
@@ -132,6 +133,7 @@
         this.workerLeaseRenewalBound =
                 LeadershipSafety.renewalBound(
                         deploymentSettings.cancellationBound(), deploymentSettings.workerLease());
+        this.maxStall = LeadershipSafety.maxStall(workerLeaseRenewalBound);
         this.random = random;
         this.listener = listener;
     }
@@ -216,6 +218,14 @@
         handle(new LeadershipEvent.FreshnessAdvanced(fencingToken, upTo));
     }
 
+    /**
+     * Records that the leader has loaded more of the records of earlier leaders. Ignored if the
+     * leadership with that token is over.
+     */
+    public void recordRecoveryProgress(FencingToken fencingToken) {
+        handle(new LeadershipEvent.RecoveryProgressed(fencingToken));
+    }
+
     /**
      * Records a fencing token that a peer or a worker has shown. A token above the highest one
      * known to this node ends this node's leadership.
@@ -248,7 +258,7 @@
      * @param successor a member that workers reach, or null if none is known
      */
     public void resign(String successor) {
-        handle(new LeadershipEvent.ReleaseRequested(true, successor));
+        handle(new LeadershipEvent.ReleaseRequested(ReleaseReason.ISOLATED, successor));
     }
 
     /**
@@ -258,7 +268,7 @@
      * @param successor the member that should be elected, or null if any may be
      */
     public void handOver(String successor) {
-        handle(new LeadershipEvent.ReleaseRequested(false, successor));
+        handle(new LeadershipEvent.ReleaseRequested(ReleaseReason.SHUTDOWN, successor));
     }
 
     /**
@@ -312,9 +322,7 @@
         } else if (effect instanceof StoreRequest request) {
             storeClient.send(request);
         } else if (effect instanceof ScheduleRenewalCheck check) {
-            loop.schedule(
-                    RENEWAL_CHECK_INTERVAL,
-                    () -> handle(new LeadershipEvent.RenewalTimerFired(check.epoch())));
+            loop.schedule(RENEWAL_CHECK_INTERVAL, () -> onRenewalTimer(check.epoch()));
         } else if (effect instanceof ProbeSuspect probe) {
             probeAfterDelay(probe);
         } else if (effect instanceof Notification notification) {
@@ -322,6 +330,17 @@
         }
     }
 
+    private void onRenewalTimer(int epoch) {
+        handle(new LeadershipEvent.RenewalTimerFired(epoch));
+        boolean stalled;
+        synchronized (this) {
+            stalled = LeadershipSafety.isStalled(maxStall, state);
+        }
+        if (stalled) {
+            handle(new LeadershipEvent.ReleaseRequested(ReleaseReason.STALLED, null));
+        }
+    }
+
     /**
      * Reads the leader record after a delay. Its jitter keeps members that lost the same leader at
      * the same moment from retrying at the same moment.
--- a/src/main/java/org/meadowhollow/coordination/leadership/LeadershipEffect.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/LeadershipEffect.java
@@ -79,7 +79,7 @@
      *
      * @param expectedLeaderKeyRevision the revision that the leader record must have
      * @param fencingToken the fencing token of the leadership that ends
-     * @param becauseIsolated as in {@link LeadershipEvent.ReleaseRequested}
+     * @param reason as in {@link LeadershipEvent.ReleaseRequested}
      * @param preferredSuccessor as in {@link LeadershipEvent.ReleaseRequested}
      */
     record ReleaseLeaderKey(
@@ -87,7 +87,7 @@
             LeaseId lease,
             Revision expectedLeaderKeyRevision,
             FencingToken fencingToken,
-            boolean becauseIsolated,
+            ReleaseReason reason,
             String preferredSuccessor)
             implements StoreRequest {}
 
--- a/src/main/java/org/meadowhollow/coordination/leadership/LeadershipEvent.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/LeadershipEvent.java
@@ -109,7 +109,7 @@
     /**
      * The transaction that releases the lease ended.
      *
-     * @param becauseIsolated as in {@link ReleaseRequested}
+     * @param reason as in {@link ReleaseRequested}
      * @param preferredSuccessor as in {@link ReleaseRequested}
      * @param commit null if there was no reply or the transaction was refused
      * @param refused whether the store refused the transaction, so that it certainly was not and
@@ -118,7 +118,7 @@
     record ReleaseCompleted(
             int epoch,
             LeaseId lease,
-            boolean becauseIsolated,
+            ReleaseReason reason,
             String preferredSuccessor,
             KeyValueStore.CommitResult commit,
             boolean refused)
@@ -167,17 +167,19 @@
      */
     record TokenObserved(FencingToken fencingToken, String leader) implements LeadershipEvent {}
 
+    /** The leadership with this fencing token has loaded more of the records of earlier leaders. */
+    record RecoveryProgressed(FencingToken fencingToken) implements LeadershipEvent {}
+
     /** A write found that the leader record is no longer this node's. */
     record LeaderKeyLost() implements LeadershipEvent {}
 
     /**
      * The release of this node's lease was requested.
      *
-     * @param becauseIsolated true if hardly any worker reaches this node, false if its process is
-     *     about to end
+     * @param reason why the lease is released
      * @param preferredSuccessor the member that should be elected, or null
      */
-    record ReleaseRequested(boolean becauseIsolated, String preferredSuccessor)
+    record ReleaseRequested(ReleaseReason reason, String preferredSuccessor)
             implements LeadershipEvent {}
 
     /**
--- a/src/main/java/org/meadowhollow/coordination/leadership/LeadershipSafety.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/LeadershipSafety.java
@@ -145,6 +145,31 @@
                 && isCertainlyWithin(renewalBound, held.freshAsOf(), now);
     }
 
+    /**
+     * How long a leader whose renewals the store confirms may learn nothing of the jobs: half of
+     * the time for which it may still renew worker leases. The next leader has the other half to
+     * load the records before the first worker loses its tasks.
+     *
+     * @param renewalBound the result of {@link #renewalBound}
+     */
+    static Duration maxStall(Duration renewalBound) {
+        return renewalBound.dividedBy(2);
+    }
+
+    /**
+     * Whether this node should release its lease because it leads without doing any work: the store
+     * has confirmed its renewals for at least {@code maxStall}, and in all this time it has learned
+     * nothing of the jobs. Not a matter of safety: such a leader sends no starts. An outage does
+     * not count, since renewals fail in it.
+     */
+    static boolean isStalled(Duration maxStall, LeadershipState state) {
+        HeldLeadership held = state.heldLeadership();
+        return held != null
+                && held.noProgressSince() != null
+                && held.leaseValidFrom().elapsedSince(held.noProgressSince()).compareTo(maxStall)
+                        >= 0;
+    }
+
     /**
      * Whether less than {@code span} has passed since {@code since} on the clock of every machine,
      * with the largest drift that is allowed.
--- a/src/main/java/org/meadowhollow/coordination/leadership/LeadershipState.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/LeadershipState.java
@@ -58,6 +58,8 @@
      * @param resigning whether a release is in flight, which the store may have executed already
      * @param freshAsOf the moment up to which this node knows all changes of jobs, or null until
      *     the records are loaded
+     * @param noProgressSince the first renewal that was confirmed since this node last learned
+     *     anything of the jobs; null if none was, or a renewal has failed since
      */
     record HeldLeadership(
             LeaseId lease,
@@ -66,7 +68,8 @@
             boolean renewing,
             Revision leaderKeyRevision,
             boolean resigning,
-            MonotonicTime freshAsOf) {
+            MonotonicTime freshAsOf,
+            MonotonicTime noProgressSince) {
         /**
          * Creates the leadership of a node that has just been elected, under a lease that was
          * requested at {@code requestedAt}.
@@ -74,13 +77,20 @@
         static HeldLeadership begin(
                 LeaseId lease, MonotonicTime requestedAt, Revision leaderKeyRevision) {
             return new HeldLeadership(
-                    lease, requestedAt, requestedAt, false, leaderKeyRevision, false, null);
+                    lease, requestedAt, requestedAt, false, leaderKeyRevision, false, null, null);
         }
 
         /** Returns a copy after a renewal was sent at {@code now}. */
         HeldLeadership withRenewalSent(MonotonicTime now) {
             return new HeldLeadership(
-                    lease, leaseValidFrom, now, true, leaderKeyRevision, resigning, freshAsOf);
+                    lease,
+                    leaseValidFrom,
+                    now,
+                    true,
+                    leaderKeyRevision,
+                    resigning,
+                    freshAsOf,
+                    noProgressSince);
         }
 
         /** Returns a copy after a renewal was confirmed. Confirmations may arrive out of order. */
@@ -92,13 +102,21 @@
                     false,
                     leaderKeyRevision,
                     resigning,
-                    freshAsOf);
+                    freshAsOf,
+                    noProgressSince == null ? sentAt : noProgressSince);
         }
 
         /** Returns a copy after a renewal got no reply, in which the next one is due at once. */
         HeldLeadership withRenewalFailed() {
             return new HeldLeadership(
-                    lease, leaseValidFrom, null, false, leaderKeyRevision, resigning, freshAsOf);
+                    lease,
+                    leaseValidFrom,
+                    null,
+                    false,
+                    leaderKeyRevision,
+                    resigning,
+                    freshAsOf,
+                    null);
         }
 
         /** Returns a copy after a release was sent, or was refused by the store. */
@@ -110,7 +128,8 @@
                     renewing,
                     leaderKeyRevision,
                     inFlight,
-                    freshAsOf);
+                    freshAsOf,
+                    noProgressSince);
         }
 
         /**
@@ -125,7 +144,21 @@
                     renewing,
                     leaderKeyRevision,
                     resigning,
-                    freshAsOf == null ? upTo : MonotonicTime.latestOf(freshAsOf, upTo));
+                    freshAsOf == null ? upTo : MonotonicTime.latestOf(freshAsOf, upTo),
+                    null);
+        }
+
+        /** Returns a copy after more records have been loaded. */
+        HeldLeadership withProgress() {
+            return new HeldLeadership(
+                    lease,
+                    leaseValidFrom,
+                    lastRenewalSentAt,
+                    renewing,
+                    leaderKeyRevision,
+                    resigning,
+                    freshAsOf,
+                    null);
         }
 
         /**
--- a/src/main/java/org/meadowhollow/coordination/leadership/LeadershipStateMachine.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/LeadershipStateMachine.java
@@ -23,6 +23,7 @@
 import org.meadowhollow.coordination.leadership.LeadershipEvent.LeaderKeyWatchEnded;
 import org.meadowhollow.coordination.leadership.LeadershipEvent.LeaseGrantCompleted;
 import org.meadowhollow.coordination.leadership.LeadershipEvent.ProbeCompleted;
+import org.meadowhollow.coordination.leadership.LeadershipEvent.RecoveryProgressed;
 import org.meadowhollow.coordination.leadership.LeadershipEvent.ReleaseCompleted;
 import org.meadowhollow.coordination.leadership.LeadershipEvent.ReleaseRequested;
 import org.meadowhollow.coordination.leadership.LeadershipEvent.RenewalCheckpointReached;
@@ -129,6 +130,8 @@
             return renewIfDue(state, now);
         } else if (event instanceof FreshnessAdvanced freshness) {
             return onFreshnessAdvanced(state, freshness);
+        } else if (event instanceof RecoveryProgressed progress) {
+            return onRecoveryProgressed(state, progress);
         } else if (event instanceof TokenObserved token) {
             return onTokenObserved(state, token);
         } else if (event instanceof LeaderKeyLost) {
@@ -329,6 +332,14 @@
                 state.with(state.heldLeadership().withFreshness(event.freshAsOf())));
     }
 
+    private static LeadershipTransition onRecoveryProgressed(
+            LeadershipState state, RecoveryProgressed event) {
+        if (!state.isLeader() || !event.fencingToken().equals(state.fencingToken())) {
+            return LeadershipTransition.unchanged(state);
+        }
+        return LeadershipTransition.to(state.with(state.heldLeadership().withProgress()));
+    }
+
     private LeadershipTransition onTokenObserved(LeadershipState state, TokenObserved event) {
         ObservedLeader known = state.observedLeader();
         if (!event.fencingToken().isAfter(known.highestToken())) {
@@ -372,7 +383,7 @@
                         held.lease(),
                         held.leaderKeyRevision(),
                         state.fencingToken(),
-                        event.becauseIsolated(),
+                        event.reason(),
                         event.preferredSuccessor()));
     }
 
@@ -385,7 +396,7 @@
             return LeadershipTransition.to(state.with(state.heldLeadership().withResigning(false)));
         }
         LeadershipState released =
-                event.becauseIsolated() ? markIsolated(state, event, now) : state;
+                event.reason() == ReleaseReason.ISOLATED ? markIsolated(state, event, now) : state;
         return stepDown(released, releaseReason(event)).andThen(new RevokeOwnLease(event.lease()));
     }
 
@@ -403,6 +414,6 @@
         if (!event.commit().isApplied()) {
             return "leader record changed";
         }
-        return event.becauseIsolated() ? "isolated from workers" : "handed over";
+        return event.reason().endText();
     }
 }
--- a/src/main/java/org/meadowhollow/coordination/leadership/LeadershipStoreClient.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/LeadershipStoreClient.java
@@ -197,7 +197,7 @@
         LOG.info(
                 "lease release requested token={} reason={} successor={}",
                 request.fencingToken(),
-                request.becauseIsolated() ? "isolated" : "shutdown",
+                request.reason().requestText(),
                 request.preferredSuccessor() == null ? "any" : request.preferredSuccessor());
         CompletableFuture<?> unusedReply =
                 store.commit(releaseTransaction(request), RequestPriority.LEASE)
@@ -207,7 +207,7 @@
                                                 new ReleaseCompleted(
                                                         request.epoch(),
                                                         request.lease(),
-                                                        request.becauseIsolated(),
+                                                        request.reason(),
                                                         request.preferredSuccessor(),
                                                         failure == null ? commit : null,
                                                         isRefused(failure))));
@@ -220,7 +220,7 @@
     private Transaction releaseTransaction(ReleaseLeaderKey request) {
         long token = request.fencingToken().value();
         Map<String, Object> counter =
-                request.becauseIsolated()
+                request.reason() == ReleaseReason.ISOLATED
                         ? CandidacyPolicy.resignationRecord(
                                 token, member, request.preferredSuccessor())
                         : CandidacyPolicy.handoverRecord(token, request.preferredSuccessor());
--- a/src/main/java/org/meadowhollow/coordination/recovery/PageReader.java
+++ b/src/main/java/org/meadowhollow/coordination/recovery/PageReader.java
@@ -76,7 +76,7 @@
         private void applyPage(KeyValueStore.Page page, Revision firstRevision) {
             recordCount += page.entries().size();
             context.loop().runStep(EventLoopStep.RECOVERY, () -> onPage.accept(page.entries()));
-            context.listener().renewLeadershipIfDue();
+            context.listener().onRecoveryProgress();
             Revision watchFrom = firstRevision == null ? page.revision() : firstRevision;
             if (page.hasMore()) {
                 String lastKey = page.entries().get(page.entries().size() - 1).key();
--- a/src/main/java/org/meadowhollow/coordination/recovery/RecoveryListener.java
+++ b/src/main/java/org/meadowhollow/coordination/recovery/RecoveryListener.java
@@ -13,9 +13,12 @@
      */
     boolean isClosed();
 
-    /** Renews the leader's lease if it is due; called between long steps of the recovery. */
+    /** Renews the leader's lease if it is due; called between long steps. */
     void renewLeadershipIfDue();
 
+    /** Reports that more records have been loaded, and renews the leader's lease if it is due. */
+    void onRecoveryProgress();
+
     /**
      * Reports that all cancellations up to a time are known.
      *
--- a/src/main/java/org/meadowhollow/coordination/recovery/StateRecovery.java
+++ b/src/main/java/org/meadowhollow/coordination/recovery/StateRecovery.java
@@ -132,7 +132,7 @@
         int size = Math.min(MAX_RECORDS_PER_CALLBACK, entries.size());
         context.loop()
                 .runStep(EventLoopStep.RECOVERY, () -> restore.accept(entries.subList(0, size)));
-        context.listener().renewLeadershipIfDue();
+        context.listener().onRecoveryProgress();
         if (size == entries.size()) {
             onComplete.run();
             return;
--- a/src/test/java/org/meadowhollow/coordination/leadership/LeadershipModelTest.java
+++ b/src/test/java/org/meadowhollow/coordination/leadership/LeadershipModelTest.java
@@ -180,7 +180,8 @@
                     applyEvent(
                             state.withHandoverUsed(),
                             index,
-                            new LeadershipEvent.ReleaseRequested(false, successor)));
+                            new LeadershipEvent.ReleaseRequested(
+                                    ReleaseReason.SHUTDOWN, successor)));
         }
         if (!node.hasDecided() && unmetPreconditions(state, node).isEmpty()) {
             nextStates.accept(decide(state, index));
@@ -303,7 +304,12 @@
         }
         LeadershipEffect.ReleaseLeaderKey release = (LeadershipEffect.ReleaseLeaderKey) request;
         return new LeadershipEvent.ReleaseCompleted(
-                release.epoch(), release.lease(), false, release.preferredSuccessor(), null, false);
+                release.epoch(),
+                release.lease(),
+                release.reason(),
+                release.preferredSuccessor(),
+                null,
+                false);
     }
 
     // ---- steps of the state machine ----
--- a/src/test/java/org/meadowhollow/coordination/leadership/ModelStore.java
+++ b/src/test/java/org/meadowhollow/coordination/leadership/ModelStore.java
@@ -212,7 +212,7 @@
                 new LeadershipEvent.ReleaseCompleted(
                         request.epoch(),
                         request.lease(),
-                        false,
+                        request.reason(),
                         request.preferredSuccessor(),
                         new KeyValueStore.CommitResult(
                                 applies, new Revision(after.revision()), List.of()),
--- a/src/test/java/org/meadowhollow/simulation/FakeStoreConnection.java
+++ b/src/test/java/org/meadowhollow/simulation/FakeStoreConnection.java
@@ -53,6 +53,9 @@
     /** The prefix whose watches deliver no changes; null if no changes are hidden. */
     private String hiddenChangesPrefix;
 
+    /** The prefix whose watches get no answer; null if all do. */
+    private String unansweredPrefix;
+
     private String skippedKey;
     private boolean failsWatches;
     private boolean returnsOlderRevisions;
@@ -120,6 +123,11 @@
         hiddenChangesPrefix = prefix;
     }
 
+    /** Leaves the watches of a prefix without an answer; null ends the fault. */
+    void leaveWatchesUnanswered(String prefix) {
+        unansweredPrefix = prefix;
+    }
+
     /** Makes watches fail, except those of the leader key. */
     void failWatches(boolean fail) {
         failsWatches = fail;
@@ -439,6 +447,9 @@
             Revision after,
             MonotonicTime deadline) {
         store.expireLeases();
+        if (prefix.equals(unansweredPrefix)) {
+            return;
+        }
         boolean isLeaderWatch = prefix.equals(RecordKeys.LEADER_KEY);
         if (failsWatches && !isLeaderWatch) {
             loop.schedule(store.latency(), () -> fail(answer, Outcome.INDETERMINATE));
--- /dev/null
+++ b/src/test/java/org/meadowhollow/simulation/StalledLeaderScenarioTest.java
@@ -0,0 +1,53 @@
+package org.meadowhollow.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.meadowhollow.coordination.admission.AdmissionService.Phase;
+import org.meadowhollow.model.JobSpec;
+import org.meadowhollow.storage.RecordKeys;
+
+/** Guards against a leader that renews its lease and learns nothing of the jobs any more. */
+class StalledLeaderScenarioTest extends ClusterTestBase {
+    /** Within it the next leader must have begun, so that no running task loses its lease. */
+    private static final double FAILOVER_SECONDS = 25;
+
+    @Test
+    void aLeaderWhoseJobWatchNeverEndsReleasesItsLease() {
+        JobSpec running = arrayJob(1, 2);
+        assertTrue(cluster.users().submit(0, running, LONG_RUNTIME));
+        cluster.runSeconds(10);
+        int startsBefore = cluster.startCount();
+        int leader = cluster.leader();
+        long token = cluster.fencingToken();
+
+        cluster.storeConnection(leader).leaveWatchesUnanswered(RecordKeys.JOB_PREFIX);
+        cluster.runSeconds(3);
+        JobSpec late = arrayJob(2, 2);
+        assertTrue(cluster.users().submit((leader + 1) % 3, late, SHORT_RUNTIME));
+        cluster.runSeconds(FAILOVER_SECONDS);
+        cluster.storeConnection(leader).leaveWatchesUnanswered(null);
+        cluster.runSeconds(40);
+
+        assertNotEquals(token, cluster.fencingToken());
+        assertEquals(Phase.DONE, phaseOf(late));
+        assertNotNull(machineRunning(running, 0));
+        assertNotNull(machineRunning(running, 1));
+        assertEquals(startsBefore + 2, cluster.startCount(), "no running task was lost");
+    }
+
+    @Test
+    void aLeaderKeepsItsLeaseThroughAnOutageOfTheStore() {
+        long token = cluster.fencingToken();
+
+        cluster.store().setOutage(true);
+        cluster.runSeconds(60);
+        cluster.store().setOutage(false);
+        cluster.runSeconds(30);
+
+        assertEquals(token, cluster.fencingToken(), "leases have their full time again");
+    }
+}
