--- a/src/main/java/org/meadowhollow/coordination/failover/HandoverState.java
+++ b/src/main/java/org/meadowhollow/coordination/failover/HandoverState.java
@@ -136,7 +136,7 @@
                 restored < MAX_TABLES_PER_BATCH && !snapshotTables.isEmpty();
                 restored++) {
             RiskTableDelta.MachineEntry machineEntry = snapshotTables.poll();
-            tableReplica.apply(List.of(machineEntry), snapshotTakenAt);
+            tableReplica.applyFromSnapshot(machineEntry, snapshotTakenAt);
             Machine machine = machines.get(machineEntry.machine());
             if (machine != null && machine.incarnation() != null) {
                 countInherited(
--- a/src/main/java/org/meadowhollow/coordination/failover/RiskTableReplica.java
+++ b/src/main/java/org/meadowhollow/coordination/failover/RiskTableReplica.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.meadowhollow.coordination.api.ControllerStatus;
@@ -13,12 +12,16 @@
 import org.meadowhollow.model.MachineId;
 import org.meadowhollow.model.MonotonicTime;
 import org.meadowhollow.model.WorkerIncarnation;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * A replica of the leader's risk tables, kept up to date by its responses. The tables are hints: a
  * wrong one can only cause a worse placement.
  */
 final class RiskTableReplica {
+    private static final Logger LOG = LoggerFactory.getLogger(RiskTableReplica.class);
+
     /** The most tables kept; bounds memory, at a few kilobytes each. */
     private static final int MAX_TABLES = 2000;
 
@@ -124,9 +127,19 @@
                 : ApplyResult.UP_TO_DATE;
     }
 
-    /** Applies full tables of a snapshot that was taken at {@code takenAt}. */
-    void apply(List<RiskTableDelta.MachineEntry> entries, MonotonicTime takenAt) {
-        entries.forEach(machineEntry -> applyEntry(machineEntry, true, takenAt));
+    /**
+     * Applies a full table of a snapshot that was taken at {@code takenAt}. A malformed one is left
+     * out; its machine begins with an empty table.
+     */
+    void applyFromSnapshot(RiskTableDelta.MachineEntry machineEntry, MonotonicTime takenAt) {
+        try {
+            applyEntry(machineEntry, true, takenAt);
+        } catch (IllegalArgumentException malformed) {
+            LOG.info(
+                    "risk table ignored machine={} reason={}",
+                    machineEntry.machine(),
+                    malformed.getMessage());
+        }
     }
 
     void requestFullSync() {
--- a/src/test/java/org/meadowhollow/coordination/failover/RiskTableReplicationTest.java
+++ b/src/test/java/org/meadowhollow/coordination/failover/RiskTableReplicationTest.java
@@ -1,9 +1,12 @@
 package org.meadowhollow.coordination.failover;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -172,6 +175,34 @@
         assertEquals(ApplyResult.INCONSISTENT, replica.apply(lateResponse, TOKEN, now()));
     }
 
+    /** Guards against a malformed table after which a leader restores none of the others. */
+    @Test
+    void malformedTableOfASnapshotIsLeftOut() {
+        createMachines(2);
+        sendHeartbeats(25);
+        List<RiskTableDelta.MachineEntry> snapshot = new ArrayList<>(nextResponse().entries());
+        RiskTableDelta.MachineEntry first = snapshot.get(0);
+        snapshot.set(
+                0,
+                new RiskTableDelta.MachineEntry(
+                        first.machine(),
+                        first.machineIdentityHash(),
+                        first.workerIncarnation(),
+                        first.sequenceNumber(),
+                        new int[] {-1},
+                        new long[0]));
+        HandoverState handover = new HandoverState(Map.of(), replica);
+        handover.addSnapshotTables(
+                new RiskTableSnapshotStore.StoredTables(snapshot, Duration.ZERO), now());
+
+        assertFalse(handover.restoreSnapshotTables(Map.of(), new HashMap<>(), now()));
+
+        assertTrue(takeTable(0, new WorkerIncarnation(1), lastSequenceNumber + 1).isEmpty());
+        assertEquals(
+                tables.get(new MachineId("vm-000001")),
+                takeTable(1, new WorkerIncarnation(1), lastSequenceNumber + 1).orElseThrow());
+    }
+
     @Test
     void damagedTablesAreRejectedAndRequestedInFull() {
         createMachines(2);
