--- a/src/main/java/org/meadowhollow/coordination/ControllerNode.java
+++ b/src/main/java/org/meadowhollow/coordination/ControllerNode.java
@@ -90,9 +90,9 @@
                         reservationSettings);
         this.leadership =
                 new Leadership(
-                        store,
+                        services.store(),
                         loop,
-                        peerGateway,
+                        services.peerGateway(),
                         deploymentSettings,
                         heartbeatTracker,
                         random,
@@ -101,7 +101,7 @@
         this.userReadiness = new UserReadiness(this, services, this::isLeader, this::isClosed);
         this.machineTypeLoader = new MachineTypeLoader(services, this::isClosed);
         this.workerContactProbe =
-                new WorkerContactProbe(loop, workerGateway, leadership, this::isClosed);
+                new WorkerContactProbe(loop, services.workerGateway(), leadership, this::isClosed);
         this.warmStandby =
                 standbySettings.enabled() ? createWarmStandby(standbySettings, random) : null;
     }
@@ -134,8 +134,7 @@
             warmStandby.start();
         }
         machineTypeLoader.load();
-        userReadiness.probeStoreDuringOutage();
-        userReadiness.watchLoad(loop.now());
+        userReadiness.start();
     }
 
     /** Whether users should be sent to this node; queried by the load balancer's probes. */
--- a/src/main/java/org/meadowhollow/coordination/ControllerServices.java
+++ b/src/main/java/org/meadowhollow/coordination/ControllerServices.java
@@ -3,6 +3,7 @@
 import org.meadowhollow.coordination.api.CloudProvider;
 import org.meadowhollow.coordination.api.DeploymentSettings;
 import org.meadowhollow.coordination.api.PeerGateway;
+import org.meadowhollow.coordination.api.PortGuard;
 import org.meadowhollow.coordination.api.WorkerGateway;
 import org.meadowhollow.coordination.reservation.ReservationSettings;
 import org.meadowhollow.model.EventLoop;
@@ -10,7 +11,10 @@
 import org.meadowhollow.model.MachineTypeCatalog;
 import org.meadowhollow.storage.KeyValueStore;
 
-/** The services and settings that a controller node shares with each of its leaderships. */
+/**
+ * The services and settings that a controller node shares with each of its leaderships. The ports
+ * to other systems are guarded, so that no call of them throws.
+ */
 record ControllerServices(
         EventLoop loop,
         KeyValueStore store,
@@ -20,4 +24,11 @@
         DeploymentSettings deploymentSettings,
         MachineTypeCatalog machineTypeCatalog,
         JobEventListeners jobEventListeners,
-        ReservationSettings reservationSettings) {}
+        ReservationSettings reservationSettings) {
+    ControllerServices {
+        store = PortGuard.guard(store);
+        workerGateway = PortGuard.guard(workerGateway);
+        cloudProvider = PortGuard.guard(cloudProvider);
+        peerGateway = PortGuard.guard(peerGateway);
+    }
+}
--- a/src/main/java/org/meadowhollow/coordination/LeaderService.java
+++ b/src/main/java/org/meadowhollow/coordination/LeaderService.java
@@ -25,6 +25,8 @@
 import org.meadowhollow.model.MachineId;
 import org.meadowhollow.model.MonotonicTime;
 import org.meadowhollow.model.Placement;
+import org.meadowhollow.model.RepeatingStep;
+import org.meadowhollow.model.RepeatingSteps;
 import org.meadowhollow.model.TaskShard;
 import org.meadowhollow.model.WorkerCommand;
 import org.meadowhollow.model.WorkerIncarnation;
@@ -54,6 +56,9 @@
     /** Guarded by this object's monitor, like all mutable state. */
     private boolean closed;
 
+    /** Whether the checks of a warm start have led to the first round. */
+    private boolean warmStartOver;
+
     /** Creates the object of a leadership that has begun, which is idle until {@link #start}. */
     LeaderService(ControllerServices services, LeadershipTerm term) {
         this.term = term;
@@ -69,9 +74,19 @@
         parts.stateRecovery.start();
         parts.reservationEnforcer.start();
         parts.autoscaler.start();
-        loop.schedule(RoundScheduler.ROUND_INTERVAL, this::runRound);
+        RepeatingSteps.every(
+                loop,
+                RepeatingStep.SCHEDULING_ROUND,
+                RoundScheduler.ROUND_INTERVAL,
+                this::isClosed,
+                this::runRound);
         if (term.handoverState().wasStandby()) {
-            loop.schedule(WARM_CHECK_INTERVAL, this::checkWarmStart);
+            RepeatingSteps.every(
+                    loop,
+                    RepeatingStep.WARM_START_CHECK,
+                    WARM_CHECK_INTERVAL,
+                    this::isWarmStartOver,
+                    this::checkWarmStart);
         }
         parts.heartbeatHandler.start();
     }
@@ -98,11 +113,7 @@
 
     private void runRound() {
         synchronized (this) {
-            if (closed) {
-                return;
-            }
-            loop.schedule(RoundScheduler.ROUND_INTERVAL, this::runRound);
-            if (!parts.stateRecovery.isComplete()) {
+            if (closed || !parts.stateRecovery.isComplete()) {
                 return;
             }
             MonotonicTime now = loop.now();
@@ -146,17 +157,19 @@
                 parts.roundScheduler.runRound(now);
                 parts.recordWriter.flush();
             }
-            if (!parts.firstRoundGate.isFirstRoundAllowed()) {
-                loop.schedule(WARM_CHECK_INTERVAL, this::checkWarmStart);
-            }
             mustReadRiskTables =
                     parts.stateRecovery.isComplete() && parts.riskTableRestorer.beginRestoration();
+            warmStartOver = parts.firstRoundGate.isFirstRoundAllowed();
         }
         if (mustReadRiskTables) {
             parts.riskTableRestorer.readSnapshot();
         }
     }
 
+    private synchronized boolean isWarmStartOver() {
+        return closed || warmStartOver;
+    }
+
     // ---- Heartbeats and commands ----
 
     /** Answers a worker's heartbeat, or defers the response. */
--- a/src/main/java/org/meadowhollow/coordination/LeaderlessHeartbeats.java
+++ b/src/main/java/org/meadowhollow/coordination/LeaderlessHeartbeats.java
@@ -8,6 +8,7 @@
 import org.meadowhollow.coordination.heartbeat.DeferredHeartbeats.DeferredHeartbeat;
 import org.meadowhollow.model.EventLoop;
 import org.meadowhollow.model.Heartbeat;
+import org.meadowhollow.model.RepeatingStep;
 
 /**
  * Defers the responses to heartbeats that a node receives while no leader is known. Guarded by the
@@ -27,7 +28,7 @@
     private final Object lock;
     private final EventLoop loop;
     private final DeferredHeartbeats waiting = new DeferredHeartbeats();
-    private boolean sweeping;
+    private boolean sweepScheduled;
     private boolean closed;
 
     LeaderlessHeartbeats(Object lock, EventLoop loop) {
@@ -38,22 +39,35 @@
     /** Defers the response until a leader is known, or at most for {@link #MAX_LEADER_WAIT}. */
     CompletableFuture<HeartbeatResponse> defer(Heartbeat heartbeat) {
         synchronized (lock) {
-            if (!sweeping) {
-                sweeping = true;
-                loop.schedule(SWEEP_INTERVAL, this::redirectExpired);
-            }
+            scheduleSweep();
             return waiting.defer(heartbeat, loop.now().plus(MAX_LEADER_WAIT));
         }
     }
 
+    /** Schedules the next sweep unless one is scheduled. Called with the node's lock held. */
+    private void scheduleSweep() {
+        if (!sweepScheduled) {
+            sweepScheduled = true;
+            loop.schedule(SWEEP_INTERVAL, this::sweep);
+        }
+    }
+
+    private void sweep() {
+        synchronized (lock) {
+            sweepScheduled = false;
+        }
+        loop.runRepeating(RepeatingStep.LEADERLESS_HEARTBEAT_SWEEP, this::redirectExpired);
+        synchronized (lock) {
+            if (!closed && !waiting.isEmpty()) {
+                scheduleSweep();
+            }
+        }
+    }
+
     private void redirectExpired() {
         List<DeferredHeartbeat> due;
         synchronized (lock) {
             due = waiting.takeDue(loop.now());
-            sweeping = !closed && !waiting.isEmpty();
-            if (sweeping) {
-                loop.schedule(SWEEP_INTERVAL, this::redirectExpired);
-            }
         }
         DeferredHeartbeats.redirectAll(due, null);
     }
--- a/src/main/java/org/meadowhollow/coordination/MachineTypeLoader.java
+++ b/src/main/java/org/meadowhollow/coordination/MachineTypeLoader.java
@@ -2,11 +2,14 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.meadowhollow.coordination.api.CloudProvider;
 import org.meadowhollow.model.EventLoop;
 import org.meadowhollow.model.MachineType;
 import org.meadowhollow.model.MachineTypeCatalog;
+import org.meadowhollow.model.RepeatingStep;
+import org.meadowhollow.model.RepeatingSteps;
 import org.meadowhollow.model.Revision;
 import org.meadowhollow.storage.KeyValueStore;
 import org.meadowhollow.storage.KeyValueStore.RequestPriority;
@@ -41,48 +44,55 @@
     }
 
     /** Loads the types; retries every second until it succeeds. */
-    // The chain handles success and failure itself; a failed read is repeated.
-    @SuppressWarnings("FutureReturnValueIgnored")
     void load() {
-        store.get(RecordKeys.MACHINE_TYPES_KEY, RequestPriority.USER)
-                .whenComplete(
-                        (entry, failure) -> {
-                            if (isClosed.getAsBoolean() || !machineTypeCatalog.isEmpty()) {
-                                return;
-                            }
-                            if (failure != null) {
-                                loop.schedule(RETRY_DELAY, this::load);
-                            } else if (entry.isPresent()) {
-                                machineTypeCatalog.replaceAll(
-                                        MachineTypesCodec.decode(entry.get().value()));
-                                LOG.info(
-                                        "loaded {} machine types from the key-value store",
-                                        MachineTypesCodec.decode(entry.get().value()).size());
-                            } else {
-                                fetchFromCloud();
-                            }
-                        });
+        RepeatingSteps.handle(
+                loop,
+                RepeatingStep.MACHINE_TYPE_LOAD,
+                store.get(RecordKeys.MACHINE_TYPES_KEY, RequestPriority.USER),
+                this::onRecordRead,
+                this::loadLater);
+    }
+
+    private void loadLater() {
+        loop.schedule(RETRY_DELAY, this::load);
+    }
+
+    private void onRecordRead(Optional<KeyValueStore.Entry> entry, Throwable failure) {
+        if (isClosed.getAsBoolean() || !machineTypeCatalog.isEmpty()) {
+            return;
+        }
+        if (failure != null) {
+            loadLater();
+        } else if (entry.isPresent()) {
+            List<MachineType> types = MachineTypesCodec.decode(entry.get().value());
+            machineTypeCatalog.replaceAll(types);
+            LOG.info("loaded {} machine types from the key-value store", types.size());
+        } else {
+            fetchFromCloud();
+        }
     }
 
-    // The chain handles success and failure itself; a failed request is repeated.
-    @SuppressWarnings("FutureReturnValueIgnored")
     private void fetchFromCloud() {
-        cloudProvider
-                .listMachineTypes()
-                .whenComplete(
-                        (types, failure) -> {
-                            if (isClosed.getAsBoolean()) {
-                                return;
-                            }
-                            if (failure != null || types.isEmpty()) {
-                                logCloudFailure(failure);
-                                loop.schedule(RETRY_DELAY, this::load);
-                                return;
-                            }
-                            machineTypeCatalog.replaceAll(types);
-                            LOG.info("the cloud offers {} machine types", types.size());
-                            recordTypes(types);
-                        });
+        RepeatingSteps.handle(
+                loop,
+                RepeatingStep.MACHINE_TYPE_LOAD,
+                cloudProvider.listMachineTypes(),
+                this::onCloudAnswer,
+                this::loadLater);
+    }
+
+    private void onCloudAnswer(List<MachineType> types, Throwable failure) {
+        if (isClosed.getAsBoolean()) {
+            return;
+        }
+        if (failure != null || types.isEmpty()) {
+            logCloudFailure(failure);
+            loadLater();
+            return;
+        }
+        machineTypeCatalog.replaceAll(types);
+        LOG.info("the cloud offers {} machine types", types.size());
+        recordTypes(types);
     }
 
     private void logCloudFailure(Throwable failure) {
--- a/src/main/java/org/meadowhollow/coordination/UserReadiness.java
+++ b/src/main/java/org/meadowhollow/coordination/UserReadiness.java
@@ -6,6 +6,8 @@
 import org.meadowhollow.model.EventLoop;
 import org.meadowhollow.model.MachineTypeCatalog;
 import org.meadowhollow.model.MonotonicTime;
+import org.meadowhollow.model.RepeatingStep;
+import org.meadowhollow.model.RepeatingSteps;
 import org.meadowhollow.storage.KeyValueStore;
 import org.meadowhollow.storage.KeyValueStore.RequestPriority;
 import org.meadowhollow.storage.RecordKeys;
@@ -58,6 +60,7 @@
     private final BooleanSupplier isLeading;
     private final BooleanSupplier isClosed;
     private MonotonicTime peerReachedStoreAt;
+    private MonotonicTime lastLoadCheckAt;
     private int consecutiveLateChecks;
     private MonotonicTime sheddingUntil;
 
@@ -80,15 +83,24 @@
         this.isClosed = isClosed;
     }
 
+    /** Begins to monitor the key-value store and this node's own load. */
+    void start() {
+        lastLoadCheckAt = loop.now();
+        RepeatingSteps.every(
+                loop,
+                RepeatingStep.STORE_PROBE,
+                OUTAGE_PROBE_INTERVAL,
+                isClosed,
+                this::probeStoreDuringOutage);
+        RepeatingSteps.every(
+                loop, RepeatingStep.LOAD_CHECK, LOAD_CHECK_INTERVAL, isClosed, this::checkLoad);
+    }
+
     /**
-     * Probes the key-value store at intervals while it does not serve this node, and asks the peers
-     * whether it serves them.
+     * Probes the key-value store while it does not serve this node, and asks the peers whether it
+     * serves them.
      */
-    void probeStoreDuringOutage() {
-        if (isClosed.getAsBoolean()) {
-            return;
-        }
-        loop.schedule(OUTAGE_PROBE_INTERVAL, this::probeStoreDuringOutage);
+    private void probeStoreDuringOutage() {
         if (store.seemsUnavailable()) {
             var unusedProbe = store.get(RecordKeys.FENCING_TOKEN_KEY, RequestPriority.BACKGROUND);
             askPeersAboutStore();
@@ -96,20 +108,17 @@
     }
 
     /**
-     * Checks at intervals whether this node runs its timers in time. Without this check, a leader
-     * under many times the usual load of user requests answers the heartbeats of hundreds of
-     * workers too late, so that their leases expire and all their tasks are lost.
-     *
-     * @param lastCheckAt the time of the previous check
+     * Checks whether this node runs its timers in time. Without this check, a leader under many
+     * times the usual load of user requests answers the heartbeats of hundreds of workers too late,
+     * so that their leases expire and all their tasks are lost.
      */
-    void watchLoad(MonotonicTime lastCheckAt) {
-        if (isClosed.getAsBoolean()) {
-            return;
-        }
+    private void checkLoad() {
         MonotonicTime now = loop.now();
         boolean late =
-                now.elapsedSince(lastCheckAt).compareTo(LOAD_CHECK_INTERVAL.plus(LATE_THRESHOLD))
+                now.elapsedSince(lastLoadCheckAt)
+                                .compareTo(LOAD_CHECK_INTERVAL.plus(LATE_THRESHOLD))
                         > 0;
+        lastLoadCheckAt = now;
         boolean shedding;
         synchronized (lock) {
             recordLoadCheck(late, now);
@@ -118,7 +127,6 @@
         if (shedding) {
             askPeersAboutStore();
         }
-        loop.schedule(LOAD_CHECK_INTERVAL, () -> watchLoad(now));
     }
 
     private void recordLoadCheck(boolean late, MonotonicTime now) {
--- a/src/main/java/org/meadowhollow/coordination/WorkerContactProbe.java
+++ b/src/main/java/org/meadowhollow/coordination/WorkerContactProbe.java
@@ -7,6 +7,8 @@
 import org.meadowhollow.coordination.leadership.Leadership;
 import org.meadowhollow.model.EventLoop;
 import org.meadowhollow.model.FencingToken;
+import org.meadowhollow.model.RepeatingStep;
+import org.meadowhollow.model.RepeatingSteps;
 import org.meadowhollow.model.WorkerIncarnation;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -42,12 +44,25 @@
 
     /** Probes the workers at these addresses, now and at intervals, while this node is isolated. */
     void probeWhileIsolated(List<String> addresses) {
-        if (isClosed.getAsBoolean() || addresses.isEmpty() || !leadership.isIsolated()) {
+        if (addresses.isEmpty() || isOver()) {
             return;
         }
+        RepeatingSteps.every(
+                loop,
+                RepeatingStep.WORKER_CONTACT_PROBE,
+                INTERVAL,
+                this::isOver,
+                () -> probeAll(addresses));
+        probeAll(addresses);
+    }
+
+    private boolean isOver() {
+        return isClosed.getAsBoolean() || !leadership.isIsolated();
+    }
+
+    private void probeAll(List<String> addresses) {
         FencingToken fencingToken = leadership.fencingToken();
         addresses.forEach(address -> probe(address, fencingToken));
-        loop.schedule(INTERVAL, () -> probeWhileIsolated(addresses));
     }
 
     private void probe(String address, FencingToken fencingToken) {
--- a/src/main/java/org/meadowhollow/coordination/admission/AdmissionService.java
+++ b/src/main/java/org/meadowhollow/coordination/admission/AdmissionService.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.meadowhollow.coordination.admission.JobRecordReader.StoredJob;
 import org.meadowhollow.coordination.api.DeploymentSettings;
+import org.meadowhollow.coordination.api.PortGuard;
 import org.meadowhollow.model.EventLoop;
 import org.meadowhollow.model.JobEventListeners;
 import org.meadowhollow.model.JobEventLog;
@@ -119,14 +120,14 @@
             JobEventListeners jobEventListeners,
             LiveStatusSource liveStatusSource) {
         this.jobEventListeners = jobEventListeners;
-        this.store = store;
+        this.store = PortGuard.guard(store);
         this.loop = loop;
         this.machineTypeCatalog = machineTypeCatalog;
         this.deploymentSettings = deploymentSettings;
         this.feasibilityCheck = new FeasibilityCheck(machineTypeCatalog, deploymentSettings);
-        this.transactionRetrier = new TransactionRetrier(store, loop);
-        this.statusCache = new JobStatusCache(store, loop);
-        this.jobRecordReader = new JobRecordReader(store, statusCache);
+        this.transactionRetrier = new TransactionRetrier(this.store, loop);
+        this.statusCache = new JobStatusCache(this.store, loop);
+        this.jobRecordReader = new JobRecordReader(this.store, statusCache);
         this.statusResolver = new JobStatusResolver(liveStatusSource);
     }
 
--- a/src/main/java/org/meadowhollow/coordination/admission/JobStatusCache.java
+++ b/src/main/java/org/meadowhollow/coordination/admission/JobStatusCache.java
@@ -9,7 +9,10 @@
 import org.meadowhollow.model.EventLoop;
 import org.meadowhollow.model.JobId;
 import org.meadowhollow.model.MonotonicTime;
+import org.meadowhollow.model.RepeatingStep;
+import org.meadowhollow.model.RepeatingSteps;
 import org.meadowhollow.model.Revision;
+import org.meadowhollow.storage.IndeterminateOutcomeException;
 import org.meadowhollow.storage.JobRecordCodec;
 import org.meadowhollow.storage.KeyValueStore;
 import org.meadowhollow.storage.KeyValueStore.RequestPriority;
@@ -305,8 +308,7 @@
         }
         CompletableFuture<KeyValueStore.ChangeBatch> unusedHandled =
                 requestChanges(sync.from())
-                        .whenComplete(
-                                (changes, failure) -> onSyncCompleted(sync, changes, failure));
+                        .whenComplete((changes, failure) -> onSyncAnswered(sync, changes, failure));
     }
 
     /**
@@ -321,11 +323,26 @@
                 .thenApply(page -> new KeyValueStore.ChangeBatch(page.revision(), List.of()));
     }
 
+    /** Applies the result of a sync; one that can't be applied counts as failed. */
+    private void onSyncAnswered(Sync sync, KeyValueStore.ChangeBatch changes, Throwable failure) {
+        synchronized (this) {
+            syncsInFlight--;
+        }
+        RepeatingSteps.run(
+                loop,
+                RepeatingStep.JOB_STATUS_SYNC,
+                () -> onSyncCompleted(sync, changes, failure),
+                () ->
+                        onSyncCompleted(
+                                sync,
+                                null,
+                                new IndeterminateOutcomeException("changes were not applied")));
+    }
+
     private void onSyncCompleted(Sync sync, KeyValueStore.ChangeBatch changes, Throwable failure) {
         boolean applied;
         boolean hasPendingReaders;
         synchronized (this) {
-            syncsInFlight--;
             boolean isCurrent = sync.generation() == entries.generation();
             applied = failure == null && isCurrent;
             if (applied) {
--- a/src/main/java/org/meadowhollow/coordination/failover/ChangeFeedFollower.java
+++ b/src/main/java/org/meadowhollow/coordination/failover/ChangeFeedFollower.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.meadowhollow.model.EventLoop;
+import org.meadowhollow.model.RepeatingStep;
+import org.meadowhollow.model.RepeatingSteps;
 import org.meadowhollow.model.Revision;
 import org.meadowhollow.storage.KeyValueStore;
 import org.meadowhollow.storage.KeyValueStore.Change;
@@ -49,6 +51,7 @@
     private static final int MAX_FAILURES = 3;
 
     private final KeyValueStore store;
+    private final EventLoop loop;
     private final GenerationCounter generations;
     private final String prefix;
     private final long maxBytes;
@@ -63,6 +66,7 @@
      */
     ChangeFeedFollower(KeyValueStore store, EventLoop loop, String prefix, long maxBytes) {
         this.store = store;
+        this.loop = loop;
         this.generations = new GenerationCounter(loop);
         this.prefix = prefix;
         this.maxBytes = maxBytes;
@@ -94,44 +98,49 @@
      * @param after the last key of the page before, or null for the first page
      * @param partialReplica the replica with the pages before, or null for the first page
      */
-    // The chain handles success and failure itself; a failed read is repeated.
-    @SuppressWarnings("FutureReturnValueIgnored")
     private void readPage(int generation, String after, KeyspaceReplica partialReplica) {
-        store.list(prefix, after, RequestPriority.BACKGROUND)
-                .whenComplete(
-                        (page, failure) -> {
-                            if (!generations.isCurrent(generation)) {
-                                return;
-                            }
-                            if (failure != null) {
-                                generations.runLater(
-                                        RETRY_DELAY,
-                                        generation,
-                                        () -> readPage(generation, after, partialReplica));
-                                return;
-                            }
-                            KeyspaceReplica updatedReplica =
-                                    partialReplica == null
-                                            ? new KeyspaceReplica(prefix, page.revision())
-                                            : partialReplica;
-                            updatedReplica.addPage(page.entries());
-                            if (abandonIfTooLarge(updatedReplica, generation)) {
-                                return;
-                            }
-                            if (page.hasMore()) {
-                                readPage(
-                                        generation,
-                                        page.entries().get(page.entries().size() - 1).key(),
-                                        updatedReplica);
-                                return;
-                            }
-                            synchronized (this) {
-                                replica = updatedReplica;
-                                consecutiveFailures = 0;
-                            }
-                            generations.runLater(
-                                    POLL_INTERVAL, generation, () -> watchChanges(generation));
-                        });
+        Runnable readAgain =
+                () ->
+                        generations.runLater(
+                                RETRY_DELAY,
+                                generation,
+                                () -> readPage(generation, after, partialReplica));
+        RepeatingSteps.handle(
+                loop,
+                RepeatingStep.STANDBY_FEED,
+                store.list(prefix, after, RequestPriority.BACKGROUND),
+                (page, failure) -> {
+                    if (!generations.isCurrent(generation)) {
+                        return;
+                    }
+                    if (failure == null) {
+                        addPage(generation, page, partialReplica);
+                    } else {
+                        readAgain.run();
+                    }
+                },
+                readAgain);
+    }
+
+    private void addPage(int generation, Page page, KeyspaceReplica partialReplica) {
+        KeyspaceReplica updatedReplica =
+                partialReplica == null
+                        ? new KeyspaceReplica(prefix, page.revision())
+                        : partialReplica;
+        updatedReplica.addPage(page.entries());
+        if (abandonIfTooLarge(updatedReplica, generation)) {
+            return;
+        }
+        if (page.hasMore()) {
+            String lastKey = page.entries().get(page.entries().size() - 1).key();
+            readPage(generation, lastKey, updatedReplica);
+            return;
+        }
+        synchronized (this) {
+            replica = updatedReplica;
+            consecutiveFailures = 0;
+        }
+        generations.runLater(POLL_INTERVAL, generation, () -> watchChanges(generation));
     }
 
     private boolean abandonIfTooLarge(KeyspaceReplica updatedReplica, int generation) {
@@ -150,48 +159,48 @@
         return true;
     }
 
-    // The chain handles success and failure itself, and watches or reads again.
-    @SuppressWarnings("FutureReturnValueIgnored")
     private void watchChanges(int generation) {
         KeyspaceReplica watchedReplica;
         synchronized (this) {
             watchedReplica = replica;
         }
-        store.watch(prefix, watchedReplica.revision(), WATCH_TIMEOUT)
-                .whenComplete(
-                        (changeBatch, failure) -> {
-                            if (!generations.isCurrent(generation)) {
-                                return;
-                            }
-                            if (failure == null
-                                    && !watchedReplica.revision().isAfter(changeBatch.revision())) {
-                                synchronized (this) {
-                                    consecutiveFailures = 0;
-                                    watchedReplica.apply(changeBatch);
-                                }
-                                if (!abandonIfTooLarge(watchedReplica, generation)) {
-                                    generations.runLater(
-                                            POLL_INTERVAL,
-                                            generation,
-                                            () -> watchChanges(generation));
-                                }
-                            } else if (failure == null
-                                    || countFailureAndCheckReload(
-                                            KeyValueStoreException.outcomeOf(failure))) {
-                                LOG.info(
-                                        "record reload started prefix={} reason={}",
-                                        prefix,
-                                        failure == null
-                                                ? "key-value store returned earlier revision "
-                                                        + changeBatch.revision()
-                                                : failure.getMessage());
-                                generations.runLater(
-                                        POLL_INTERVAL, startNewGeneration(), this::start);
-                            } else {
-                                generations.runLater(
-                                        RETRY_DELAY, generation, () -> watchChanges(generation));
-                            }
-                        });
+        RepeatingSteps.handle(
+                loop,
+                RepeatingStep.STANDBY_FEED,
+                store.watch(prefix, watchedReplica.revision(), WATCH_TIMEOUT),
+                (changeBatch, failure) -> {
+                    if (generations.isCurrent(generation)) {
+                        onWatchEnded(generation, watchedReplica, changeBatch, failure);
+                    }
+                },
+                () -> reload("changes could not be applied"));
+    }
+
+    private void onWatchEnded(
+            int generation,
+            KeyspaceReplica watchedReplica,
+            ChangeBatch changeBatch,
+            Throwable failure) {
+        if (failure == null && !watchedReplica.revision().isAfter(changeBatch.revision())) {
+            synchronized (this) {
+                consecutiveFailures = 0;
+                watchedReplica.apply(changeBatch);
+            }
+            if (!abandonIfTooLarge(watchedReplica, generation)) {
+                generations.runLater(POLL_INTERVAL, generation, () -> watchChanges(generation));
+            }
+        } else if (failure == null) {
+            reload("key-value store returned earlier revision " + changeBatch.revision());
+        } else if (countFailureAndCheckReload(KeyValueStoreException.outcomeOf(failure))) {
+            reload(failure.getMessage());
+        } else {
+            generations.runLater(RETRY_DELAY, generation, () -> watchChanges(generation));
+        }
+    }
+
+    private void reload(String reason) {
+        LOG.info("record reload started prefix={} reason={}", prefix, reason);
+        generations.runLater(POLL_INTERVAL, startNewGeneration(), this::start);
     }
 
     /**
--- a/src/main/java/org/meadowhollow/coordination/failover/WarmStandby.java
+++ b/src/main/java/org/meadowhollow/coordination/failover/WarmStandby.java
@@ -12,6 +12,8 @@
 import org.meadowhollow.coordination.api.RiskTableDelta;
 import org.meadowhollow.model.EventLoop;
 import org.meadowhollow.model.FencingToken;
+import org.meadowhollow.model.RepeatingStep;
+import org.meadowhollow.model.RepeatingSteps;
 import org.meadowhollow.model.Revision;
 import org.meadowhollow.storage.KeyValueStore;
 import org.meadowhollow.storage.RecordDigests;
@@ -111,7 +113,12 @@
                     followers.values().forEach(ChangeFeedFollower::start);
                     pullTables(generation);
                 });
-        generations.runLater(AUDIT_INTERVAL, generation, () -> audit(generation));
+        RepeatingSteps.every(
+                loop,
+                RepeatingStep.STANDBY_AUDIT,
+                AUDIT_INTERVAL,
+                () -> !generations.isCurrent(generation),
+                () -> audit(generation));
     }
 
     /** Stops pulling and auditing, and hands the replicas to the leadership that begins here. */
@@ -161,44 +168,53 @@
                 lowestRevision());
     }
 
-    // The chain handles success and failure itself, and schedules the next pull.
-    @SuppressWarnings("FutureReturnValueIgnored")
     private void pullTables(int generation) {
         String leader = leaderSupplier.get();
         if (!isOtherMember(leader)) {
-            generations.runLater(PULL_INTERVAL, generation, () -> pullTables(generation));
+            pullTablesAfter(PULL_INTERVAL, generation);
             return;
         }
         RiskTableReplica replica;
         synchronized (this) {
             replica = tableReplica;
         }
-        peerGateway
-                .fetchRiskTables(leader, replica.nextRequest(currentStatus()))
-                .whenComplete(
-                        (delta, failure) -> {
-                            if (!generations.isCurrent(generation)) {
-                                return;
-                            }
-                            boolean hasMore;
-                            synchronized (this) {
-                                hasMore =
-                                        failure == null
-                                                && delta.isPresent()
-                                                && applyDelta(replica, leader, delta.get());
-                            }
-                            if (failure != null) {
-                                replica.requestFullSync();
-                                LOG.info(
-                                        "full risk tables requested node={} reason={}",
-                                        leader,
-                                        reason(failure));
-                            }
-                            generations.runLater(
-                                    hasMore ? NEXT_PAGE_DELAY : PULL_INTERVAL,
-                                    generation,
-                                    () -> pullTables(generation));
-                        });
+        RepeatingSteps.handle(
+                loop,
+                RepeatingStep.RISK_TABLE_PULL,
+                peerGateway.fetchRiskTables(leader, replica.nextRequest(currentStatus())),
+                (delta, failure) -> {
+                    if (generations.isCurrent(generation)) {
+                        onTablesPulled(generation, replica, leader, delta, failure);
+                    }
+                },
+                () -> {
+                    replica.requestFullSync();
+                    pullTablesAfter(PULL_INTERVAL, generation);
+                });
+    }
+
+    private void pullTablesAfter(Duration delay, int generation) {
+        generations.runLater(delay, generation, () -> pullTables(generation));
+    }
+
+    private void onTablesPulled(
+            int generation,
+            RiskTableReplica replica,
+            String leader,
+            Optional<RiskTableDelta> delta,
+            Throwable failure) {
+        boolean hasMore;
+        synchronized (this) {
+            hasMore =
+                    failure == null
+                            && delta.isPresent()
+                            && applyDelta(replica, leader, delta.get());
+        }
+        if (failure != null) {
+            replica.requestFullSync();
+            LOG.info("full risk tables requested node={} reason={}", leader, reason(failure));
+        }
+        pullTablesAfter(hasMore ? NEXT_PAGE_DELAY : PULL_INTERVAL, generation);
     }
 
     private static String reason(Throwable failure) {
@@ -227,7 +243,6 @@
     // A failed request is ignored: the next audit is already scheduled.
     @SuppressWarnings("FutureReturnValueIgnored")
     private void audit(int generation) {
-        generations.runLater(AUDIT_INTERVAL, generation, () -> audit(generation));
         String leader = leaderSupplier.get();
         if (!isOtherMember(leader)) {
             return;
--- a/src/main/java/org/meadowhollow/coordination/fleet/Autoscaler.java
+++ b/src/main/java/org/meadowhollow/coordination/fleet/Autoscaler.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import org.meadowhollow.coordination.api.CloudProvider;
 import org.meadowhollow.coordination.api.DeploymentSettings;
 import org.meadowhollow.coordination.scheduling.StepBudget;
@@ -20,6 +19,8 @@
 import org.meadowhollow.model.MachineType;
 import org.meadowhollow.model.MachineTypeCatalog;
 import org.meadowhollow.model.MonotonicTime;
+import org.meadowhollow.model.RepeatingStep;
+import org.meadowhollow.model.RepeatingSteps;
 
 /**
  * Scales the fleet: rents machines for waiting tasks, returns idle, faulty and silent ones, and
@@ -157,16 +158,18 @@
         // Lists lag by the listing delay in any case: polling more often than twice per delay finds
         // little.
         Duration interval = deploymentSettings.cloudListingDelay().dividedBy(2);
-        CompletableFuture<List<CloudProvider.ListedMachine>> unusedHandled =
-                cloudProvider
-                        .listMachines()
-                        .whenComplete(
-                                (list, failure) -> {
-                                    if (failure == null) {
-                                        processMachineList(list);
-                                    }
-                                    loop.schedule(interval, this::pollMachineList);
-                                });
+        Runnable pollAgain = () -> loop.schedule(interval, this::pollMachineList);
+        RepeatingSteps.handle(
+                loop,
+                RepeatingStep.MACHINE_LIST_POLL,
+                cloudProvider.listMachines(),
+                (list, failure) -> {
+                    if (failure == null) {
+                        processMachineList(list);
+                    }
+                    pollAgain.run();
+                },
+                pollAgain);
     }
 
     private void processMachineList(List<CloudProvider.ListedMachine> list) {
--- a/src/main/java/org/meadowhollow/coordination/fleet/FailureDetector.java
+++ b/src/main/java/org/meadowhollow/coordination/fleet/FailureDetector.java
@@ -231,9 +231,10 @@
             decision = decideResignation();
         }
         if (!queried.isEmpty()) {
-            CompletableFuture<Void> unusedRecorded =
+            CompletableFuture<?> unusedRecorded =
                     peerGateway
                             .queryRecentHeartbeats(queried, PEER_HEARTBEAT_WINDOW)
+                            .exceptionally(failure -> List.of())
                             .thenAccept(reports -> recordPeerReports(queried, reports));
         }
         if (decision.resigns()) {
--- a/src/main/java/org/meadowhollow/coordination/fleet/PeerHeartbeatQuery.java
+++ b/src/main/java/org/meadowhollow/coordination/fleet/PeerHeartbeatQuery.java
@@ -62,7 +62,6 @@
         pendingMachines = inFlight ? List.of() : selectMachines(overdue, silentSeconds, now);
         if (!pendingMachines.isEmpty()) {
             pendingMachines.forEach(machine -> queriedAt.put(machine, now));
-            inFlight = true;
         }
     }
 
@@ -92,6 +91,7 @@
     List<MachineId> takePending() {
         List<MachineId> machines = pendingMachines;
         pendingMachines = List.of();
+        inFlight |= !machines.isEmpty();
         return machines;
     }
 
--- a/src/main/java/org/meadowhollow/coordination/leadership/Leadership.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/Leadership.java
@@ -379,6 +379,7 @@
         CompletableFuture<?> unusedReply =
                 peerGateway
                         .probe(probe.suspect())
+                        .exceptionally(failure -> PeerGateway.ProbeResult.UNRESPONSIVE)
                         .thenAccept(
                                 result ->
                                         handle(
--- a/src/main/java/org/meadowhollow/coordination/lifecycle/TaskStopQueue.java
+++ b/src/main/java/org/meadowhollow/coordination/lifecycle/TaskStopQueue.java
@@ -11,6 +11,7 @@
 import org.meadowhollow.model.EventLoop;
 import org.meadowhollow.model.Machine;
 import org.meadowhollow.model.Placement;
+import org.meadowhollow.model.RepeatingStep;
 import org.meadowhollow.model.WorkerCommand;
 import org.meadowhollow.model.WorkerIncarnation;
 import org.meadowhollow.storage.RecordWriter;
@@ -95,22 +96,27 @@
     }
 
     private void runNext() {
-        Map<Recipient, List<WorkerCommand>> commands = new LinkedHashMap<>();
         isRunning = true;
+        loop.runRepeating(RepeatingStep.TASK_STOP, this::carryOutNext);
+        isRunning = false;
+        isScheduled = !queue.isEmpty();
+        if (isScheduled) {
+            loop.schedule(PAUSE, this::runScheduled);
+        }
+    }
+
+    /** Carries out the next stops. A stop that throws an exception is not repeated here. */
+    private void carryOutNext() {
+        Map<Recipient, List<WorkerCommand>> commands = new LinkedHashMap<>();
         try {
             for (int count = 0; count < MAX_STOPS_PER_CALLBACK && !queue.isEmpty(); count++) {
                 carryOut(queue.poll(), commands);
             }
         } finally {
-            isRunning = false;
-        }
-        commands.forEach(
-                (recipient, stops) ->
-                        commandSender.sendCommands(
-                                recipient.machine(), recipient.incarnation(), stops));
-        isScheduled = !queue.isEmpty();
-        if (isScheduled) {
-            loop.schedule(PAUSE, this::runScheduled);
+            commands.forEach(
+                    (recipient, stops) ->
+                            commandSender.sendCommands(
+                                    recipient.machine(), recipient.incarnation(), stops));
         }
     }
 
--- a/src/main/java/org/meadowhollow/coordination/reconciliation/HeartbeatHandler.java
+++ b/src/main/java/org/meadowhollow/coordination/reconciliation/HeartbeatHandler.java
@@ -21,6 +21,8 @@
 import org.meadowhollow.model.Machine;
 import org.meadowhollow.model.MonotonicTime;
 import org.meadowhollow.model.Placement;
+import org.meadowhollow.model.RepeatingStep;
+import org.meadowhollow.model.RepeatingSteps;
 import org.meadowhollow.model.TaskShard;
 import org.meadowhollow.model.WorkerCommand;
 import org.meadowhollow.storage.RecordWriter;
@@ -104,7 +106,12 @@
 
     /** Starts the periodic sweep that answers deferred heartbeats once they are due. */
     public void start() {
-        loop.schedule(DEFERRAL_SWEEP_INTERVAL, this::sweepDeferred);
+        RepeatingSteps.every(
+                loop,
+                RepeatingStep.HEARTBEAT_SWEEP,
+                DEFERRAL_SWEEP_INTERVAL,
+                context.isClosed(),
+                this::sweepDeferred);
     }
 
     /**
@@ -193,7 +200,6 @@
             due = awaitingCommands.takeDue(loop.now());
             timedOut = awaitingFreshness.takeDue(loop.now());
         }
-        loop.schedule(DEFERRAL_SWEEP_INTERVAL, this::sweepDeferred);
         due.forEach(this::answerDeferred);
         timedOut.forEach(this::applyAndRedirect);
     }
--- a/src/main/java/org/meadowhollow/coordination/recovery/JobWatcher.java
+++ b/src/main/java/org/meadowhollow/coordination/recovery/JobWatcher.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import org.meadowhollow.model.MonotonicTime;
+import org.meadowhollow.model.RepeatingStep;
+import org.meadowhollow.model.RepeatingSteps;
 import org.meadowhollow.model.Revision;
 import org.meadowhollow.storage.KeyValueStore;
 import org.meadowhollow.storage.KeyValueStoreException;
@@ -58,28 +60,28 @@
         watch(after, Duration.ZERO);
     }
 
-    // The chain handles success and failure itself, and continues to watch.
-    @SuppressWarnings("FutureReturnValueIgnored")
     private void watch(Revision after, Duration timeout) {
         MonotonicTime sentAt = context.loop().now();
         if (lastWatchSentAt == null) {
             lastWatchSentAt = sentAt;
         }
-        context.store()
-                .watch(RecordKeys.JOB_PREFIX, after, timeout)
-                .whenComplete(
-                        (changes, failure) -> {
-                            synchronized (context.lock()) {
-                                if (context.listener().isClosed()) {
-                                    return;
-                                }
-                                if (failure == null) {
-                                    onChanges(changes, after, sentAt);
-                                } else {
-                                    onFailure(failure, after, sentAt);
-                                }
-                            }
-                        });
+        RepeatingSteps.handle(
+                context.loop(),
+                RepeatingStep.JOB_WATCH,
+                context.store().watch(RecordKeys.JOB_PREFIX, after, timeout),
+                (changes, failure) -> {
+                    synchronized (context.lock()) {
+                        if (context.listener().isClosed()) {
+                            return;
+                        }
+                        if (failure == null) {
+                            onChanges(changes, after, sentAt);
+                        } else {
+                            onFailure(failure, after, sentAt);
+                        }
+                    }
+                },
+                () -> retryLater(after));
     }
 
     private void onChanges(KeyValueStore.ChangeBatch batch, Revision after, MonotonicTime sentAt) {
--- a/src/main/java/org/meadowhollow/coordination/recovery/PageReader.java
+++ b/src/main/java/org/meadowhollow/coordination/recovery/PageReader.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.function.Consumer;
 import org.meadowhollow.model.EventLoopStep;
+import org.meadowhollow.model.RepeatingStep;
+import org.meadowhollow.model.RepeatingSteps;
 import org.meadowhollow.model.Revision;
 import org.meadowhollow.storage.KeyValueStore;
 import org.meadowhollow.storage.KeyValueStore.RequestPriority;
@@ -50,39 +52,46 @@
             this.onComplete = onComplete;
         }
 
-        // The chain handles success and failure itself; a failed read is repeated.
-        @SuppressWarnings("FutureReturnValueIgnored")
         void readAfter(String lastKey, Revision firstRevision) {
-            context.store()
-                    .list(prefix, lastKey, RequestPriority.PLACEMENT)
-                    .whenComplete(
-                            (page, failure) -> {
-                                synchronized (context.lock()) {
-                                    if (context.listener().isClosed()) {
-                                        return;
-                                    }
-                                    if (failure != null) {
-                                        context.loop()
-                                                .schedule(
-                                                        StateRecovery.RETRY_DELAY,
-                                                        () -> readAfter(lastKey, firstRevision));
-                                        return;
-                                    }
-                                    applyPage(page, firstRevision);
-                                }
-                            });
+            Runnable readAgain =
+                    () ->
+                            context.loop()
+                                    .schedule(
+                                            StateRecovery.RETRY_DELAY,
+                                            () -> readAfter(lastKey, firstRevision));
+            RepeatingSteps.handle(
+                    context.loop(),
+                    RepeatingStep.RECORD_READ,
+                    context.store().list(prefix, lastKey, RequestPriority.PLACEMENT),
+                    (page, failure) -> {
+                        synchronized (context.lock()) {
+                            if (context.listener().isClosed()) {
+                                return;
+                            }
+                            if (failure == null) {
+                                applyPage(page, firstRevision);
+                            } else {
+                                readAgain.run();
+                            }
+                        }
+                    },
+                    readAgain);
         }
 
         private void applyPage(KeyValueStore.Page page, Revision firstRevision) {
-            recordCount += page.entries().size();
             context.loop().runStep(EventLoopStep.RECOVERY, () -> onPage.accept(page.entries()));
+            recordCount += page.entries().size();
             context.listener().onRecoveryProgress();
             Revision watchFrom = firstRevision == null ? page.revision() : firstRevision;
             if (page.hasMore()) {
                 String lastKey = page.entries().get(page.entries().size() - 1).key();
                 readAfter(lastKey, watchFrom);
             } else {
-                onComplete.accept(watchFrom);
+                // Not repeated if it fails, since it may be half done: a leader that makes no
+                // progress releases its lease, and the next one begins anew.
+                context.loop()
+                        .runRepeating(
+                                RepeatingStep.RECORD_READ, () -> onComplete.accept(watchFrom));
             }
         }
     }
--- a/src/main/java/org/meadowhollow/coordination/recovery/RiskTableRestorer.java
+++ b/src/main/java/org/meadowhollow/coordination/recovery/RiskTableRestorer.java
@@ -1,9 +1,12 @@
 package org.meadowhollow.coordination.recovery;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.meadowhollow.coordination.failover.HandoverState;
 import org.meadowhollow.coordination.failover.RiskTableSnapshotStore;
 import org.meadowhollow.coordination.scheduling.ClusterState;
+import org.meadowhollow.model.RepeatingStep;
+import org.meadowhollow.model.RepeatingSteps;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -65,29 +68,47 @@
      * Reads the stored snapshot, and repeats a failed read until it succeeds. Called without the
      * leader's lock.
      */
-    // The chain handles success and failure itself; a failed read is repeated.
-    @SuppressWarnings("FutureReturnValueIgnored")
     public void readSnapshot() {
-        RiskTableSnapshotStore.read(context.store(), context.loop())
-                .whenComplete(
-                        (read, failure) -> {
-                            if (failure != null) {
-                                if (!context.listener().isClosed()) {
-                                    context.loop().schedule(READ_RETRY_DELAY, this::readSnapshot);
-                                }
-                                return;
-                            }
-                            synchronized (context.lock()) {
-                                read.ifPresent(
-                                        snapshot ->
-                                                handoverState.addSnapshotTables(
-                                                        snapshot, context.loop().now()));
-                            }
-                            restoreBatch();
-                        });
+        RepeatingSteps.handle(
+                context.loop(),
+                RepeatingStep.RISK_TABLE_RESTORE,
+                RiskTableSnapshotStore.read(context.store(), context.loop()),
+                this::onSnapshotRead,
+                this::readSnapshotLater);
+    }
+
+    private void readSnapshotLater() {
+        if (!context.listener().isClosed()) {
+            context.loop().schedule(READ_RETRY_DELAY, this::readSnapshot);
+        }
+    }
+
+    private void onSnapshotRead(
+            Optional<RiskTableSnapshotStore.StoredTables> read, Throwable failure) {
+        if (failure != null) {
+            readSnapshotLater();
+            return;
+        }
+        synchronized (context.lock()) {
+            read.ifPresent(
+                    snapshot -> handoverState.addSnapshotTables(snapshot, context.loop().now()));
+        }
+        restoreBatch();
     }
 
     private void restoreBatch() {
+        RepeatingSteps.run(
+                context.loop(),
+                RepeatingStep.RISK_TABLE_RESTORE,
+                this::restoreNextTables,
+                this::restoreBatchLater);
+    }
+
+    private void restoreBatchLater() {
+        context.loop().schedule(BATCH_INTERVAL, this::restoreBatch);
+    }
+
+    private void restoreNextTables() {
         synchronized (context.lock()) {
             context.listener().renewLeadershipIfDue();
             if (context.listener().isClosed()) {
@@ -95,7 +116,7 @@
             }
             if (handoverState.restoreSnapshotTables(
                     clusterState.machines(), clusterState.riskTables(), context.loop().now())) {
-                context.loop().schedule(BATCH_INTERVAL, this::restoreBatch);
+                restoreBatchLater();
             } else {
                 complete = true;
                 LOG.info(
--- a/src/main/java/org/meadowhollow/coordination/recovery/StateRecovery.java
+++ b/src/main/java/org/meadowhollow/coordination/recovery/StateRecovery.java
@@ -4,11 +4,14 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.meadowhollow.coordination.failover.FailoverTimeline;
 import org.meadowhollow.coordination.failover.HandoverState;
 import org.meadowhollow.model.EventLoopStep;
 import org.meadowhollow.model.FencingToken;
+import org.meadowhollow.model.RepeatingStep;
+import org.meadowhollow.model.RepeatingSteps;
 import org.meadowhollow.model.Revision;
 import org.meadowhollow.storage.KeyValueStore;
 import org.meadowhollow.storage.KeyspaceReplica;
@@ -68,32 +71,45 @@
     }
 
     /** Restores the records from this node's replicas, or else reads them page by page. */
-    // A replica that cannot be brought up to date counts as absent, and then the chain reads all
-    // records.
-    @SuppressWarnings("FutureReturnValueIgnored")
     public void start() {
         if (!handoverState.wasStandby()) {
             readJobs();
             return;
         }
-        handoverState
-                .takeRecords(leaderKeyRevision)
-                .thenAccept(
-                        replicas -> {
-                            synchronized (context.lock()) {
-                                if (context.listener().isClosed()) {
-                                    return;
-                                }
-                                if (replicas.isEmpty()) {
-                                    LOG.info(
-                                            "full recovery started token={} reason=local replica does not cover the leader record",
-                                            fencingToken);
-                                    readJobs();
-                                } else {
-                                    restoreFromReplicas(replicas.get());
-                                }
-                            }
-                        });
+        RepeatingSteps.handle(
+                context.loop(),
+                RepeatingStep.REPLICA_RESTORE,
+                handoverState.takeRecords(leaderKeyRevision),
+                (replicas, failure) -> {
+                    synchronized (context.lock()) {
+                        if (!context.listener().isClosed()) {
+                            onReplicasTaken(failure == null ? replicas : Optional.empty());
+                        }
+                    }
+                },
+                this::leaveToNextLeader);
+    }
+
+    /**
+     * Ends a recovery from replicas that has failed half done. The leader then makes no progress
+     * and releases its lease; the next one begins anew.
+     */
+    private void leaveToNextLeader() {
+        LOG.info("recovery abandoned token={} reason=a replica was not restored", fencingToken);
+    }
+
+    /**
+     * @param replicas empty if this node's replicas could not be brought up to date
+     */
+    private void onReplicasTaken(Optional<Map<String, KeyspaceReplica>> replicas) {
+        if (replicas.isEmpty()) {
+            LOG.info(
+                    "full recovery started token={} reason=local replica does not cover the leader record",
+                    fencingToken);
+            readJobs();
+        } else {
+            restoreFromReplicas(replicas.get());
+        }
     }
 
     private void restoreFromReplicas(Map<String, KeyspaceReplica> replicas) {
@@ -141,13 +157,23 @@
         context.loop()
                 .schedule(
                         Duration.ZERO,
-                        () -> {
-                            synchronized (context.lock()) {
-                                if (!context.listener().isClosed()) {
-                                    restoreInParts(rest, restore, onComplete);
-                                }
-                            }
-                        });
+                        () ->
+                                RepeatingSteps.run(
+                                        context.loop(),
+                                        RepeatingStep.REPLICA_RESTORE,
+                                        () -> restoreRest(rest, restore, onComplete),
+                                        this::leaveToNextLeader));
+    }
+
+    private void restoreRest(
+            List<KeyValueStore.Entry> rest,
+            Consumer<List<KeyValueStore.Entry>> restore,
+            Runnable onComplete) {
+        synchronized (context.lock()) {
+            if (!context.listener().isClosed()) {
+                restoreInParts(rest, restore, onComplete);
+            }
+        }
     }
 
     /** The revision up to which all records are loaded, or null until they are. */
--- a/src/main/java/org/meadowhollow/coordination/reservation/ReservationCalendarReplica.java
+++ b/src/main/java/org/meadowhollow/coordination/reservation/ReservationCalendarReplica.java
@@ -6,9 +6,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import org.meadowhollow.model.EventLoop;
+import org.meadowhollow.model.RepeatingStep;
+import org.meadowhollow.model.RepeatingSteps;
 import org.meadowhollow.model.Revision;
 import org.meadowhollow.storage.CalendarRecordCodec;
 import org.meadowhollow.storage.CalendarSnapshot;
@@ -87,20 +88,26 @@
         if (leadershipEnded.getAsBoolean()) {
             return;
         }
-        CompletableFuture<?> unused =
+        RepeatingSteps.handle(
+                loop,
+                RepeatingStep.CALENDAR_WATCH,
                 store.list(
-                                CalendarRecordCodec.CALENDAR_PREFIX,
-                                after,
-                                KeyValueStore.MAX_PAGE_SIZE,
-                                RequestPriority.PLACEMENT)
-                        .whenComplete(
-                                (page, failure) -> {
-                                    if (failure != null) {
-                                        loop.schedule(RETRY_DELAY, this::start);
-                                    } else {
-                                        onPage(page, firstRevision, read);
-                                    }
-                                });
+                        CalendarRecordCodec.CALENDAR_PREFIX,
+                        after,
+                        KeyValueStore.MAX_PAGE_SIZE,
+                        RequestPriority.PLACEMENT),
+                (page, failure) -> {
+                    if (failure != null) {
+                        startLater();
+                    } else {
+                        onPage(page, firstRevision, read);
+                    }
+                },
+                this::startLater);
+    }
+
+    private void startLater() {
+        loop.schedule(RETRY_DELAY, this::start);
     }
 
     private void onPage(
@@ -127,17 +134,19 @@
         if (leadershipEnded.getAsBoolean()) {
             return;
         }
-        CompletableFuture<?> unused =
-                store.watch(CalendarRecordCodec.CALENDAR_PREFIX, after, WATCH_TIMEOUT)
-                        .whenComplete(
-                                (changes, failure) -> {
-                                    if (failure == null) {
-                                        applyChanges(changes);
-                                        watchChanges(changes.revision());
-                                    } else {
-                                        retryWatch(after, failure);
-                                    }
-                                });
+        RepeatingSteps.handle(
+                loop,
+                RepeatingStep.CALENDAR_WATCH,
+                store.watch(CalendarRecordCodec.CALENDAR_PREFIX, after, WATCH_TIMEOUT),
+                (changes, failure) -> {
+                    if (failure == null) {
+                        applyChanges(changes);
+                        watchChanges(changes.revision());
+                    } else {
+                        retryWatch(after, failure);
+                    }
+                },
+                this::startLater);
     }
 
     private void retryWatch(Revision after, Throwable failure) {
--- a/src/main/java/org/meadowhollow/coordination/reservation/ReservationService.java
+++ b/src/main/java/org/meadowhollow/coordination/reservation/ReservationService.java
@@ -11,6 +11,7 @@
 import java.util.function.Function;
 import org.meadowhollow.coordination.admission.AdmissionService;
 import org.meadowhollow.coordination.api.DeploymentSettings;
+import org.meadowhollow.coordination.api.PortGuard;
 import org.meadowhollow.model.EventLoop;
 import org.meadowhollow.model.MachineType;
 import org.meadowhollow.model.MachineTypeCatalog;
@@ -120,7 +121,7 @@
             MachineTypeCatalog machineTypeCatalog,
             DeploymentSettings deploymentSettings,
             Map<String, Integer> maxMachines) {
-        this.store = store;
+        this.store = PortGuard.guard(store);
         this.loop = loop;
         this.machineTypeCatalog = machineTypeCatalog;
         this.deploymentSettings = deploymentSettings;
--- a/src/main/java/org/meadowhollow/model/EventLoop.java
+++ b/src/main/java/org/meadowhollow/model/EventLoop.java
@@ -14,6 +14,14 @@
     /** Runs a task once after a delay, on the loop's thread. */
     void schedule(Duration delay, Runnable task);
 
+    /**
+     * Runs one execution of a step that repeats. An exception that it throws is recorded and does
+     * not leave this method, so that the caller can go on; see {@link RepeatingSteps}.
+     *
+     * @return whether the body ended without an exception
+     */
+    boolean runRepeating(RepeatingStep step, Runnable body);
+
     /**
      * Runs part of a callback now, as a step that the loop may measure. Steps may contain others.
      */
--- a/src/main/java/org/meadowhollow/protocol/keyvalue/RequestQueue.java
+++ b/src/main/java/org/meadowhollow/protocol/keyvalue/RequestQueue.java
@@ -11,8 +11,11 @@
 import java.util.function.Consumer;
 import org.meadowhollow.model.EventLoop;
 import org.meadowhollow.model.MonotonicTime;
+import org.meadowhollow.model.RepeatingStep;
+import org.meadowhollow.model.RepeatingSteps;
 import org.meadowhollow.protocol.AdaptiveRateLimiter;
 import org.meadowhollow.protocol.Http;
+import org.meadowhollow.storage.IndeterminateOutcomeException;
 import org.meadowhollow.storage.KeyValueStore.RequestPriority;
 import org.meadowhollow.storage.KeyValueStoreException;
 import org.meadowhollow.storage.RequestRejectedException;
@@ -192,11 +195,25 @@
             }
             expired.forEach(RequestQueue::rejectExpired);
             if (next != null) {
-                sender.accept(next);
+                send(next);
             }
         }
     }
 
+    /** Sends a request; one that the sender does not accept fails, and leaves the queue usable. */
+    private void send(QueuedRequest next) {
+        RepeatingSteps.run(
+                loop,
+                RepeatingStep.STORE_DISPATCH,
+                () -> sender.accept(next),
+                () -> {
+                    requestFinished();
+                    next.reply()
+                            .completeExceptionally(
+                                    new IndeterminateOutcomeException("the request failed"));
+                });
+    }
+
     @GuardedBy("this")
     private Selection selectNext(MonotonicTime now) {
         Duration pause = Duration.ZERO;
--- a/src/main/java/org/meadowhollow/protocol/tes/TesApi.java
+++ b/src/main/java/org/meadowhollow/protocol/tes/TesApi.java
@@ -9,6 +9,7 @@
 import java.util.random.RandomGenerator;
 import org.meadowhollow.coordination.admission.AdmissionService;
 import org.meadowhollow.coordination.api.DeploymentSettings;
+import org.meadowhollow.coordination.api.PortGuard;
 import org.meadowhollow.model.EventLoop;
 import org.meadowhollow.model.JobId;
 import org.meadowhollow.model.JobSpec;
@@ -69,13 +70,13 @@
             RandomGenerator random) {
         this.tracer = tracer;
         this.admissionService = admissionService;
-        this.store = store;
+        this.store = PortGuard.guard(store);
         this.loop = loop;
         this.deploymentSettings = deploymentSettings;
         this.tokens = tokens;
         this.random = random;
-        this.taskStore = new TesTaskStore(store);
-        this.listing = new TesTaskListing(taskStore, store);
+        this.taskStore = new TesTaskStore(this.store);
+        this.listing = new TesTaskListing(taskStore, this.store);
     }
 
     @Override
--- a/src/main/java/org/meadowhollow/storage/ObsoleteRecordCleaner.java
+++ b/src/main/java/org/meadowhollow/storage/ObsoleteRecordCleaner.java
@@ -3,8 +3,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
 import org.meadowhollow.model.EventLoop;
+import org.meadowhollow.model.RepeatingStep;
+import org.meadowhollow.model.RepeatingSteps;
 import org.meadowhollow.model.Revision;
 import org.meadowhollow.storage.KeyValueStore.RequestPriority;
 
@@ -88,11 +89,12 @@
             transaction.delete(obsoleteKeys.remove(obsoleteKeys.size() - 1));
         }
         isBusy = true;
-        CompletableFuture<?> unused =
-                store.commit(transaction, RequestPriority.BACKGROUND)
-                        .whenComplete(
-                                (commitResult, failure) ->
-                                        handleResult(transaction, commitResult, failure));
+        RepeatingSteps.handle(
+                loop,
+                RepeatingStep.RECORD_DELETION,
+                store.commit(transaction, RequestPriority.BACKGROUND),
+                (commitResult, failure) -> handleResult(transaction, commitResult, failure),
+                () -> retryLater(transaction));
     }
 
     private void handleResult(
@@ -101,15 +103,19 @@
             resume();
             return;
         }
-        obsoleteKeys.addAll(transaction.writes().keySet());
         if (failure == null) {
             // The leader key is the only condition.
             listener.onLeadershipLost();
         } else {
-            loop.schedule(retryDelay, this::resume);
+            retryLater(transaction);
         }
     }
 
+    private void retryLater(Transaction transaction) {
+        obsoleteKeys.addAll(transaction.writes().keySet());
+        loop.schedule(retryDelay, this::resume);
+    }
+
     private void resume() {
         isBusy = false;
         listener.onReady();
--- a/src/main/java/org/meadowhollow/storage/RecordWriter.java
+++ b/src/main/java/org/meadowhollow/storage/RecordWriter.java
@@ -3,11 +3,12 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import org.meadowhollow.model.EventLoop;
 import org.meadowhollow.model.Job;
 import org.meadowhollow.model.JobEventListeners;
 import org.meadowhollow.model.JobId;
+import org.meadowhollow.model.RepeatingStep;
+import org.meadowhollow.model.RepeatingSteps;
 import org.meadowhollow.model.Revision;
 import org.meadowhollow.model.TaskShard;
 import org.meadowhollow.storage.KeyValueStore.RequestPriority;
@@ -196,13 +197,15 @@
         // Writes of best-effort jobs must not delay user requests.
         RequestPriority requestPriority =
                 isUrgent ? RequestPriority.PLACEMENT : RequestPriority.BACKGROUND;
-        CompletableFuture<?> unused =
-                store.commit(batch.transaction(), requestPriority)
-                        .whenComplete(
-                                (commitResult, failure) -> {
-                                    transactionsInFlight--;
-                                    handleResult(batch, commitResult, failure);
-                                });
+        RepeatingSteps.handle(
+                loop,
+                RepeatingStep.RECORD_WRITE,
+                store.commit(batch.transaction(), requestPriority),
+                (commitResult, failure) -> {
+                    transactionsInFlight--;
+                    handleResult(batch, commitResult, failure);
+                },
+                this::handleDefect);
     }
 
     // ---- results ----
@@ -279,18 +282,19 @@
      */
     private void refreshShardRevision(String key, TaskShard shard) {
         shard.setWriteInFlight(true);
-        CompletableFuture<?> unused =
-                store.get(key, RequestPriority.PLACEMENT)
-                        .whenComplete(
-                                (entry, failure) -> {
-                                    shard.setWriteInFlight(false);
-                                    if (failure == null) {
-                                        shard.adoptRevision(
-                                                entry.map(KeyValueStore.Entry::revision)
-                                                        .orElse(Revision.ABSENT));
-                                    }
-                                    flush();
-                                });
+        RepeatingSteps.handle(
+                loop,
+                RepeatingStep.RECORD_WRITE,
+                store.get(key, RequestPriority.PLACEMENT),
+                (entry, failure) -> {
+                    shard.setWriteInFlight(false);
+                    if (failure == null) {
+                        shard.adoptRevision(
+                                entry.map(KeyValueStore.Entry::revision).orElse(Revision.ABSENT));
+                    }
+                    flush();
+                },
+                this::handleDefect);
     }
 
     private void pauseBeforeRetry() {
@@ -299,10 +303,20 @@
                 RETRY_DELAY,
                 () -> {
                     isPaused = false;
-                    flush();
+                    // A failed flush is repeated by the next round or heartbeat.
+                    loop.runRepeating(RepeatingStep.RECORD_WRITE, this::flush);
                 });
     }
 
+    /**
+     * Ends the leadership after the result of a transaction was applied only in part: the memory of
+     * this leader may differ from its records, and the next leader reads these.
+     */
+    private void handleDefect() {
+        LOG.info("leadership ended reason=the result of a transaction could not be applied");
+        handleLeadershipLost();
+    }
+
     private void handleLeadershipLost() {
         isClosed = true;
         listener.onLeadershipLost();
--- a/src/main/java/org/meadowhollow/transport/HttpServer.java
+++ b/src/main/java/org/meadowhollow/transport/HttpServer.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.CompletableFuture;
 import javax.net.ssl.SSLContext;
 import org.meadowhollow.model.EventLoopStep;
+import org.meadowhollow.model.RepeatingStep;
 import org.meadowhollow.protocol.Http;
 import org.meadowhollow.protocol.MalformedMessageException.Defect;
 import org.slf4j.Logger;
@@ -172,11 +173,23 @@
 
     private void accept(StreamConnection connection) {
         connectionLimiter.accepted(connection);
+        scheduleSweep();
+        openListener.handleEvent(connection);
+    }
+
+    private void scheduleSweep() {
         if (!isSweepScheduled) {
             isSweepScheduled = true;
-            loop.schedule(SWEEP_INTERVAL, this::forgetClosedConnections);
+            loop.schedule(SWEEP_INTERVAL, this::sweep);
+        }
+    }
+
+    private void sweep() {
+        isSweepScheduled = false;
+        loop.runRepeating(RepeatingStep.CONNECTION_SWEEP, this::forgetClosedConnections);
+        if (connectionLimiter.silentCount() > 0) {
+            scheduleSweep();
         }
-        openListener.handleEvent(connection);
     }
 
     /** Forgets silent connections that are closed, of which the library does not tell. */
@@ -188,10 +201,6 @@
             }
         }
         closed.forEach(connectionLimiter::connectionClosed);
-        isSweepScheduled = connectionLimiter.silentCount() > 0;
-        if (isSweepScheduled) {
-            loop.schedule(SWEEP_INTERVAL, this::forgetClosedConnections);
-        }
     }
 
     /** Returns the port that the server listens on. */
--- a/src/main/java/org/meadowhollow/transport/RefusedRequestLog.java
+++ b/src/main/java/org/meadowhollow/transport/RefusedRequestLog.java
@@ -4,6 +4,7 @@
 import java.util.EnumMap;
 import java.util.Map;
 import org.meadowhollow.model.EventLoop;
+import org.meadowhollow.model.RepeatingStep;
 import org.meadowhollow.protocol.Http;
 import org.meadowhollow.protocol.MalformedMessageException.Defect;
 import org.slf4j.Logger;
@@ -54,7 +55,7 @@
                     printable(refusal.reason()));
         }
         if (refusedInInterval == 1) {
-            loop.schedule(REPORT_INTERVAL, this::report);
+            loop.schedule(REPORT_INTERVAL, this::endInterval);
         }
     }
 
@@ -63,13 +64,17 @@
         return Map.copyOf(refusedByCause);
     }
 
+    private void endInterval() {
+        loop.runRepeating(RepeatingStep.REFUSAL_REPORT, this::report);
+        refusedInInterval = 0;
+    }
+
     private void report() {
         LOG.info(
                 "requests refused count={} not_logged={} since_start={}",
                 refusedInInterval,
                 Math.max(0, refusedInInterval - MAX_LINES_PER_INTERVAL),
                 refusedByCause);
-        refusedInInterval = 0;
     }
 
     /** Returns the beginning of a sender's text, without characters that could forge a line. */
--- a/src/main/java/org/meadowhollow/transport/XnioEventLoop.java
+++ b/src/main/java/org/meadowhollow/transport/XnioEventLoop.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.RejectedExecutionException;
@@ -10,6 +11,8 @@
 import org.meadowhollow.model.EventLoop;
 import org.meadowhollow.model.EventLoopStep;
 import org.meadowhollow.model.MonotonicTime;
+import org.meadowhollow.model.RepeatingStep;
+import org.meadowhollow.model.RepeatingSteps;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.OptionMap;
@@ -27,6 +30,7 @@
     private final XnioWorker worker;
     private final XnioIoThread ioThread;
     private final EventLoopMonitor monitor = new EventLoopMonitor(System::nanoTime);
+    private final StepFailures stepFailures = new StepFailures();
     private volatile boolean closed;
 
     /**
@@ -46,12 +50,17 @@
                                         .set(Options.THREAD_DAEMON, false)
                                         .getMap());
         ioThread = worker.getIoThread();
-        schedule(EventLoopMonitor.REPORT_INTERVAL, this::reportPauses);
+        RepeatingSteps.every(
+                this,
+                RepeatingStep.EVENT_LOOP_REPORT,
+                EventLoopMonitor.REPORT_INTERVAL,
+                () -> closed,
+                this::report);
     }
 
-    private void reportPauses() {
+    private void report() {
         monitor.report();
-        schedule(EventLoopMonitor.REPORT_INTERVAL, this::reportPauses);
+        stepFailures.report();
     }
 
     XnioWorker worker() {
@@ -116,6 +125,25 @@
                 TimeUnit.NANOSECONDS);
     }
 
+    @Override
+    public boolean runRepeating(RepeatingStep step, Runnable body) {
+        try {
+            body.run();
+            return true;
+        } catch (RejectedExecutionException closing) {
+            LOG.debug("step ran while the event loop was being closed step={}", step, closing);
+            return false;
+        } catch (RuntimeException defect) {
+            stepFailures.record(step, defect);
+            return false;
+        }
+    }
+
+    /** Returns how often each repeating step has failed since the start of the process. */
+    Map<RepeatingStep, Long> failuresByStep() {
+        return stepFailures.countByStep();
+    }
+
     /** Runs a step and measures it if it is called on the loop's thread, as all callbacks are. */
     @Override
     public <T> T callStep(EventLoopStep step, Supplier<T> work) {
--- a/src/test/java/org/meadowhollow/coordination/lifecycle/LifecycleFixture.java
+++ b/src/test/java/org/meadowhollow/coordination/lifecycle/LifecycleFixture.java
@@ -23,6 +23,7 @@
 import org.meadowhollow.model.MonotonicTime;
 import org.meadowhollow.model.Placement;
 import org.meadowhollow.model.Priority;
+import org.meadowhollow.model.RepeatingStep;
 import org.meadowhollow.model.Resources;
 import org.meadowhollow.model.Revision;
 import org.meadowhollow.model.WorkerCommand;
@@ -61,6 +62,12 @@
         public void schedule(Duration delay, Runnable task) {
             timers.add(task);
         }
+
+        @Override
+        public boolean runRepeating(RepeatingStep step, Runnable body) {
+            body.run();
+            return true;
+        }
     }
 
     private final ManualClock clock = new ManualClock();
--- a/src/test/java/org/meadowhollow/protocol/keyvalue/KeyValueStoreClientTest.java
+++ b/src/test/java/org/meadowhollow/protocol/keyvalue/KeyValueStoreClientTest.java
@@ -9,8 +9,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
+import org.meadowhollow.model.RepeatingStep;
 import org.meadowhollow.protocol.AdaptiveRateLimiter;
 import org.meadowhollow.protocol.Http;
 import org.meadowhollow.protocol.MessagePackCodec;
@@ -90,6 +92,18 @@
         assertFalse(queueing.seemsUnavailable());
     }
 
+    /** Guards against requests that use up the places in flight although they were never sent. */
+    @Test
+    void requestsThatCouldNotBeSentFailAndLeaveTheirPlacesToOthers() {
+        for (int count = 0; count < 30; count++) {
+            loop.stepFaults().failNextOf(Set.of(RepeatingStep.STORE_DISPATCH));
+            assertEquals(Outcome.INDETERMINATE, outcomeOf(client.get("key", RequestPriority.USER)));
+            loop.run(Duration.ofSeconds(1));
+        }
+
+        assertTrue(client.get("key", RequestPriority.USER).join().isEmpty());
+    }
+
     @Test
     void leaseFromHalfItsRangeOnIsRenewedUnderTheNumberThatTheStoreGave() {
         Http.Client granting =
--- a/src/test/java/org/meadowhollow/simulation/SimulatedCluster.java
+++ b/src/test/java/org/meadowhollow/simulation/SimulatedCluster.java
@@ -66,6 +66,7 @@
 
     private final FakeKeyValueStore store =
             new FakeKeyValueStore(loop).encodeResponses(encoding).startNumbersBelowHalfRange();
+    private final CallFaults callFaults = new CallFaults();
     private final SimulatedNetwork network = new SimulatedNetwork(this);
     private final SimulatedCloud cloud = new SimulatedCloud(this);
     private final SimulatedApiClients clients = new SimulatedApiClients(this);
@@ -125,6 +126,11 @@
         return network;
     }
 
+    /** Returns the faults of the calls that nodes make to other systems. */
+    CallFaults callFaults() {
+        return callFaults;
+    }
+
     SimulatedCloud cloud() {
         return cloud;
     }
--- a/src/test/java/org/meadowhollow/simulation/SimulatedNode.java
+++ b/src/test/java/org/meadowhollow/simulation/SimulatedNode.java
@@ -9,16 +9,21 @@
 import java.util.function.Supplier;
 import org.meadowhollow.coordination.ControllerNode;
 import org.meadowhollow.coordination.admission.AdmissionService;
+import org.meadowhollow.coordination.api.CloudProvider;
 import org.meadowhollow.coordination.api.DeploymentSettings;
+import org.meadowhollow.coordination.api.PeerGateway;
+import org.meadowhollow.coordination.api.WorkerGateway;
 import org.meadowhollow.coordination.reservation.ReservationService;
 import org.meadowhollow.model.EventLoop;
 import org.meadowhollow.model.EventLoopStep;
 import org.meadowhollow.model.MachineTypeCatalog;
 import org.meadowhollow.model.MonotonicTime;
+import org.meadowhollow.model.RepeatingStep;
 import org.meadowhollow.protocol.MalformedMessageException;
 import org.meadowhollow.protocol.reservation.ReservationApi;
 import org.meadowhollow.protocol.tes.BearerTokens;
 import org.meadowhollow.protocol.tes.TesApi;
+import org.meadowhollow.storage.KeyValueStore;
 
 /**
  * One controller process with its connections, and the faults that affect this node alone. A
@@ -65,16 +70,18 @@
                         .connect()
                         .deliverResponsesOn(this::runWhenResumed)
                         .duplicateRequestsTo(cluster.network()::maybeDuplicate);
+        CallFaults faults = cluster.callFaults();
+        KeyValueStore store = faults.wrap(KeyValueStore.class, storeConnection);
         MachineTypeCatalog catalog = new MachineTypeCatalog();
         DeploymentSettings settings = cluster.deploymentSettings(name);
         EventLoop nodeLoop = new NodeEventLoop();
         controller =
                 new ControllerNode(
                         nodeLoop,
-                        storeConnection,
-                        new SimulatedWorkerGateway(cluster, this),
-                        cluster.cloud(),
-                        new SimulatedPeerGateway(cluster, this),
+                        store,
+                        faults.wrap(WorkerGateway.class, new SimulatedWorkerGateway(cluster, this)),
+                        faults.wrap(CloudProvider.class, cluster.cloud()),
+                        faults.wrap(PeerGateway.class, new SimulatedPeerGateway(cluster, this)),
                         settings,
                         catalog,
                         cluster.jobEventListeners(),
@@ -83,7 +90,7 @@
                         new Random(cluster.nextSeed()));
         admissionService =
                 new AdmissionService(
-                        storeConnection,
+                        store,
                         nodeLoop,
                         catalog,
                         settings,
@@ -299,6 +306,11 @@
                             () -> runWhenResumed(() -> runStep(EventLoopStep.TIMER, task)));
         }
 
+        @Override
+        public boolean runRepeating(RepeatingStep step, Runnable body) {
+            return cluster.loop().runRepeating(step, body);
+        }
+
         @Override
         public <T> T callStep(EventLoopStep step, Supplier<T> work) {
             return cluster.loop().callStep(step, work);
--- a/src/test/java/org/meadowhollow/simulation/StalledLeaderScenarioTest.java
+++ b/src/test/java/org/meadowhollow/simulation/StalledLeaderScenarioTest.java
@@ -5,7 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.meadowhollow.coordination.admission.AdmissionService.Phase;
 import org.meadowhollow.model.JobSpec;
 import org.meadowhollow.storage.RecordKeys;
@@ -39,9 +42,12 @@
         assertEquals(startsBefore + 2, cluster.startCount(), "no running task was lost");
     }
 
-    @Test
-    void aLeaderKeepsItsLeaseThroughAnOutageOfTheStore() {
+    /** Outages begin at all moments between a renewal of the lease and the end of a watch. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 250, 500, 750, 1000, 1250, 1500, 1750, 2000, 2250, 2500, 2750})
+    void aLeaderKeepsItsLeaseThroughAnOutageOfTheStore(int beginMillis) {
         long token = cluster.fencingToken();
+        cluster.run(Duration.ofMillis(beginMillis));
 
         cluster.store().setOutage(true);
         cluster.runSeconds(60);
--- a/src/test/java/org/meadowhollow/simulation/VirtualEventLoop.java
+++ b/src/test/java/org/meadowhollow/simulation/VirtualEventLoop.java
@@ -6,6 +6,7 @@
 import org.meadowhollow.model.EventLoop;
 import org.meadowhollow.model.EventLoopStep;
 import org.meadowhollow.model.MonotonicTime;
+import org.meadowhollow.model.RepeatingStep;
 
 /**
  * An event loop with virtual time, which advances only when a test calls {@link #run}. Not
@@ -24,6 +25,7 @@
 
     private final PriorityQueue<ScheduledTask> queue = new PriorityQueue<>();
     private final StepTimes stepTimes = new StepTimes();
+    private final StepFaults stepFaults = new StepFaults();
     private long nowNanos;
     private long wallClockOffsetMillis;
     private long nextSequenceNumber;
@@ -50,6 +52,11 @@
                         nowNanos + Math.max(0, delay.toNanos()), nextSequenceNumber++, task));
     }
 
+    @Override
+    public boolean runRepeating(RepeatingStep step, Runnable body) {
+        return stepFaults.run(step, body);
+    }
+
     @Override
     public <T> T callStep(EventLoopStep step, Supplier<T> work) {
         return stepTimes.measure(step, work);
@@ -60,6 +67,11 @@
         return stepTimes;
     }
 
+    /** The failures of the repeating steps of all nodes. */
+    public StepFaults stepFaults() {
+        return stepFaults;
+    }
+
     /** Advances time by a span, and runs all work that becomes due within it. */
     public void run(Duration duration) {
         long endNanos = nowNanos + duration.toNanos();
@@ -67,6 +79,7 @@
             ScheduledTask next = queue.poll();
             nowNanos = Math.max(nowNanos, next.dueNanos());
             next.task().run();
+            stepFaults.throwDefect();
         }
         nowNanos = endNanos;
     }
--- a/src/test/java/org/meadowhollow/storage/GoldenStore.java
+++ b/src/test/java/org/meadowhollow/storage/GoldenStore.java
@@ -22,6 +22,7 @@
 import org.meadowhollow.model.FencingToken;
 import org.meadowhollow.model.MachineId;
 import org.meadowhollow.model.MonotonicTime;
+import org.meadowhollow.model.RepeatingStep;
 import org.meadowhollow.model.Revision;
 
 /**
@@ -68,6 +69,12 @@
 
         @Override
         public void schedule(Duration delay, Runnable task) {}
+
+        @Override
+        public boolean runRepeating(RepeatingStep step, Runnable body) {
+            body.run();
+            return true;
+        }
     }
 
     void put(GoldenFile file) {
--- a/src/test/java/org/meadowhollow/storage/RecordWriterTest.java
+++ b/src/test/java/org/meadowhollow/storage/RecordWriterTest.java
@@ -18,6 +18,7 @@
 import org.meadowhollow.model.MachineId;
 import org.meadowhollow.model.MonotonicTime;
 import org.meadowhollow.model.Priority;
+import org.meadowhollow.model.RepeatingStep;
 import org.meadowhollow.model.Resources;
 import org.meadowhollow.model.Revision;
 import org.meadowhollow.model.TaskShard;
@@ -72,6 +73,12 @@
                 public void schedule(Duration delay, Runnable task) {
                     timers.add(task);
                 }
+
+                @Override
+                public boolean runRepeating(RepeatingStep step, Runnable body) {
+                    body.run();
+                    return true;
+                }
             };
     private final RecordWriter recordWriter =
             new RecordWriter(
