Tests: a peer's call that throws, an outage that begins while watches fail, a closed buffer pool

Cause: trials with one guard out at a time showed guards that no test held: the reset of the stall count by an outage, the failure of a peer's probe and of the query of recent heartbeats, and exceptions of the HTTP library other than that of a reset connection. Change: one test for each. The outage test lets watches fail before the outage, which it didn't.

--- a/src/test/java/org/meadowhollow/simulation/CallFaults.java
+++ b/src/test/java/org/meadowhollow/simulation/CallFaults.java
@@ -16,12 +16,20 @@
     private double throwingShare;
     private int thrownCount;
 
+    /** The method whose next call throws; null if there is none. */
+    private String throwingMethod;
+
     /** Lets this share of all calls throw; 0 ends the fault. */
     void throwAtRandom(Random source, double share) {
         random = source;
         throwingShare = share;
     }
 
+    /** Lets the next call of a method throw before anything is sent. */
+    void throwNextCallOf(String method) {
+        throwingMethod = method;
+    }
+
     /** How many calls have thrown. */
     int thrownCount() {
         return thrownCount;
@@ -35,6 +43,10 @@
     }
 
     private Object call(Object target, Method method, Object[] arguments) throws Throwable {
+        if (method.getName().equals(throwingMethod)) {
+            throwingMethod = null;
+            throw faultOf(method);
+        }
         boolean isThrowing =
                 method.getReturnType() == CompletableFuture.class
                         && throwingShare > 0
@@ -42,12 +54,16 @@
         boolean isSent = !isThrowing || random.nextBoolean();
         Object result = isSent ? forward(target, method, arguments) : null;
         if (isThrowing) {
-            thrownCount++;
-            throw new IllegalStateException("fault of the test: " + method.getName());
+            throw faultOf(method);
         }
         return result;
     }
 
+    private IllegalStateException faultOf(Method method) {
+        thrownCount++;
+        return new IllegalStateException("fault of the test: " + method.getName());
+    }
+
     private static Object forward(Object target, Method method, Object[] arguments)
             throws Throwable {
         try {
--- a/src/test/java/org/meadowhollow/simulation/LeaderFailureScenarioTest.java
+++ b/src/test/java/org/meadowhollow/simulation/LeaderFailureScenarioTest.java
@@ -104,6 +104,21 @@
         assertEquals(Phase.DONE, phaseOf(job));
     }
 
+    /** Guards against a probe that stays in flight after its call has thrown. */
+    @Test
+    void failedLeaderIsProbedAgainAfterAProbeThrows() {
+        int failed = cluster.leader();
+        // Both nodes that remain probe it; the lease must not end the leadership before.
+        cluster.callFaults().throwNextCallOf("probe");
+        cluster.network().cutPeers(true);
+        cluster.crash(failed);
+        cluster.runSeconds(1.5);
+        cluster.network().cutPeers(false);
+        cluster.runSeconds(2.5);
+        assertEquals(1, cluster.callFaults().thrownCount());
+        assertTrue(cluster.leader() >= 0 && cluster.leader() != failed);
+    }
+
     @Test
     void restartedLeaderDoesNotWaitForItsPreviousLease() {
         int first = cluster.leader();
--- a/src/test/java/org/meadowhollow/simulation/LeaderReachabilityScenarioTest.java
+++ b/src/test/java/org/meadowhollow/simulation/LeaderReachabilityScenarioTest.java
@@ -84,6 +84,18 @@
         assertNoRestartOrReturn();
     }
 
+    /** Guards against a query of the peers that stays in flight after its call has thrown. */
+    @Test
+    void isolatedLeaderHandsOverAlthoughItsFirstQueryThrows() {
+        cluster.callFaults().throwNextCallOf("queryRecentHeartbeats");
+        cluster.cutFromWorkers(initialLeader, true);
+        cluster.runSeconds(15);
+        assertEquals(1, cluster.callFaults().thrownCount());
+        assertNotEquals(initialLeader, cluster.leader());
+        cluster.runSeconds(18);
+        assertNoRestartOrReturn();
+    }
+
     @Test
     void workersLeavingIsolatedLeaderWaitForItsSuccessor() {
         cluster.cutFromWorkers(initialLeader, true);
--- a/src/test/java/org/meadowhollow/simulation/StalledLeaderScenarioTest.java
+++ b/src/test/java/org/meadowhollow/simulation/StalledLeaderScenarioTest.java
@@ -18,6 +18,9 @@
     /** Within it the next leader must have begun, so that no running task loses its lease. */
     private static final double FAILOVER_SECONDS = 25;
 
+    /** Longer than a leader may learn nothing, and shorter than it takes to look isolated. */
+    private static final double OUTAGE_SECONDS = 20;
+
     @Test
     void aLeaderWhoseJobWatchNeverEndsReleasesItsLease() {
         JobSpec running = arrayJob(1, 2);
@@ -47,11 +50,16 @@
     @ValueSource(ints = {0, 250, 500, 750, 1000, 1250, 1500, 1750, 2000, 2250, 2500, 2750})
     void aLeaderKeepsItsLeaseThroughAnOutageOfTheStore(int beginMillis) {
         long token = cluster.fencingToken();
-        cluster.run(Duration.ofMillis(beginMillis));
+        int leader = cluster.leader();
+        // The last renewals before the outage are confirmed, the last watches are not answered.
+        cluster.storeConnection(leader).failWatches(true);
+        cluster.run(Duration.ofMillis(3000 + beginMillis));
 
         cluster.store().setOutage(true);
-        cluster.runSeconds(60);
+        cluster.runSeconds(OUTAGE_SECONDS);
         cluster.store().setOutage(false);
+        cluster.runSeconds(2);
+        cluster.storeConnection(leader).failWatches(false);
         cluster.runSeconds(30);
 
         assertEquals(token, cluster.fencingToken(), "leases have their full time again");
--- a/src/test/java/org/meadowhollow/transport/HttpClientResetConnectionTest.java
+++ b/src/test/java/org/meadowhollow/transport/HttpClientResetConnectionTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.time.Duration;
@@ -92,6 +93,23 @@
         assertEquals(List.of("GET", method), server.receivedMethods());
     }
 
+    /** Guards against any exception of the HTTP library, not only that of a reset connection. */
+    @ParameterizedTest
+    @CsvSource({"GET", "POST"})
+    void anExceptionInsideTheLibraryFailsTheFuture(String method) {
+        ByteBufferPool closedPool = new DefaultByteBufferPool(false, 8192, 4, 0);
+        HttpClient failing = new HttpClient(loop, closedPool);
+        failing.send(server.address(), "GET", "/", null, TIMEOUT).join();
+        closedPool.close();
+        byte[] body = method.equals("POST") ? new byte[] {1, 2, 3} : null;
+
+        CompletableFuture<Http.Reply> reply =
+                loop.callAndWait(() -> failing.send(server.address(), method, "/", body, TIMEOUT));
+
+        CompletionException failure = assertThrows(CompletionException.class, reply::join);
+        assertInstanceOf(Http.RequestNotSentException.class, failure.getCause());
+    }
+
     @Test
     void anInvalidAddressFailsTheFuture() {
         CompletableFuture<Http.Reply> reply =
