Only stops can be sent to workers directly; copies of executed messages start nothing

Cause: on another service a late copy of a start that had been carried out and answered reached its machine once more: a task ran on two machines, a cancelled one ran again. Here starts are sent in responses to heartbeats alone, of which no copy is read; but only a sentence of a Javadoc and a check in a fake said so, and the check's error was swallowed.

--- a/src/main/java/org/meadowhollow/coordination/LeaderService.java
+++ b/src/main/java/org/meadowhollow/coordination/LeaderService.java
@@ -179,7 +179,7 @@
 
     @Override
     public void sendCommands(
-            Machine machine, WorkerIncarnation incarnation, List<WorkerCommand> commands) {
+            Machine machine, WorkerIncarnation incarnation, List<WorkerCommand.Direct> commands) {
         parts.directCommandSender.sendCommands(machine, incarnation, commands);
     }
 
--- a/src/main/java/org/meadowhollow/coordination/api/WorkerGateway.java
+++ b/src/main/java/org/meadowhollow/coordination/api/WorkerGateway.java
@@ -8,8 +8,8 @@
 import org.meadowhollow.model.WorkerIncarnation;
 
 /**
- * Sends requests directly to workers. Task starts are never sent this way, because a delayed one
- * could arrive minutes late.
+ * Sends requests directly to workers. The network may deliver them minutes late, and again after
+ * they were executed, so only {@link WorkerCommand.Direct} commands are sent this way.
  */
 public interface WorkerGateway {
     /**
@@ -20,5 +20,5 @@
             String address,
             FencingToken token,
             WorkerIncarnation workerIncarnation,
-            List<WorkerCommand> commands);
+            List<WorkerCommand.Direct> commands);
 }
--- a/src/main/java/org/meadowhollow/coordination/fleet/LeadershipContext.java
+++ b/src/main/java/org/meadowhollow/coordination/fleet/LeadershipContext.java
@@ -82,5 +82,7 @@
 
     /** Sends commands directly to a worker, instead of in the response to its next heartbeat. */
     void sendCommands(
-            Machine machine, WorkerIncarnation workerIncarnation, List<WorkerCommand> commands);
+            Machine machine,
+            WorkerIncarnation workerIncarnation,
+            List<WorkerCommand.Direct> commands);
 }
--- a/src/main/java/org/meadowhollow/coordination/lifecycle/CommandSender.java
+++ b/src/main/java/org/meadowhollow/coordination/lifecycle/CommandSender.java
@@ -13,5 +13,6 @@
      * response. The response is a heartbeat, which is applied later under the leader's lock; a
      * failure is ignored. Called with the leader's lock held.
      */
-    void sendCommands(Machine machine, WorkerIncarnation incarnation, List<WorkerCommand> commands);
+    void sendCommands(
+            Machine machine, WorkerIncarnation incarnation, List<WorkerCommand.Direct> commands);
 }
--- a/src/main/java/org/meadowhollow/coordination/lifecycle/TaskStopQueue.java
+++ b/src/main/java/org/meadowhollow/coordination/lifecycle/TaskStopQueue.java
@@ -107,7 +107,7 @@
 
     /** Carries out the next stops. A stop that throws an exception is not repeated here. */
     private void carryOutNext() {
-        Map<Recipient, List<WorkerCommand>> commands = new LinkedHashMap<>();
+        Map<Recipient, List<WorkerCommand.Direct>> commands = new LinkedHashMap<>();
         try {
             for (int count = 0; count < MAX_STOPS_PER_CALLBACK && !queue.isEmpty(); count++) {
                 carryOut(queue.poll(), commands);
@@ -133,7 +133,7 @@
         }
     }
 
-    private void carryOut(RequestedStop stop, Map<Recipient, List<WorkerCommand>> commands) {
+    private void carryOut(RequestedStop stop, Map<Recipient, List<WorkerCommand.Direct>> commands) {
         Placement placement = stop.placement();
         if (placement.job().placement(placement.taskId().index()) != placement) {
             // The task has ended in the meantime.
@@ -159,7 +159,7 @@
                             new Recipient(machine, placement.incarnation()),
                             unused -> new ArrayList<>())
                     .add(
-                            WorkerCommand.stop(
+                            new WorkerCommand.Stop(
                                     placement.taskId(),
                                     placement.attemptNumber(),
                                     placement.graceSeconds()));
--- a/src/main/java/org/meadowhollow/coordination/reconciliation/DirectCommandSender.java
+++ b/src/main/java/org/meadowhollow/coordination/reconciliation/DirectCommandSender.java
@@ -41,7 +41,7 @@
     @SuppressWarnings("FutureReturnValueIgnored")
     @Override
     public void sendCommands(
-            Machine machine, WorkerIncarnation incarnation, List<WorkerCommand> commands) {
+            Machine machine, WorkerIncarnation incarnation, List<WorkerCommand.Direct> commands) {
         Recipient recipient =
                 new Recipient(machine, machine.incarnation(), machine.lastSequenceNumber());
         workerGateway
--- a/src/main/java/org/meadowhollow/coordination/reconciliation/WorkerCommandPlanner.java
+++ b/src/main/java/org/meadowhollow/coordination/reconciliation/WorkerCommandPlanner.java
@@ -75,21 +75,21 @@
                     && (status.state() != TaskState.CHECKPOINTING
                             || placement.graceSeconds() == 0)) {
                 commands.add(
-                        WorkerCommand.stop(
+                        new WorkerCommand.Stop(
                                 status.taskId(), status.attemptNumber(), placement.graceSeconds()));
             } else if (status.state() == TaskState.EXITED
                     && mayStart(placement, machine, heartbeat)) {
                 // The task timed out waiting for its gang, whose image pulls continue. Its record
                 // still stands, so the task may wait again.
                 placement.recordStartSent(heartbeat.sequenceNumber());
-                commands.add(WorkerCommand.forget(status.taskId(), status.attemptNumber()));
-                commands.add(WorkerCommand.start(status.taskId(), status.attemptNumber()));
+                commands.add(new WorkerCommand.Forget(status.taskId(), status.attemptNumber()));
+                commands.add(new WorkerCommand.Start(status.taskId(), status.attemptNumber()));
             }
         } else if (status.state() != TaskState.EXITED) {
             // No record names this task, so nothing else would ever stop it or account for it.
-            commands.add(WorkerCommand.stop(status.taskId(), status.attemptNumber(), 0));
+            commands.add(new WorkerCommand.Stop(status.taskId(), status.attemptNumber(), 0));
         } else if (!isExitUnpersisted(machine, status)) {
-            commands.add(WorkerCommand.forget(status.taskId(), status.attemptNumber()));
+            commands.add(new WorkerCommand.Forget(status.taskId(), status.attemptNumber()));
         }
     }
 
@@ -113,7 +113,7 @@
             }
         } else if (commands.size() < MAX_COMMANDS && mayStart(placement, machine, heartbeat)) {
             placement.recordStartSent(heartbeat.sequenceNumber());
-            commands.add(WorkerCommand.start(placement.taskId(), placement.attemptNumber()));
+            commands.add(new WorkerCommand.Start(placement.taskId(), placement.attemptNumber()));
         }
     }
 
--- a/src/main/java/org/meadowhollow/protocol/workers/WorkerClient.java
+++ b/src/main/java/org/meadowhollow/protocol/workers/WorkerClient.java
@@ -31,7 +31,7 @@
             String address,
             FencingToken token,
             WorkerIncarnation incarnation,
-            List<WorkerCommand> commands) {
+            List<WorkerCommand.Direct> commands) {
         byte[] body = WorkerCodec.encodeCommandRequest(token, incarnation, commands);
         return http.send(address, "POST", COMMANDS_PATH, body, RESPONSE_TIMEOUT)
                 .thenApply(WorkerClient::decodeResponse);
--- a/src/main/java/org/meadowhollow/protocol/workers/WorkerCodec.java
+++ b/src/main/java/org/meadowhollow/protocol/workers/WorkerCodec.java
@@ -107,7 +107,9 @@
 
     /** Encodes the body of a request that sends commands to a worker. */
     static byte[] encodeCommandRequest(
-            FencingToken token, WorkerIncarnation incarnation, List<WorkerCommand> commands) {
+            FencingToken token,
+            WorkerIncarnation incarnation,
+            List<WorkerCommand.Direct> commands) {
         return MessagePackCodec.encode(
                 MessageReader.mapOf(
                         FENCING_TOKEN,
@@ -138,31 +140,31 @@
                 leader == null ? MessageReader.mapOf() : MessageReader.mapOf(LEADER, leader));
     }
 
-    private static List<Map<String, Object>> encodeCommands(List<WorkerCommand> commands) {
+    private static List<Map<String, Object>> encodeCommands(
+            List<? extends WorkerCommand> commands) {
         List<Map<String, Object>> list = new ArrayList<>(commands.size());
         for (WorkerCommand command : commands) {
             Map<String, Object> map =
                     MessageReader.mapOf(
                             ACTION,
-                            encodeAction(command.action()),
+                            encodeAction(command),
                             TASK_ID,
                             command.taskId().toString(),
                             ATTEMPT_NUMBER,
                             MessagePackCodec.ofUnsigned(command.attemptNumber().value()));
-            if (command.action() == WorkerCommand.Action.STOP) {
-                map.put(GRACE_SECONDS, command.graceSeconds());
+            if (command instanceof WorkerCommand.Stop stop) {
+                map.put(GRACE_SECONDS, stop.graceSeconds());
             }
             list.add(map);
         }
         return list;
     }
 
-    private static String encodeAction(WorkerCommand.Action action) {
-        return switch (action) {
-            case START -> ACTION_START;
-            case STOP -> ACTION_STOP;
-            case FORGET -> ACTION_FORGET;
-        };
+    private static String encodeAction(WorkerCommand command) {
+        if (command instanceof WorkerCommand.Start) {
+            return ACTION_START;
+        }
+        return command instanceof WorkerCommand.Stop ? ACTION_STOP : ACTION_FORGET;
     }
 
     private static TaskState decodeTaskState(String word) throws MalformedMessageException {
