A leader none of whose rounds succeeds releases its lease

Cause: since repeating steps go on after an exception, a leader each of whose rounds throws would renew its lease and place nothing, for good; learning of jobs alone does not show it. Change: after ten failed rounds in a row (ten seconds) the lease is released as by any stalled leader; the next leadership begins with the stored records instead of this leader's memory.

--- a/src/main/java/org/meadowhollow/coordination/LeaderService.java
+++ b/src/main/java/org/meadowhollow/coordination/LeaderService.java
@@ -48,6 +48,12 @@
     /** The interval at which a warm leader checks whether it may run its first round. */
     private static final Duration WARM_CHECK_INTERVAL = Duration.ofMillis(200);
 
+    /**
+     * The number of consecutive rounds that fail before the leader releases its lease: its memory
+     * may be what makes them fail, and the next leader begins with the stored records.
+     */
+    private static final int MAX_FAILED_ROUNDS = 10;
+
     private final LeaderParts parts;
     private final LeadershipTerm term;
     private final EventLoop loop;
@@ -59,6 +65,9 @@
     /** Whether the checks of a warm start have led to the first round. */
     private boolean warmStartOver;
 
+    /** The number of rounds that have failed since the last one that did not. */
+    private int failedRounds;
+
     /** Creates the object of a leadership that has begun, which is idle until {@link #start}. */
     LeaderService(ControllerServices services, LeadershipTerm term) {
         this.term = term;
@@ -79,7 +88,8 @@
                 RepeatingStep.SCHEDULING_ROUND,
                 RoundScheduler.ROUND_INTERVAL,
                 this::isClosed,
-                this::runRound);
+                this::runRound,
+                this::onRoundFailed);
         if (term.handoverState().wasStandby()) {
             RepeatingSteps.every(
                     loop,
@@ -137,6 +147,20 @@
         }
         parts.failureDetector.queryPeersAndMaybeResign();
         parts.autoscaler.scaleOutAndIn();
+        synchronized (this) {
+            failedRounds = 0;
+        }
+    }
+
+    private void onRoundFailed() {
+        boolean tooMany;
+        synchronized (this) {
+            failedRounds++;
+            tooMany = failedRounds >= MAX_FAILED_ROUNDS;
+        }
+        if (tooMany) {
+            leadership.releaseStalled();
+        }
     }
 
     /**
--- a/src/main/java/org/meadowhollow/coordination/leadership/Leadership.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/Leadership.java
@@ -271,6 +271,11 @@
         handle(new LeadershipEvent.ReleaseRequested(ReleaseReason.SHUTDOWN, successor));
     }
 
+    /** Releases the lease because this node leads without doing its work. */
+    public void releaseStalled() {
+        handle(new LeadershipEvent.ReleaseRequested(ReleaseReason.STALLED, null));
+    }
+
     /**
      * Records that a worker has sent a heartbeat to this node, which does not lead. If the worker's
      * last response came from the current leader, the process of that leader may have ended: the
@@ -337,7 +342,7 @@
             stalled = LeadershipSafety.isStalled(maxStall, state);
         }
         if (stalled) {
-            handle(new LeadershipEvent.ReleaseRequested(ReleaseReason.STALLED, null));
+            releaseStalled();
         }
     }
 
--- a/src/main/java/org/meadowhollow/coordination/leadership/ReleaseReason.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/ReleaseReason.java
@@ -6,7 +6,7 @@
     ISOLATED("isolated", "isolated from workers"),
     /** Its process is about to end. */
     SHUTDOWN("shutdown", "handed over"),
-    /** It renews its lease and learns nothing of the jobs any more. */
+    /** It renews its lease, but learns nothing of the jobs, or none of its rounds succeeds. */
     STALLED("stalled", "stalled");
 
     private final String requestText;
--- a/src/main/java/org/meadowhollow/model/RepeatingSteps.java
+++ b/src/main/java/org/meadowhollow/model/RepeatingSteps.java
@@ -24,12 +24,28 @@
             Duration interval,
             BooleanSupplier isOver,
             Runnable body) {
+        every(loop, step, interval, isOver, body, () -> {});
+    }
+
+    /**
+     * Runs a step at intervals, like {@link #every(EventLoop, RepeatingStep, Duration,
+     * BooleanSupplier, Runnable)}.
+     *
+     * @param onFailure called after each execution whose body has thrown
+     */
+    public static void every(
+            EventLoop loop,
+            RepeatingStep step,
+            Duration interval,
+            BooleanSupplier isOver,
+            Runnable body,
+            Runnable onFailure) {
         loop.schedule(
                 interval,
                 () -> {
                     if (!isOver.getAsBoolean()) {
-                        every(loop, step, interval, isOver, body);
-                        loop.runRepeating(step, body);
+                        every(loop, step, interval, isOver, body, onFailure);
+                        run(loop, step, body, onFailure);
                     }
                 });
     }
--- a/src/test/java/org/meadowhollow/simulation/StalledLeaderScenarioTest.java
+++ b/src/test/java/org/meadowhollow/simulation/StalledLeaderScenarioTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.meadowhollow.coordination.admission.AdmissionService.Phase;
 import org.meadowhollow.model.JobSpec;
+import org.meadowhollow.model.RepeatingStep;
 import org.meadowhollow.storage.RecordKeys;
 
 /** Guards against a leader that renews its lease and learns nothing of the jobs any more. */
@@ -45,6 +46,21 @@
         assertEquals(startsBefore + 2, cluster.startCount(), "no running task was lost");
     }
 
+    @Test
+    void aLeaderNoneOfWhoseRoundsSucceedsReleasesItsLease() {
+        long token = cluster.fencingToken();
+        JobSpec job = arrayJob(1, 2);
+
+        cluster.loop().stepFaults().failAllOf(RepeatingStep.SCHEDULING_ROUND);
+        assertTrue(cluster.users().submit(0, job, SHORT_RUNTIME));
+        cluster.runSeconds(15);
+        cluster.loop().stepFaults().failAllOf(null);
+        assertNotEquals(token, cluster.fencingToken());
+        cluster.runSeconds(40);
+
+        assertEquals(Phase.DONE, phaseOf(job));
+    }
+
     /** Outages begin at all moments between a renewal of the lease and the end of a watch. */
     @ParameterizedTest
     @ValueSource(ints = {0, 250, 500, 750, 1000, 1250, 1500, 1750, 2000, 2250, 2500, 2750})
--- a/src/test/java/org/meadowhollow/simulation/StepFaults.java
+++ b/src/test/java/org/meadowhollow/simulation/StepFaults.java
@@ -13,6 +13,7 @@
 public final class StepFaults {
     private final Set<RepeatingStep> failNext = EnumSet.noneOf(RepeatingStep.class);
     private final Map<RepeatingStep, Integer> runsSinceFailure = new EnumMap<>(RepeatingStep.class);
+    private RepeatingStep alwaysFailing;
     private RuntimeException defect;
 
     /** Lets the next execution of each of these steps throw an exception, on any node. */
@@ -20,6 +21,11 @@
         failNext.addAll(steps);
     }
 
+    /** Lets all executions of a step throw an exception; null ends the fault. */
+    public void failAllOf(RepeatingStep step) {
+        alwaysFailing = step;
+    }
+
     /** The steps that were to fail and have not been executed yet. */
     Set<RepeatingStep> notYetFailed() {
         return Set.copyOf(failNext);
@@ -39,6 +45,9 @@
 
     /** Runs one execution of a step as the event loop of a process does. */
     boolean run(RepeatingStep step, Runnable body) {
+        if (step == alwaysFailing) {
+            return false;
+        }
         if (failNext.remove(step)) {
             runsSinceFailure.put(step, 0);
             return false;
