Split the leader's rounds, its held leadership and the candidate's transitions from large files

Cause: LeaderService, LeadershipStateMachine and LeadershipState had grown past 400 lines and copied records of eight fields by hand. Change: LeaderRounds runs the rounds and the checks of a warm start; HeldLeadership has a file of its own, with the lease's renewal and the knowledge of jobs as records within it; LeaderCandidacy has the candidate's transitions. No behaviour changes.

--- a/src/main/java/org/meadowhollow/coordination/LeaderService.java
+++ b/src/main/java/org/meadowhollow/coordination/LeaderService.java
@@ -1,6 +1,5 @@
 package org.meadowhollow.coordination;
 
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -14,9 +13,7 @@
 import org.meadowhollow.coordination.heartbeat.LeaderReachability.Reachability;
 import org.meadowhollow.coordination.leadership.Leadership;
 import org.meadowhollow.coordination.recovery.RecoveryListener;
-import org.meadowhollow.coordination.rounds.RoundScheduler;
 import org.meadowhollow.model.EventLoop;
-import org.meadowhollow.model.EventLoopStep;
 import org.meadowhollow.model.Heartbeat;
 import org.meadowhollow.model.Job;
 import org.meadowhollow.model.JobId;
@@ -25,8 +22,6 @@
 import org.meadowhollow.model.MachineId;
 import org.meadowhollow.model.MonotonicTime;
 import org.meadowhollow.model.Placement;
-import org.meadowhollow.model.RepeatingStep;
-import org.meadowhollow.model.RepeatingSteps;
 import org.meadowhollow.model.TaskShard;
 import org.meadowhollow.model.WorkerCommand;
 import org.meadowhollow.model.WorkerIncarnation;
@@ -37,23 +32,14 @@
 import org.meadowhollow.storage.RecordWriter;
 
 /**
- * One leadership of this node: runs its timers, and delegates calls to its parts. Each leadership
- * has an object of its own, so that no state of an earlier one can leak into it.
+ * One leadership of this node: delegates calls to its parts. Each leadership has an object of its
+ * own, so that no state of an earlier one can leak into it.
  *
  * <p>This object's monitor is the leader's lock, the only one that its parts share; their state is
  * read and changed with it held. Requests to the cloud and to peers are sent, and deferred
  * responses completed, outside it.
  */
 final class LeaderService implements RecordWriter.Listener, RecoveryListener, LeadershipContext {
-    /** The interval at which a warm leader checks whether it may run its first round. */
-    private static final Duration WARM_CHECK_INTERVAL = Duration.ofMillis(200);
-
-    /**
-     * The number of consecutive rounds that fail before the leader releases its lease: its memory
-     * may be what makes them fail, and the next leader begins with the stored records.
-     */
-    private static final int MAX_FAILED_ROUNDS = 10;
-
     private final LeaderParts parts;
     private final LeadershipTerm term;
     private final EventLoop loop;
@@ -62,12 +48,6 @@
     /** Guarded by this object's monitor, like all mutable state. */
     private boolean closed;
 
-    /** Whether the checks of a warm start have led to the first round. */
-    private boolean warmStartOver;
-
-    /** The number of rounds that have failed since the last one that did not. */
-    private int failedRounds;
-
     /** Creates the object of a leadership that has begun, which is idle until {@link #start}. */
     LeaderService(ControllerServices services, LeadershipTerm term) {
         this.term = term;
@@ -83,21 +63,7 @@
         parts.stateRecovery.start();
         parts.reservationEnforcer.start();
         parts.autoscaler.start();
-        RepeatingSteps.every(
-                loop,
-                RepeatingStep.SCHEDULING_ROUND,
-                RoundScheduler.ROUND_INTERVAL,
-                this::isClosed,
-                this::runRound,
-                this::onRoundFailed);
-        if (term.handoverState().wasStandby()) {
-            RepeatingSteps.every(
-                    loop,
-                    RepeatingStep.WARM_START_CHECK,
-                    WARM_CHECK_INTERVAL,
-                    this::isWarmStartOver,
-                    this::checkWarmStart);
-        }
+        new LeaderRounds(this, loop, parts, term, this::isClosed).start();
         parts.heartbeatHandler.start();
     }
 
@@ -119,81 +85,6 @@
         return closed;
     }
 
-    // ---- Rounds ----
-
-    private void runRound() {
-        synchronized (this) {
-            if (closed || !parts.stateRecovery.isComplete()) {
-                return;
-            }
-            MonotonicTime now = loop.now();
-            leadership.renewIfDue();
-            loop.runStep(
-                    EventLoopStep.FAILURE_DETECTION,
-                    () -> {
-                        parts.failureDetector.evaluate(now);
-                        parts.heartbeatTimeoutMonitor.checkAllMachines(now);
-                    });
-            if (parts.firstRoundGate.maySchedule(now)) {
-                parts.roundScheduler.runRound(now);
-            }
-            parts.jobTracker.reportMetricsIfDue(now);
-            loop.runStep(EventLoopStep.RECORD_WRITE, parts.recordWriter::flush);
-            parts.imageCacheRecorder.writeIfDue(parts.clusterState.machines().values(), now);
-            if (parts.riskTableRestorer.isComplete() && leadership.canDecide()) {
-                parts.standbySupport.writeSnapshotIfDue(
-                        parts.recordWriter.dirtyShardCount() == 0, now);
-            }
-        }
-        parts.failureDetector.queryPeersAndMaybeResign();
-        parts.autoscaler.scaleOutAndIn();
-        synchronized (this) {
-            failedRounds = 0;
-        }
-    }
-
-    private void onRoundFailed() {
-        boolean tooMany;
-        synchronized (this) {
-            failedRounds++;
-            tooMany = failedRounds >= MAX_FAILED_ROUNDS;
-        }
-        if (tooMany) {
-            leadership.releaseStalled();
-        }
-    }
-
-    /**
-     * Runs the first round of a warm leader as soon as its preconditions hold, without waiting for
-     * the regular rounds, which run every second from the start. Also begins to restore the risk
-     * tables once the state is recovered.
-     */
-    private void checkWarmStart() {
-        boolean mustReadRiskTables;
-        synchronized (this) {
-            if (closed) {
-                return;
-            }
-            MonotonicTime now = loop.now();
-            if (parts.stateRecovery.isComplete()
-                    && !parts.firstRoundGate.isFirstRoundAllowed()
-                    && parts.firstRoundGate.maySchedule(now)) {
-                parts.roundScheduler.runRound(now);
-                parts.recordWriter.flush();
-            }
-            mustReadRiskTables =
-                    parts.stateRecovery.isComplete() && parts.riskTableRestorer.beginRestoration();
-            warmStartOver = parts.firstRoundGate.isFirstRoundAllowed();
-        }
-        if (mustReadRiskTables) {
-            parts.riskTableRestorer.readSnapshot();
-        }
-    }
-
-    private synchronized boolean isWarmStartOver() {
-        return closed || warmStartOver;
-    }
-
     // ---- Heartbeats and commands ----
 
     /** Answers a worker's heartbeat, or defers the response. */
--- a/src/main/java/org/meadowhollow/coordination/leadership/LeadershipSafety.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/LeadershipSafety.java
@@ -1,7 +1,6 @@
 package org.meadowhollow.coordination.leadership;
 
 import java.time.Duration;
-import org.meadowhollow.coordination.leadership.LeadershipState.HeldLeadership;
 import org.meadowhollow.model.MonotonicTime;
 
 /**
--- a/src/main/java/org/meadowhollow/coordination/leadership/LeadershipState.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/LeadershipState.java
@@ -1,12 +1,10 @@
 package org.meadowhollow.coordination.leadership;
 
-import java.time.Duration;
 import java.util.HashSet;
 import java.util.Set;
 import org.meadowhollow.model.FencingToken;
 import org.meadowhollow.model.MachineId;
 import org.meadowhollow.model.MonotonicTime;
-import org.meadowhollow.model.Revision;
 import org.meadowhollow.storage.LeaseId;
 
 /**
@@ -45,132 +43,6 @@
                     false,
                     null);
 
-    /**
-     * This node's own leadership.
-     *
-     * @param lease the lease that the leader record is stored under
-     * @param leaseValidFrom when the last confirmed renewal was sent; the lease lasts for {@link
-     *     LeadershipSafety#LEASE_TTL} from then at least
-     * @param lastRenewalSentAt when the last renewal was sent, or null if one is due at once
-     * @param renewing whether a renewal is in flight
-     * @param leaderKeyRevision the revision of the transaction that wrote the leader record, on
-     *     which each transaction of this leadership is conditional
-     * @param resigning whether a release is in flight, which the store may have executed already
-     * @param freshAsOf the moment up to which this node knows all changes of jobs, or null until
-     *     the records are loaded
-     * @param noProgressSince the first renewal that was confirmed since this node last learned
-     *     anything of the jobs; null if none was, or a renewal has failed since
-     */
-    record HeldLeadership(
-            LeaseId lease,
-            MonotonicTime leaseValidFrom,
-            MonotonicTime lastRenewalSentAt,
-            boolean renewing,
-            Revision leaderKeyRevision,
-            boolean resigning,
-            MonotonicTime freshAsOf,
-            MonotonicTime noProgressSince) {
-        /**
-         * Creates the leadership of a node that has just been elected, under a lease that was
-         * requested at {@code requestedAt}.
-         */
-        static HeldLeadership begin(
-                LeaseId lease, MonotonicTime requestedAt, Revision leaderKeyRevision) {
-            return new HeldLeadership(
-                    lease, requestedAt, requestedAt, false, leaderKeyRevision, false, null, null);
-        }
-
-        /** Returns a copy after a renewal was sent at {@code now}. */
-        HeldLeadership withRenewalSent(MonotonicTime now) {
-            return new HeldLeadership(
-                    lease,
-                    leaseValidFrom,
-                    now,
-                    true,
-                    leaderKeyRevision,
-                    resigning,
-                    freshAsOf,
-                    noProgressSince);
-        }
-
-        /** Returns a copy after a renewal was confirmed. Confirmations may arrive out of order. */
-        HeldLeadership withRenewalConfirmed(MonotonicTime sentAt) {
-            return new HeldLeadership(
-                    lease,
-                    MonotonicTime.latestOf(leaseValidFrom, sentAt),
-                    lastRenewalSentAt,
-                    false,
-                    leaderKeyRevision,
-                    resigning,
-                    freshAsOf,
-                    noProgressSince == null ? sentAt : noProgressSince);
-        }
-
-        /** Returns a copy after a renewal got no reply, in which the next one is due at once. */
-        HeldLeadership withRenewalFailed() {
-            return new HeldLeadership(
-                    lease,
-                    leaseValidFrom,
-                    null,
-                    false,
-                    leaderKeyRevision,
-                    resigning,
-                    freshAsOf,
-                    null);
-        }
-
-        /** Returns a copy after a release was sent, or was refused by the store. */
-        HeldLeadership withResigning(boolean inFlight) {
-            return new HeldLeadership(
-                    lease,
-                    leaseValidFrom,
-                    lastRenewalSentAt,
-                    renewing,
-                    leaderKeyRevision,
-                    inFlight,
-                    freshAsOf,
-                    noProgressSince);
-        }
-
-        /**
-         * Returns a copy in which all changes of jobs up to {@code upTo} are known. A moment before
-         * the present one is ignored.
-         */
-        HeldLeadership withFreshness(MonotonicTime upTo) {
-            return new HeldLeadership(
-                    lease,
-                    leaseValidFrom,
-                    lastRenewalSentAt,
-                    renewing,
-                    leaderKeyRevision,
-                    resigning,
-                    freshAsOf == null ? upTo : MonotonicTime.latestOf(freshAsOf, upTo),
-                    null);
-        }
-
-        /** Returns a copy after more records have been loaded. */
-        HeldLeadership withProgress() {
-            return new HeldLeadership(
-                    lease,
-                    leaseValidFrom,
-                    lastRenewalSentAt,
-                    renewing,
-                    leaderKeyRevision,
-                    resigning,
-                    freshAsOf,
-                    null);
-        }
-
-        /**
-         * Whether no renewal is in flight and the last one was sent at least {@code interval} ago.
-         */
-        boolean isRenewalDue(MonotonicTime now, Duration interval) {
-            return !renewing
-                    && (lastRenewalSentAt == null
-                            || now.elapsedSince(lastRenewalSentAt).compareTo(interval) >= 0);
-        }
-    }
-
     /**
      * The last known leader.
      *
--- a/src/main/java/org/meadowhollow/coordination/leadership/LeadershipStateMachine.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/LeadershipStateMachine.java
@@ -1,11 +1,6 @@
 package org.meadowhollow.coordination.leadership;
 
 import java.time.Duration;
-import java.util.Map;
-import java.util.Optional;
-import org.meadowhollow.coordination.leadership.LeadershipEffect.ClaimLeaderKey;
-import org.meadowhollow.coordination.leadership.LeadershipEffect.GrantLease;
-import org.meadowhollow.coordination.leadership.LeadershipEffect.NotifyElected;
 import org.meadowhollow.coordination.leadership.LeadershipEffect.NotifyFollowing;
 import org.meadowhollow.coordination.leadership.LeadershipEffect.NotifyLeadershipLost;
 import org.meadowhollow.coordination.leadership.LeadershipEffect.ReadLeaderKey;
@@ -35,7 +30,6 @@
 import org.meadowhollow.coordination.leadership.LeadershipEvent.WorkerArrived;
 import org.meadowhollow.coordination.leadership.LeadershipEvent.WorkerContactRestored;
 import org.meadowhollow.coordination.leadership.LeadershipRecordCodec.LeaderRecord;
-import org.meadowhollow.coordination.leadership.LeadershipState.HeldLeadership;
 import org.meadowhollow.coordination.leadership.LeadershipState.ObservedLeader;
 import org.meadowhollow.model.FencingToken;
 import org.meadowhollow.model.MonotonicTime;
@@ -72,6 +66,7 @@
 
     private final String member;
     private final LeaderFailureDetection failureDetection;
+    private final LeaderCandidacy candidacy;
 
     /**
      * @param member the name of this node
@@ -79,6 +74,7 @@
     LeadershipStateMachine(String member) {
         this.member = member;
         this.failureDetection = new LeaderFailureDetection(member);
+        this.candidacy = new LeaderCandidacy(member);
     }
 
     /** Delegates to {@link LeaderFailureDetection#leaderMayHaveFailed}. */
@@ -104,11 +100,11 @@
         } else if (event instanceof LeaderKeyWatchEnded watch) {
             return onLeaderKeyWatchEnded(state, watch);
         } else if (event instanceof TokenCounterRead read) {
-            return onTokenCounterRead(state, read, now);
+            return candidacy.onTokenCounterRead(state, read, now);
         } else if (event instanceof LeaseGrantCompleted grant) {
-            return onLeaseGrantCompleted(state, grant);
+            return LeaderCandidacy.onLeaseGrantCompleted(state, grant);
         } else if (event instanceof LeaderKeyClaimCompleted claim) {
-            return onLeaderKeyClaimCompleted(state, claim);
+            return candidacy.onLeaderKeyClaimCompleted(state, claim);
         } else if (event instanceof RenewalTimerFired) {
             return onRenewalTimerFired(state, now);
         } else if (event instanceof RenewalCompleted renewal) {
@@ -154,7 +150,8 @@
         return LeadershipTransition.to(state, new ReadLeaderKey(state.epoch(), false));
     }
 
-    private static LeadershipTransition readLeaderKeyLater(LeadershipState state) {
+    /** Reads the leader record again after a delay. */
+    static LeadershipTransition readLeaderKeyLater(LeadershipState state) {
         return LeadershipTransition.to(state, new ReadLeaderKey(state.epoch(), true));
     }
 
@@ -216,75 +213,6 @@
         return readLeaderKey(state);
     }
 
-    // ---- candidate ----
-
-    private LeadershipTransition onTokenCounterRead(
-            LeadershipState state, TokenCounterRead event, MonotonicTime now) {
-        if (event.counter() == null || !mayStandForElection(state, event, now)) {
-            return readLeaderKeyLater(state);
-        }
-        return LeadershipTransition.to(
-                state, new GrantLease(state.epoch(), event.leaderKeyRevision(), event.counter()));
-    }
-
-    /** Whether the leader record has been absent for at least the candidacy delay of this node. */
-    private boolean mayStandForElection(
-            LeadershipState state, TokenCounterRead event, MonotonicTime now) {
-        MonotonicTime vacantSince = state.observedLeader().vacantSince();
-        Duration vacantFor = vacantSince == null ? Duration.ZERO : now.elapsedSince(vacantSince);
-        Map<String, Object> counter = event.counter().map(Entry::value).orElse(null);
-        Duration delay =
-                CandidacyPolicy.candidacyDelay(
-                        counter, member, event.workersReachNode(), state.isolated());
-        return vacantFor.compareTo(delay) >= 0;
-    }
-
-    private static LeadershipTransition onLeaseGrantCompleted(
-            LeadershipState state, LeaseGrantCompleted event) {
-        if (event.lease() == null) {
-            return readLeaderKeyLater(state);
-        }
-        Optional<Entry> counter = event.counter();
-        return LeadershipTransition.to(
-                state,
-                new ClaimLeaderKey(
-                        state.epoch(),
-                        event.leaderKeyRevision(),
-                        counter.map(Entry::revision).orElse(Revision.ABSENT),
-                        nextToken(state, counter),
-                        event.lease(),
-                        event.sentAt()));
-    }
-
-    /**
-     * The fencing token of the next leadership. It is above the counter and above every token that
-     * this node has seen: workers reject a token below the highest that they have seen, and that
-     * one may be missing from the counter.
-     */
-    private static FencingToken nextToken(LeadershipState state, Optional<Entry> counter) {
-        FencingToken storedToken =
-                counter.map(entry -> LeadershipRecordCodec.fencingTokenOf(entry.value()))
-                        .orElse(FencingToken.NONE);
-        FencingToken observedToken = state.observedLeader().highestToken();
-        return (observedToken.isAfter(storedToken) ? observedToken : storedToken).next();
-    }
-
-    private LeadershipTransition onLeaderKeyClaimCompleted(
-            LeadershipState state, LeaderKeyClaimCompleted event) {
-        if (event.commit() == null || !event.commit().isApplied()) {
-            // Without a reply the transaction may still be executed. The next read then finds this
-            // member's own name, and another attempt replaces that record.
-            return readLeaderKeyLater(state);
-        }
-        Revision revision = event.commit().revision();
-        HeldLeadership held = HeldLeadership.begin(event.lease(), event.sentAt(), revision);
-        return LeadershipTransition.to(
-                state.elected(member, event.fencingToken(), held),
-                new NotifyElected(
-                        event.fencingToken(), revision, state.observedLeader().vacantSince()),
-                new ScheduleRenewalCheck(state.epoch()));
-    }
-
     // ---- leader ----
 
     private static LeadershipTransition onRenewalTimerFired(
--- a/src/test/java/org/meadowhollow/coordination/leadership/LeadershipModelTest.java
+++ b/src/test/java/org/meadowhollow/coordination/leadership/LeadershipModelTest.java
@@ -14,7 +14,6 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.meadowhollow.coordination.failover.FailoverPreconditions;
 import org.meadowhollow.coordination.failover.FailoverPreconditions.Precondition;
-import org.meadowhollow.coordination.leadership.LeadershipState.HeldLeadership;
 import org.meadowhollow.coordination.leadership.ModelCluster.Message;
 import org.meadowhollow.coordination.leadership.ModelCluster.Node;
 import org.meadowhollow.coordination.leadership.ModelStore.Decision;
