A late result that can't be applied ends no later leadership of the same node

A result that arrives after its leadership has ended, and can't be applied, would have ended the next one of the same node. Change: a closed writer ends nothing.

--- a/src/main/java/org/meadowhollow/storage/RecordWriter.java
+++ b/src/main/java/org/meadowhollow/storage/RecordWriter.java
@@ -313,6 +313,10 @@
      * this leader may differ from its records, and the next leader reads these.
      */
     private void handleDefect() {
+        if (isClosed) {
+            // This leadership is over already; the node may hold a later one.
+            return;
+        }
         LOG.info("leadership ended reason=the result of a transaction could not be applied");
         handleLeadershipLost();
     }
--- a/src/test/java/org/meadowhollow/storage/RecordWriterTest.java
+++ b/src/test/java/org/meadowhollow/storage/RecordWriterTest.java
@@ -57,6 +57,8 @@
                                                 new CompletableFuture<>()));
                                 return sent.get(sent.size() - 1).result();
                             });
+    private boolean listenerThrows;
+    private int leadershipsEnded;
     private final EventLoop loop =
             new EventLoop() {
                 @Override
@@ -76,8 +78,12 @@
 
                 @Override
                 public boolean runRepeating(RepeatingStep step, Runnable body) {
-                    body.run();
-                    return true;
+                    try {
+                        body.run();
+                        return true;
+                    } catch (IllegalStateException faultOfTheTest) {
+                        return false;
+                    }
                 }
             };
     private final RecordWriter recordWriter =
@@ -92,13 +98,19 @@
                         public void onJobEndPersisted(Job job) {}
 
                         @Override
-                        public void onTasksPersisted(Job job, List<TaskShard> shards) {}
+                        public void onTasksPersisted(Job job, List<TaskShard> shards) {
+                            if (listenerThrows) {
+                                throw new IllegalStateException("fault of the test");
+                            }
+                        }
 
                         @Override
                         public void onConcurrentJobChange(JobId id) {}
 
                         @Override
-                        public void onLeadershipLost() {}
+                        public void onLeadershipLost() {
+                            leadershipsEnded++;
+                        }
                     });
 
     private static Job job(int number, Priority priority) {
@@ -138,6 +150,34 @@
         }
     }
 
+    /** Guards against a leader that goes on after the result of a transaction half applied. */
+    @Test
+    void leadershipEndsIfAResultCannotBeApplied() {
+        markPlacementsDirty(0, 1, Priority.NORMAL);
+        recordWriter.flush();
+        listenerThrows = true;
+        sent.get(0)
+                .result()
+                .complete(new KeyValueStore.CommitResult(true, new Revision(2), List.of()));
+
+        assertEquals(1, leadershipsEnded);
+        assertTrue(recordWriter.isClosed());
+    }
+
+    /** Guards against a late result that ends a later leadership of the same node. */
+    @Test
+    void lateResultThatCannotBeAppliedEndsNoLaterLeadership() {
+        markPlacementsDirty(0, 1, Priority.NORMAL);
+        recordWriter.flush();
+        recordWriter.close();
+        listenerThrows = true;
+        sent.get(0)
+                .result()
+                .complete(new KeyValueStore.CommitResult(true, new Revision(2), List.of()));
+
+        assertEquals(0, leadershipsEnded);
+    }
+
     /**
      * If job ends were written first, hundreds of small jobs that end together would delay every
      * start for a minute.
