Each event and effect of the leader election is a repeating step

Cause: the related path that was left: an event that can't be handled, such as a leader record that can't be decoded, or an effect that throws, ended the node's part in all elections, or the renewal of its lease, and kept later effects from being performed. Change: LeadershipEffects performs the effects, each by itself, and puts an event in the place of one that will not come: a follower reads the leader record again after the usual delay, a leader steps down, the renewal check and a suspect's probe go on. LeadershipEffect.AwaitedRequest names the requests whose reply the election waits for.

--- a/src/main/java/org/meadowhollow/coordination/leadership/Leadership.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/Leadership.java
@@ -2,27 +2,18 @@
 
 import com.google.errorprone.annotations.concurrent.GuardedBy;
 import java.time.Duration;
-import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import org.meadowhollow.coordination.api.DeploymentSettings;
 import org.meadowhollow.coordination.api.PeerGateway;
 import org.meadowhollow.coordination.heartbeat.HeartbeatTracker;
-import org.meadowhollow.coordination.leadership.LeadershipEffect.Notification;
-import org.meadowhollow.coordination.leadership.LeadershipEffect.NotifyElected;
-import org.meadowhollow.coordination.leadership.LeadershipEffect.NotifyFollowing;
-import org.meadowhollow.coordination.leadership.LeadershipEffect.NotifyLeadershipLost;
-import org.meadowhollow.coordination.leadership.LeadershipEffect.ProbeSuspect;
-import org.meadowhollow.coordination.leadership.LeadershipEffect.ReadLeaderKey;
-import org.meadowhollow.coordination.leadership.LeadershipEffect.ScheduleRenewalCheck;
-import org.meadowhollow.coordination.leadership.LeadershipEffect.StoreRequest;
 import org.meadowhollow.model.EventLoop;
 import org.meadowhollow.model.FencingToken;
 import org.meadowhollow.model.MachineId;
 import org.meadowhollow.model.MonotonicTime;
+import org.meadowhollow.model.RepeatingStep;
+import org.meadowhollow.model.RepeatingSteps;
 import org.meadowhollow.model.Revision;
 import org.meadowhollow.storage.KeyValueStore;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Leader election on this node. The leader is the member that holds a leased record in the
@@ -39,17 +30,6 @@
  * of the caller.
  */
 public final class Leadership {
-    private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
-    private static final Duration RENEWAL_CHECK_INTERVAL = Duration.ofMillis(500);
-
-    /**
-     * The delay before another attempt to read the leader record. Jitter lengthens it by up to
-     * {@link #MAX_RELATIVE_JITTER} of it.
-     */
-    private static final Duration RETRY_DELAY = Duration.ofMillis(400);
-
-    private static final double MAX_RELATIVE_JITTER = 0.5;
-
     /**
      * The number of distinct workers that must have reached this node within {@link
      * #REACHING_WORKERS_WINDOW} for the node to count as reachable.
@@ -91,15 +71,11 @@
     }
 
     private final EventLoop loop;
-    private final PeerGateway peerGateway;
-    private final String member;
     private final LeadershipStateMachine stateMachine;
-    private final LeadershipStoreClient storeClient;
+    private final LeadershipEffects effects;
     private final Duration workerLeaseRenewalBound;
     private final Duration maxStall;
     private final HeartbeatTracker heartbeatTracker;
-    private final RandomGenerator random;
-    private final Listener listener;
 
     @GuardedBy("this")
     private LeadershipState state = LeadershipState.INITIAL;
@@ -123,19 +99,25 @@
             RandomGenerator random,
             Listener listener) {
         this.loop = loop;
-        this.peerGateway = peerGateway;
-        this.member = deploymentSettings.member();
+        String member = deploymentSettings.member();
         this.stateMachine = new LeadershipStateMachine(member);
-        this.storeClient =
+        LeadershipStoreClient storeClient =
                 new LeadershipStoreClient(
                         store, loop, member, this::workersReachNode, this::handle);
+        this.effects =
+                new LeadershipEffects(
+                        loop,
+                        peerGateway,
+                        member,
+                        storeClient,
+                        random,
+                        listener,
+                        new CurrentElection());
         this.heartbeatTracker = heartbeatTracker;
         this.workerLeaseRenewalBound =
                 LeadershipSafety.renewalBound(
                         deploymentSettings.cancellationBound(), deploymentSettings.workerLease());
         this.maxStall = LeadershipSafety.maxStall(workerLeaseRenewalBound);
-        this.random = random;
-        this.listener = listener;
     }
 
     /** Starts to follow the leader record, and to stand for election when there is none. */
@@ -313,58 +295,20 @@
     // ---- events and effects ----
 
     private void handle(LeadershipEvent event) {
+        RepeatingSteps.run(
+                loop,
+                RepeatingStep.ELECTION,
+                () -> apply(event),
+                () -> effects.onEventFailed(event));
+    }
+
+    private void apply(LeadershipEvent event) {
         LeadershipTransition transition;
         synchronized (this) {
             transition = stateMachine.apply(state, event, loop.now());
             state = transition.next();
         }
-        transition.effects().forEach(this::perform);
-    }
-
-    private void perform(LeadershipEffect effect) {
-        if (effect instanceof ReadLeaderKey read && read.afterDelay()) {
-            readLeaderKeyAfterDelay(read);
-        } else if (effect instanceof StoreRequest request) {
-            storeClient.send(request);
-        } else if (effect instanceof ScheduleRenewalCheck check) {
-            loop.schedule(RENEWAL_CHECK_INTERVAL, () -> onRenewalTimer(check.epoch()));
-        } else if (effect instanceof ProbeSuspect probe) {
-            probeAfterDelay(probe);
-        } else if (effect instanceof Notification notification) {
-            publish(notification);
-        }
-    }
-
-    private void onRenewalTimer(int epoch) {
-        handle(new LeadershipEvent.RenewalTimerFired(epoch));
-        boolean stalled;
-        synchronized (this) {
-            stalled = LeadershipSafety.isStalled(maxStall, state);
-        }
-        if (stalled) {
-            releaseStalled();
-        }
-    }
-
-    /**
-     * Reads the leader record after a delay. Its jitter keeps members that lost the same leader at
-     * the same moment from retrying at the same moment.
-     */
-    private void readLeaderKeyAfterDelay(ReadLeaderKey read) {
-        double jitter = random.nextDouble() * MAX_RELATIVE_JITTER;
-        Duration delay =
-                RETRY_DELAY.plus(Duration.ofNanos((long) (RETRY_DELAY.toNanos() * jitter)));
-        loop.schedule(
-                delay,
-                () -> {
-                    if (isCurrentEpoch(read.epoch())) {
-                        storeClient.send(read);
-                    }
-                });
-    }
-
-    private synchronized boolean isCurrentEpoch(int expected) {
-        return state.epoch() == expected;
+        transition.effects().forEach(effects::perform);
     }
 
     private boolean workersReachNode() {
@@ -372,41 +316,37 @@
                 >= MIN_REACHING_WORKERS;
     }
 
-    private void probeAfterDelay(ProbeSuspect probe) {
-        if (probe.delay().isZero()) {
-            probe(probe);
-        } else {
-            loop.schedule(probe.delay(), () -> probe(probe));
+    /** The election that the effects belong to. */
+    private final class CurrentElection implements LeadershipEffects.Election {
+        @Override
+        public void handle(LeadershipEvent event) {
+            Leadership.this.handle(event);
         }
-    }
 
-    private void probe(ProbeSuspect probe) {
-        CompletableFuture<?> unusedReply =
-                peerGateway
-                        .probe(probe.suspect())
-                        .exceptionally(failure -> PeerGateway.ProbeResult.UNRESPONSIVE)
-                        .thenAccept(
-                                result ->
-                                        handle(
-                                                new LeadershipEvent.ProbeCompleted(
-                                                        probe.epoch(),
-                                                        probe.suspect(),
-                                                        probe.probesSent(),
-                                                        probe.consecutiveRefusals(),
-                                                        result)));
-    }
+        @Override
+        public void onRenewalTimer(int epoch) {
+            handle(new LeadershipEvent.RenewalTimerFired(epoch));
+            boolean stalled;
+            synchronized (Leadership.this) {
+                stalled = LeadershipSafety.isStalled(maxStall, state);
+            }
+            if (stalled) {
+                releaseStalled();
+            }
+        }
 
-    private void publish(Notification notification) {
-        if (notification instanceof NotifyElected elected) {
-            LOG.info("leader elected node={} token={}", member, elected.fencingToken());
-            listener.onElected(
-                    elected.fencingToken(), elected.leaderKeyRevision(), elected.vacantSince());
-            peerGateway.announceLeader(member, elected.fencingToken());
-        } else if (notification instanceof NotifyLeadershipLost lost) {
-            LOG.info("leadership lost token={} reason={}", lost.fencingToken(), lost.reason());
-            listener.onLeadershipLost(lost.reason());
-        } else if (notification instanceof NotifyFollowing following) {
-            listener.onFollowing(following.leader());
+        @Override
+        public boolean isCurrentEpoch(int epoch) {
+            synchronized (Leadership.this) {
+                return state.epoch() == epoch;
+            }
+        }
+
+        @Override
+        public boolean isLeader() {
+            synchronized (Leadership.this) {
+                return state.isLeader();
+            }
         }
     }
 }
--- a/src/main/java/org/meadowhollow/coordination/leadership/LeadershipEffect.java
+++ b/src/main/java/org/meadowhollow/coordination/leadership/LeadershipEffect.java
@@ -16,6 +16,12 @@
     /** A request to the key-value store; {@link LeadershipStoreClient} sends it. */
     sealed interface StoreRequest extends LeadershipEffect {}
 
+    /** A request whose reply is the next event of the election, in the same epoch. */
+    sealed interface AwaitedRequest extends StoreRequest {
+        /** The epoch in which the reply is valid. */
+        int epoch();
+    }
+
     /** A notification to other parts of the controller. */
     sealed interface Notification extends LeadershipEffect {}
 
@@ -27,10 +33,10 @@
      * @param afterDelay whether to wait first, because an attempt has failed or this node may not
      *     stand for election yet
      */
-    record ReadLeaderKey(int epoch, boolean afterDelay) implements StoreRequest {}
+    record ReadLeaderKey(int epoch, boolean afterDelay) implements AwaitedRequest {}
 
     /** Wait until the leader record changes. */
-    record WatchLeaderKey(int epoch, Revision afterRevision) implements StoreRequest {}
+    record WatchLeaderKey(int epoch, Revision afterRevision) implements AwaitedRequest {}
 
     /**
      * Read the token counter.
@@ -38,7 +44,7 @@
      * @param leaderKeyRevision the revision of the leader record that is to be replaced, {@link
      *     Revision#ABSENT} if there is none
      */
-    record ReadTokenCounter(int epoch, Revision leaderKeyRevision) implements StoreRequest {}
+    record ReadTokenCounter(int epoch, Revision leaderKeyRevision) implements AwaitedRequest {}
 
     /**
      * Request a lease for the leader record.
@@ -47,7 +53,7 @@
      * @param counter the token counter, passed through to the reply
      */
     record GrantLease(int epoch, Revision leaderKeyRevision, Optional<KeyValueStore.Entry> counter)
-            implements StoreRequest {}
+            implements AwaitedRequest {}
 
     /**
      * Write the leader record under a lease and raise the token counter, in one transaction.
@@ -64,14 +70,14 @@
             FencingToken fencingToken,
             LeaseId lease,
             MonotonicTime sentAt)
-            implements StoreRequest {}
+            implements AwaitedRequest {}
 
     /**
      * Renew this node's lease.
      *
      * @param sentAt the current time
      */
-    record RenewLease(int epoch, LeaseId lease, MonotonicTime sentAt) implements StoreRequest {}
+    record RenewLease(int epoch, LeaseId lease, MonotonicTime sentAt) implements AwaitedRequest {}
 
     /**
      * Delete the leader record, and write into the token counter which member should be elected
@@ -89,7 +95,7 @@
             FencingToken fencingToken,
             ReleaseReason reason,
             String preferredSuccessor)
-            implements StoreRequest {}
+            implements AwaitedRequest {}
 
     /** Revoke a lease that this node no longer uses. The reply is ignored. */
     record RevokeOwnLease(LeaseId lease) implements StoreRequest {}
--- a/src/main/java/org/meadowhollow/model/RepeatingStep.java
+++ b/src/main/java/org/meadowhollow/model/RepeatingStep.java
@@ -17,6 +17,8 @@
     LOAD_CHECK,
     /** Probing a key-value store that does not serve the node. */
     STORE_PROBE,
+    /** Handling an event of the leader election, or performing one of its effects. */
+    ELECTION,
     /** Loading the machine types. */
     MACHINE_TYPE_LOAD,
     /** Following the changes of jobs for the answers to users' polls. */
--- a/src/test/java/org/meadowhollow/simulation/RepeatingStepsScenarioTest.java
+++ b/src/test/java/org/meadowhollow/simulation/RepeatingStepsScenarioTest.java
@@ -7,7 +7,10 @@
 import java.util.EnumSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.meadowhollow.coordination.admission.AdmissionService.Phase;
 import org.meadowhollow.model.JobKind;
 import org.meadowhollow.model.JobSpec;
@@ -43,6 +46,45 @@
         assertEquals(Set.of(), faults.notRepeated());
     }
 
+    private static IntStream electionSteps() {
+        return IntStream.rangeClosed(1, 120);
+    }
+
+    /** Any one event or effect of the leader election fails, while leaders begin and end. */
+    @ParameterizedTest
+    @MethodSource("electionSteps")
+    void theElectionGoesOnAfterAnyOneOfItsStepsHasFailed(int number) {
+        StepFaults faults = cluster.loop().stepFaults();
+        faults.failExecutionOf(RepeatingStep.ELECTION, number);
+        cluster.crashAll();
+        cluster.runSeconds(1);
+        cluster.restartAll();
+        cluster.runSeconds(15);
+        cluster.crash(cluster.leader());
+        cluster.runSeconds(40);
+        assertTrue(faults.hasCountedExecutionFailed());
+
+        for (int node = 0; node < cluster.nodeCount(); node++) {
+            assertCanLeadAlone(node);
+        }
+    }
+
+    private void assertCanLeadAlone(int node) {
+        for (int other = 0; other < cluster.nodeCount(); other++) {
+            if (other == node && cluster.node(other) == null) {
+                cluster.restart(other);
+            } else if (other != node && cluster.node(other) != null) {
+                cluster.crash(other);
+            }
+        }
+        cluster.runSeconds(20);
+        assertEquals(node, cluster.leader());
+        JobSpec job = arrayJob(node, 2);
+        assertTrue(cluster.users().submit(node, job, SHORT_RUNTIME));
+        cluster.runSeconds(40);
+        assertEquals(Phase.DONE, phaseOf(job));
+    }
+
     /** Brings about work of every step: jobs, cancellations, polls, failovers and isolation. */
     private void disturb(int round) {
         JobSpec ending = arrayJob(2 * round, 3);
--- a/src/test/java/org/meadowhollow/simulation/StepFaults.java
+++ b/src/test/java/org/meadowhollow/simulation/StepFaults.java
@@ -14,6 +14,8 @@
     private final Set<RepeatingStep> failNext = EnumSet.noneOf(RepeatingStep.class);
     private final Map<RepeatingStep, Integer> runsSinceFailure = new EnumMap<>(RepeatingStep.class);
     private RepeatingStep alwaysFailing;
+    private RepeatingStep countedStep;
+    private int executionsUntilFailure;
     private RuntimeException defect;
 
     /** Lets the next execution of each of these steps throw an exception, on any node. */
@@ -26,6 +28,17 @@
         alwaysFailing = step;
     }
 
+    /** Lets one later execution of a step throw an exception: the first from now on is number 1. */
+    public void failExecutionOf(RepeatingStep step, int number) {
+        countedStep = step;
+        executionsUntilFailure = number;
+    }
+
+    /** Whether the execution that was chosen by its number has failed. */
+    public boolean hasCountedExecutionFailed() {
+        return countedStep == null;
+    }
+
     /** The steps that were to fail and have not been executed yet. */
     Set<RepeatingStep> notYetFailed() {
         return Set.copyOf(failNext);
@@ -45,7 +58,7 @@
 
     /** Runs one execution of a step as the event loop of a process does. */
     boolean run(RepeatingStep step, Runnable body) {
-        if (step == alwaysFailing) {
+        if (step == alwaysFailing || isCountedExecution(step)) {
             return false;
         }
         if (failNext.remove(step)) {
@@ -62,6 +75,15 @@
         }
     }
 
+    private boolean isCountedExecution(RepeatingStep step) {
+        if (step != countedStep) {
+            return false;
+        }
+        executionsUntilFailure--;
+        countedStep = executionsUntilFailure == 0 ? null : countedStep;
+        return countedStep == null;
+    }
+
     /** Throws the first exception that no test has asked for. */
     void throwDefect() {
         if (defect != null) {
