Guard the ports by explicit classes instead of a reflective proxy

The proxies are made at each start of a process, outside the class archive, and call by reflection. Change: GuardedKeyValueStore, GuardedCloudProvider and GuardedPeerGateway; PortGuard keeps the one rule. No behaviour changes.

--- a/src/main/java/org/meadowhollow/coordination/api/PortGuard.java
+++ b/src/main/java/org/meadowhollow/coordination/api/PortGuard.java
@@ -1,34 +1,34 @@
 package org.meadowhollow.coordination.api;
 
-import java.lang.reflect.InvocationHandler;
-import java.lang.reflect.InvocationTargetException;
-import java.lang.reflect.Method;
-import java.lang.reflect.Proxy;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.meadowhollow.storage.IndeterminateOutcomeException;
 import org.meadowhollow.storage.KeyValueStore;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Guards the callers of the ports to other systems against implementations that throw. The contract
+ * Guards the callers of a port to another system against implementations that throw. The contract
  * of a port is a failed future; an exception out of a call would end the step that made it, and
  * with it all that the step was to do next. A call that throws may have been sent, so its outcome
- * counts as unknown.
+ * counts as unknown. Thread-safe.
  */
-public final class PortGuard implements InvocationHandler {
+public final class PortGuard {
     private static final Logger LOG = LoggerFactory.getLogger(PortGuard.class);
 
-    private final Object implementation;
+    private final String port;
     private final Function<RuntimeException, RuntimeException> failureOf;
     private final Set<String> loggedMethods = ConcurrentHashMap.newKeySet();
 
-    private PortGuard(
-            Object implementation, Function<RuntimeException, RuntimeException> failureOf) {
-        this.implementation = implementation;
+    /**
+     * @param port the name of the port, for the log
+     * @param failureOf returns the failure of a call for the exception that it threw
+     */
+    private PortGuard(String port, Function<RuntimeException, RuntimeException> failureOf) {
+        this.port = port;
         this.failureOf = failureOf;
     }
 
@@ -36,63 +36,56 @@
      * Returns a store whose calls fail with {@link IndeterminateOutcomeException} if they throw.
      */
     public static KeyValueStore guard(KeyValueStore store) {
-        return guard(
-                KeyValueStore.class,
+        return new GuardedKeyValueStore(
                 store,
-                thrown -> new IndeterminateOutcomeException("the call failed: " + thrown));
+                new PortGuard(
+                        "KeyValueStore",
+                        thrown -> new IndeterminateOutcomeException("the call failed: " + thrown)));
     }
 
     /** Returns a gateway whose calls fail with the exception that they throw. */
     public static WorkerGateway guard(WorkerGateway workers) {
-        return guard(WorkerGateway.class, workers, Function.identity());
+        PortGuard guard = new PortGuard("WorkerGateway", thrown -> thrown);
+        return (address, token, incarnation, commands) ->
+                guard.call(
+                        "sendCommands",
+                        () -> workers.sendCommands(address, token, incarnation, commands));
     }
 
     /** Returns a provider whose calls fail with the exception that they throw. */
     public static CloudProvider guard(CloudProvider cloud) {
-        return guard(CloudProvider.class, cloud, Function.identity());
+        return new GuardedCloudProvider(cloud, new PortGuard("CloudProvider", thrown -> thrown));
     }
 
     /** Returns a gateway whose calls fail with the exception that they throw. */
     public static PeerGateway guard(PeerGateway peers) {
-        return guard(PeerGateway.class, peers, Function.identity());
+        return new GuardedPeerGateway(peers, new PortGuard("PeerGateway", thrown -> thrown));
     }
 
-    private static <T> T guard(
-            Class<T> port,
-            T implementation,
-            Function<RuntimeException, RuntimeException> failureOf) {
-        Object guarded =
-                Proxy.newProxyInstance(
-                        port.getClassLoader(),
-                        new Class<?>[] {port},
-                        new PortGuard(implementation, failureOf));
-        return port.cast(guarded);
+    /** Calls a method that returns a future; throws nothing. */
+    <T> CompletableFuture<T> call(String method, Supplier<CompletableFuture<T>> request) {
+        try {
+            return request.get();
+        } catch (RuntimeException thrown) {
+            log(method, thrown);
+            return CompletableFuture.failedFuture(failureOf.apply(thrown));
+        }
     }
 
-    @Override
-    public Object invoke(Object proxy, Method method, Object[] arguments) throws Throwable {
+    /** Calls a method without a result; throws nothing. */
+    void run(String method, Runnable request) {
         try {
-            return method.invoke(implementation, arguments);
-        } catch (InvocationTargetException failed) {
-            boolean returnsFuture = method.getReturnType() == CompletableFuture.class;
-            boolean returnsNothing = method.getReturnType() == void.class;
-            if (failed.getCause() instanceof RuntimeException thrown
-                    && (returnsFuture || returnsNothing)) {
-                log(method, thrown);
-                return returnsFuture
-                        ? CompletableFuture.failedFuture(failureOf.apply(thrown))
-                        : null;
-            }
-            throw failed.getCause();
+            request.run();
+        } catch (RuntimeException thrown) {
+            log(method, thrown);
         }
     }
 
-    private void log(Method method, RuntimeException thrown) {
-        String port = method.getDeclaringClass().getSimpleName();
-        if (loggedMethods.add(method.getName())) {
-            LOG.error("call failed port={} method={}", port, method.getName(), thrown);
+    private void log(String method, RuntimeException thrown) {
+        if (loggedMethods.add(method)) {
+            LOG.error("call failed port={} method={}", port, method, thrown);
         } else {
-            LOG.debug("call failed again port={} method={}", port, method.getName(), thrown);
+            LOG.debug("call failed again port={} method={}", port, method, thrown);
         }
     }
 }
