--- a/src/test/java/org/meadowhollow/simulation/RandomFaultsTest.java
+++ b/src/test/java/org/meadowhollow/simulation/RandomFaultsTest.java
@@ -39,17 +39,23 @@
             cluster.enableStandbys();
         }
         addSixMachines(cluster);
-        List<JobSpec> jobs = new ArrayList<>();
-        for (int step = 0; step < STEPS; step++) {
-            injectRandomFault(cluster, random, jobs, step);
-            cluster.runSeconds(1 + random.nextInt(5));
-        }
+        List<JobSpec> jobs = playRandomFaults(cluster, random, STEPS);
         assertAllJobsTerminate(cluster, jobs, 30, 400);
         for (int node = 0; node < 3; node++) {
             assertEquals(0, cluster.node(node).mismatchedRecordCount());
         }
     }
 
+    /** Injects a random fault every few seconds, and returns the jobs that were submitted. */
+    static List<JobSpec> playRandomFaults(SimulatedCluster cluster, Random random, int steps) {
+        List<JobSpec> jobs = new ArrayList<>();
+        for (int step = 0; step < steps; step++) {
+            injectRandomFault(cluster, random, jobs, step);
+            cluster.runSeconds(1 + random.nextInt(5));
+        }
+        return jobs;
+    }
+
     static void addSixMachines(SimulatedCluster cluster) {
         for (int at = 0; at < 6; at++) {
             cluster.addMachine(
--- a/src/test/java/org/meadowhollow/simulation/RandomThrowingCallsTest.java
+++ b/src/test/java/org/meadowhollow/simulation/RandomThrowingCallsTest.java
@@ -2,7 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import java.util.stream.LongStream;
@@ -37,11 +36,7 @@
         RandomFaultsTest.addSixMachines(cluster);
         cluster.callFaults()
                 .throwAtRandom(new Random(seed), random.nextDouble() * MAX_THROWING_SHARE);
-        List<JobSpec> jobs = new ArrayList<>();
-        for (int step = 0; step < STEPS; step++) {
-            RandomFaultsTest.injectRandomFault(cluster, random, jobs, step);
-            cluster.runSeconds(1 + random.nextInt(5));
-        }
+        List<JobSpec> jobs = RandomFaultsTest.playRandomFaults(cluster, random, STEPS);
         assertTrue(cluster.callFaults().thrownCount() > 0);
         cluster.callFaults().throwAtRandom(random, 0);
 
